--- /dev/null
+++ b/src/contracts/ledger.ts
@@ -0,0 +1,324 @@
+/**
+The ledger of a shard: a fenced journal kept in the platform as a ring of slots.
+
+Batch n goes to slot n modulo the ring size by an update that is conditional on the version the slot
+had when its previous batch was read. A new owner claims the shard by writing the next batch itself;
+the version of that slot then never matches the old owner's expectation again, so a paused or cut-off
+owner fails at the store, whatever its clock says. The head object names the first batch that a
+reader has to replay. This module decides; reading and writing is done by the journal.
+*/
+import {
+	as, type FencingNumber, type Incarnation, type InstanceId, type Milliseconds, type Nonce, type ObjectVersion,
+} from './id.js';
+import {type StoredObject, type Update} from './platform.js';
+import {type Batch, type JournalRecord} from './record.js';
+
+/** Slots of one shard's ring. */
+export const slotsPerShard = 32;
+
+/** Batches after which the owner moves the head forward, well before the ring is full. */
+export const batchesPerCheckpoint = 16;
+
+/** Upper bound of the encoded records of one batch, below the platform's limit of 1 MB a value. */
+export const maximumBatchBytes = 900_000;
+
+const firstRetryMs = 50;
+const longestRetryMs = 2000;
+
+/** First batch to replay and the programs whose snapshots precede it. */
+export type Head = {
+	readonly base: number;
+	readonly programs: readonly string[];
+};
+
+export type Slot = {readonly version: ObjectVersion; readonly batch: Batch | undefined};
+
+export type LedgerEvent
+	/** Take or take back ownership. */
+	= | {readonly kind: 'claim'}
+		| {readonly kind: 'ring'; readonly head: Head; readonly slots: readonly Slot[]}
+		| {readonly kind: 'ring-unavailable'}
+		| {readonly kind: 'append'; readonly ticket: number; readonly records: readonly JournalRecord[]; readonly bytes: number}
+		| {readonly kind: 'updated'; readonly update: Update}
+		| {readonly kind: 'slot-read'; readonly slot: Slot}
+		| {readonly kind: 'slot-unavailable'}
+		| {readonly kind: 'checkpointed'; readonly base: number}
+		| {readonly kind: 'retry'};
+
+export type LedgerEffect
+	= | {readonly kind: 'read-ring'}
+		| {readonly kind: 'replay'; readonly head: Head; readonly batches: readonly Batch[]}
+		| {readonly kind: 'write'; readonly slot: number; readonly expected: ObjectVersion; readonly batch: Batch}
+		| {readonly kind: 'read-slot'; readonly slot: number}
+		| {readonly kind: 'opened'; readonly epoch: FencingNumber}
+		| {readonly kind: 'committed'; readonly tickets: readonly number[]; readonly sequence: number}
+		| {readonly kind: 'stalled'}
+		| {readonly kind: 'checkpoint'; readonly sequence: number}
+		| {readonly kind: 'deposed'}
+		| {readonly kind: 'retry-later'; readonly delay: Milliseconds};
+
+type Pending = {readonly ticket: number; readonly records: readonly JournalRecord[]; readonly bytes: number};
+
+type Flight = {readonly batch: Batch; readonly tickets: readonly number[]};
+
+type Phase
+	= | {readonly kind: 'closed'}
+		| {readonly kind: 'reading'}
+		| {readonly kind: 'claiming'; readonly claim: Batch}
+		| {readonly kind: 'open'}
+		| {readonly kind: 'deposed'};
+
+export type Ledger = {
+	readonly handle: (event: LedgerEvent) => readonly LedgerEffect[];
+	readonly phase: () => Phase['kind'];
+	readonly epoch: () => FencingNumber;
+	readonly pending: () => number;
+};
+
+export type LedgerOptions = {
+	readonly instance: InstanceId;
+	readonly incarnation: Incarnation;
+	/** Unique for every batch that is written. */
+	readonly nextNonce: () => Nonce;
+};
+
+/** Creates the decision state of one shard's ledger. It starts closed; nothing can be appended before it opens. */
+export function createLedger(options: LedgerOptions): Ledger {
+	let phase: Phase = {kind: 'closed'};
+	let epoch = as<FencingNumber>(0);
+	let versions: ObjectVersion[] = [];
+	let base = 0;
+	let next = 0;
+	let flight: Flight | undefined;
+	let pending: Pending[] = [];
+	let retryMs = firstRetryMs;
+
+	function createBatch(records: readonly JournalRecord[]): Batch {
+		return {
+			sequence: next,
+			epoch,
+			owner: options.instance,
+			incarnation: options.incarnation,
+			nonce: options.nextNonce(),
+			records,
+		};
+	}
+
+	function write(batch: Batch): LedgerEffect {
+		const slot = batch.sequence % slotsPerShard;
+		return {
+			kind: 'write', slot, expected: versions[slot] ?? as<ObjectVersion>(0), batch,
+		};
+	}
+
+	function retryLater(): LedgerEffect {
+		const delay = as<Milliseconds>(retryMs);
+		retryMs = Math.min(retryMs * 2, longestRetryMs);
+		return {kind: 'retry-later', delay};
+	}
+
+	function takePending(): Pending[] {
+		let bytes = 0;
+		let count = 0;
+		for (const entry of pending) {
+			bytes += entry.bytes;
+			if (count > 0 && bytes > maximumBatchBytes) {
+				break;
+			}
+
+			count++;
+		}
+
+		return pending.splice(0, count);
+	}
+
+	function flush(): LedgerEffect[] {
+		const ringIsFull = next - base >= slotsPerShard;
+		const isBusy = flight !== undefined || ringIsFull;
+		if (phase.kind !== 'open' || isBusy || pending.length === 0) {
+			return [];
+		}
+
+		const taken = takePending();
+		const batch = createBatch(taken.flatMap(entry => entry.records));
+		flight = {batch, tickets: taken.map(entry => entry.ticket)};
+		return [write(batch)];
+	}
+
+	function depose(): LedgerEffect[] {
+		phase = {kind: 'deposed'};
+		flight = undefined;
+		pending = [];
+		return [{kind: 'deposed'}];
+	}
+
+	/** The batch that a write is under way for, as claim or as append. */
+	function outstanding(): Batch | undefined {
+		return phase.kind === 'claiming' ? phase.claim : flight?.batch;
+	}
+
+	function succeed(batch: Batch, version: ObjectVersion): LedgerEffect[] {
+		versions[batch.sequence % slotsPerShard] = version;
+		next = batch.sequence + 1;
+		retryMs = firstRetryMs;
+		const effects: LedgerEffect[] = [];
+		if (phase.kind === 'claiming') {
+			phase = {kind: 'open'};
+			effects.push({kind: 'opened', epoch});
+		} else if (flight) {
+			effects.push({kind: 'committed', tickets: flight.tickets, sequence: batch.sequence});
+			flight = undefined;
+		}
+
+		if (next - base >= batchesPerCheckpoint) {
+			effects.push({kind: 'checkpoint', sequence: batch.sequence});
+		}
+
+		return [...effects, ...flush()];
+	}
+
+	function lose(): LedgerEffect[] {
+		if (phase.kind === 'claiming') {
+			// Another writer appended first; read what it wrote and claim again after that.
+			phase = {kind: 'reading'};
+			return [{kind: 'read-ring'}];
+		}
+
+		return depose();
+	}
+
+	function readRing(event: Extract<LedgerEvent, {kind: 'ring'}>): LedgerEffect[] {
+		if (phase.kind !== 'reading') {
+			return [];
+		}
+
+		versions = event.slots.map(slot => slot.version);
+		base = event.head.base;
+		next = base;
+		const batches: Batch[] = [];
+		for (;;) {
+			const batch = event.slots[next % slotsPerShard]?.batch;
+			if (batch?.sequence !== next) {
+				break;
+			}
+
+			batches.push(batch);
+			next++;
+		}
+
+		epoch = as<FencingNumber>(highestEpoch(event.slots) + 1);
+		const claim = createBatch([]);
+		phase = {kind: 'claiming', claim};
+		return [{kind: 'replay', head: event.head, batches}, write(claim)];
+	}
+
+	function updated(update: Update): LedgerEffect[] {
+		const batch = outstanding();
+		if (!batch) {
+			return [];
+		}
+
+		switch (update.kind) {
+			case 'written': {
+				return succeed(batch, update.version);
+			}
+
+			case 'conflict':
+			case 'doubtful': {
+				// An earlier try may have taken effect although its answer was lost.
+				const stalled: LedgerEffect[] = update.kind === 'doubtful' ? [{kind: 'stalled'}] : [];
+				return [...stalled, {kind: 'read-slot', slot: batch.sequence % slotsPerShard}];
+			}
+
+			case 'unavailable': {
+				return [{kind: 'stalled'}, retryLater()];
+			}
+		}
+	}
+
+	function readBack(slot: Slot): LedgerEffect[] {
+		const batch = outstanding();
+		if (!batch) {
+			return [];
+		}
+
+		if (slot.batch?.nonce === batch.nonce) {
+			return succeed(batch, slot.version);
+		}
+
+		const unchanged = slot.version === versions[batch.sequence % slotsPerShard];
+		return unchanged ? [retryLater()] : lose();
+	}
+
+	function retry(): LedgerEffect[] {
+		if (phase.kind === 'reading') {
+			return [{kind: 'read-ring'}];
+		}
+
+		const batch = outstanding();
+		return batch ? [write(batch)] : flush();
+	}
+
+	function handle(event: LedgerEvent): readonly LedgerEffect[] {
+		switch (event.kind) {
+			case 'claim': {
+				phase = {kind: 'reading'};
+				return [{kind: 'read-ring'}];
+			}
+
+			case 'ring': {
+				return readRing(event);
+			}
+
+			case 'ring-unavailable': {
+				return phase.kind === 'reading' ? [retryLater()] : [];
+			}
+
+			case 'append': {
+				if (phase.kind === 'deposed') {
+					return [{kind: 'deposed'}];
+				}
+
+				pending.push({ticket: event.ticket, records: event.records, bytes: event.bytes});
+				return flush();
+			}
+
+			case 'updated': {
+				return updated(event.update);
+			}
+
+			case 'slot-read': {
+				return readBack(event.slot);
+			}
+
+			case 'slot-unavailable': {
+				return outstanding() ? [{kind: 'stalled'}, retryLater()] : [];
+			}
+
+			case 'checkpointed': {
+				base = Math.max(base, event.base);
+				return flush();
+			}
+
+			case 'retry': {
+				return retry();
+			}
+		}
+	}
+
+	return {
+		handle,
+		phase: () => phase.kind,
+		epoch: () => epoch,
+		pending: () => pending.length + (flight?.tickets.length ?? 0),
+	};
+}
+
+function highestEpoch(slots: readonly Slot[]): number {
+	let highest = 0;
+	for (const slot of slots) {
+		highest = Math.max(highest, slot.batch?.epoch ?? 0);
+	}
+
+	return highest;
+}
--- /dev/null
+++ b/src/contracts/program.ts
@@ -0,0 +1,182 @@
+/**
+A program: a chain of dependent calls with one history and one budget. The state here is what the
+journal proves; whoever replays the same records holds the same program.
+*/
+import {type Account, createAccount, type Spend} from './budget.js';
+import {type Request} from './call.js';
+import {
+	as, type AttemptId, type CallId, type CustomerId, type EndpointId, type IdempotencyKey, type Milliseconds,
+	type ProgramId, type RouteName, type Tokens,
+} from './id.js';
+import {type Answer, type Outcome} from './outcome.js';
+import {type Closing, type JournalRecord} from './record.js';
+
+/** What the journal says about one call. */
+export type CallState
+	= | {
+		readonly kind: 'intended';
+		readonly call: CallId;
+		readonly route: RouteName;
+		readonly fingerprint: string;
+		readonly request: Request;
+		readonly attempt: AttemptId;
+		readonly stream: AttemptId;
+		readonly prefix: readonly string[];
+		readonly endpoint: EndpointId;
+		readonly repeatable: boolean;
+		readonly reservation: Spend;
+	}
+	| {readonly kind: 'settled'; readonly call: CallId; readonly fingerprint: string; readonly stream: AttemptId; readonly outcome: Outcome};
+
+/** One completed step of a program. */
+export type Turn = {
+	readonly call: CallId;
+	readonly route: RouteName;
+	readonly request: Request;
+	readonly answer: Answer;
+};
+
+export type Program = {
+	readonly id: ProgramId;
+	readonly customer: CustomerId;
+	readonly parent?: ProgramId;
+	readonly account: Account;
+	/** Wall-clock time since the epoch. */
+	readonly openedAt: Milliseconds;
+	readonly history: Turn[];
+	readonly calls: Map<IdempotencyKey, CallState>;
+	/** Endpoints that may hold engine memory for the program. */
+	readonly holders: Set<EndpointId>;
+	/** Everything the journal recorded about the program, in order; replaying it rebuilds the program. */
+	readonly records: JournalRecord[];
+	status: 'open' | Closing;
+	/** Wall-clock time since the epoch at which the program ended, as seen by this instance. */
+	endedAt?: Milliseconds;
+};
+
+export type Programs = Map<ProgramId, Program>;
+
+/** Wall-clock time since the epoch at which the program expires. */
+export function expiryOf(program: Program): Milliseconds {
+	return as<Milliseconds>(program.openedAt + program.account.budget.duration);
+}
+
+/** Calls of the program that ran or may have run. */
+export function turnsOf(program: Program): number {
+	return program.calls.size;
+}
+
+function open(programs: Programs, record: Extract<JournalRecord, {kind: 'opened'}>): void {
+	if (programs.has(record.program)) {
+		return;
+	}
+
+	const parent = record.parent === undefined ? undefined : programs.get(record.parent);
+	programs.set(record.program, {
+		id: record.program,
+		customer: record.customer,
+		...(record.parent !== undefined && {parent: record.parent}),
+		account: parent?.account ?? createAccount(record.budget),
+		openedAt: record.openedAt,
+		history: [],
+		calls: new Map(),
+		holders: new Set(),
+		records: [record],
+		status: 'open',
+	});
+}
+
+function intend(program: Program, record: Extract<JournalRecord, {kind: 'intent'}>): void {
+	const {kind: _kind, program: _program, key, ...rest} = record;
+	program.calls.set(key, {kind: 'intended', ...rest});
+	program.holders.add(record.endpoint);
+}
+
+function settle(program: Program, record: Extract<JournalRecord, {kind: 'settled'}>): void {
+	const previous = program.calls.get(record.key);
+	program.calls.set(record.key, {
+		kind: 'settled', call: record.call, fingerprint: record.fingerprint, stream: record.stream, outcome: record.outcome,
+	});
+	if (previous?.kind === 'intended' && record.outcome.kind === 'completed') {
+		program.history.push({
+			call: record.call, route: previous.route, request: previous.request, answer: record.outcome.answer,
+		});
+	}
+}
+
+/** Applies one record to the programs of a shard. Records about programs that were evicted are ignored. */
+export function applyRecord(programs: Programs, record: JournalRecord): void {
+	if (record.kind === 'opened') {
+		open(programs, record);
+		return;
+	}
+
+	const program = programs.get(record.program);
+	if (!program) {
+		return;
+	}
+
+	program.records.push(record);
+	switch (record.kind) {
+		case 'intent': {
+			intend(program, record);
+			return;
+		}
+
+		case 'settled': {
+			settle(program, record);
+			return;
+		}
+
+		case 'closed': {
+			program.status = record.closing;
+		}
+	}
+}
+
+/** Applies a record read back from the journal, including what it says about the budget. */
+export function replayRecord(programs: Programs, record: JournalRecord): void {
+	const program = programs.get(record.program);
+	if (program && (record.kind === 'intent' || record.kind === 'settled')) {
+		// A reservation whose settlement is not recorded counts as spent in full.
+		const previous = program.calls.get(record.key);
+		if (previous?.kind === 'intended') {
+			program.account.restore(negate(previous.reservation));
+		}
+
+		program.account.restore(record.kind === 'intent' ? record.reservation : record.used);
+	}
+
+	applyRecord(programs, record);
+}
+
+function negate(spend: Spend): Spend {
+	return {tokens: as<Tokens>(-spend.tokens), calls: -spend.calls};
+}
+
+/** Whether the programs already reflect a record, or can no longer take it. */
+export function isKnown(programs: Programs, record: JournalRecord): boolean {
+	const program = programs.get(record.program);
+	if (!program) {
+		return record.kind !== 'opened';
+	}
+
+	switch (record.kind) {
+		case 'opened': {
+			return true;
+		}
+
+		case 'intent': {
+			return program.records.some(known => known.kind === 'intent' && known.attempt === record.attempt);
+		}
+
+		case 'settled': {
+			const state = program.calls.get(record.key);
+			return state?.kind === 'settled' && state.call === record.call;
+		}
+
+		case 'closed': {
+			return program.status !== 'open';
+		}
+	}
+}
