--- /dev/null
+++ b/src/machines/back-end.ts
@@ -0,0 +1,98 @@
+/**
+One endpoint as this instance knows it: its queue of waiting calls, the calls in flight, its pace,
+its health and the programs whose prompts it probably still holds in memory.
+*/
+import PQueue from 'p-queue';
+import {
+	as, type Milliseconds, type ProgramId, type Tokens,
+} from '../contracts/id.js';
+import {type Endpoint, type Pool} from '../contracts/pool.js';
+import {
+	type Health, type HealthEvent, isUsable, nextHealth,
+} from './health.js';
+
+/** Programs whose cached prompts are remembered for one endpoint. */
+const rememberedPrograms = 4096;
+
+const paceWeight = 0.3;
+
+export type BackEnd = {
+	readonly endpoint: Endpoint;
+	readonly kind: Pool['kind'];
+	/** Orders waiting calls by priority and bounds the calls in flight from this instance. */
+	readonly queue: PQueue;
+	readonly health: () => Health;
+	/** Aborts when calls that wait here should be placed elsewhere. */
+	readonly displaced: () => AbortSignal;
+	readonly report: (event: HealthEvent, now: Milliseconds) => void;
+	readonly isUsable: (now: Milliseconds) => boolean;
+	/** Calls of this instance that are running or waiting here. */
+	readonly load: () => number;
+	/** Calls of other instances, as the endpoint last said, fading as the report ages. */
+	readonly foreignLoad: (now: Milliseconds) => number;
+	readonly reportLoad: (total: number, now: Milliseconds) => void;
+	/** Smoothed time a unit of work, in ms; zero before the first observation. */
+	readonly pace: () => number;
+	readonly observePace: (pace: number) => void;
+	/** Tokens of the program's prompt that are probably in the endpoint's memory. */
+	readonly cached: (program: ProgramId) => Tokens;
+	readonly remember: (program: ProgramId, tokens: Tokens) => void;
+	readonly forget: (program: ProgramId) => void;
+};
+
+const loadReportLifeMs = 2000;
+
+/** Creates the view of one endpoint with nothing in flight. */
+export function createBackEnd(endpoint: Endpoint, pool: Pick<Pool, 'kind' | 'concurrency'>): BackEnd {
+	const queue = new PQueue({concurrency: pool.concurrency});
+	const cache = new Map<ProgramId, Tokens>();
+	let health: Health = {kind: 'healthy'};
+	let pace = 0;
+	let displacing = new AbortController();
+	let reported = {foreign: 0, at: as<Milliseconds>(0)};
+
+	const load = () => queue.pending + queue.size;
+
+	return {
+		endpoint,
+		kind: pool.kind,
+		queue,
+		health: () => health,
+		displaced: () => displacing.signal,
+		report(event, now) {
+			const wasHealthy = health.kind === 'healthy';
+			health = nextHealth(health, event, now);
+			if (wasHealthy && health.kind !== 'healthy') {
+				displacing.abort(new Error(`${endpoint.id} is ${health.kind}`));
+				displacing = new AbortController();
+			}
+		},
+		isUsable: now => isUsable(health, load(), now),
+		load,
+		foreignLoad(now) {
+			const age = now - reported.at;
+			return reported.foreign * Math.max(0, 1 - (age / loadReportLifeMs));
+		},
+		reportLoad(total, now) {
+			reported = {foreign: Math.max(0, total - queue.pending), at: now};
+		},
+		pace: () => pace,
+		observePace(observed) {
+			pace = pace === 0 ? observed : (pace * (1 - paceWeight)) + (observed * paceWeight);
+		},
+		cached: program => cache.get(program) ?? as<Tokens>(0),
+		remember(program, tokens) {
+			cache.delete(program);
+			cache.set(program, tokens);
+			if (cache.size > rememberedPrograms) {
+				const [oldest] = cache.keys();
+				if (oldest !== undefined) {
+					cache.delete(oldest);
+				}
+			}
+		},
+		forget(program) {
+			cache.delete(program);
+		},
+	};
+}
--- /dev/null
+++ b/src/machines/event-log.ts
@@ -0,0 +1,33 @@
+/**
+Event log: the most recent decisions of an instance in memory, by program, so that operators can ask
+where a call went and why.
+*/
+import {type Clock} from '../contracts/clock.js';
+import {type Milliseconds, type ProgramId} from '../contracts/id.js';
+import {type ExecutionEvent} from '../zones/execution.js';
+
+/** Events that one instance remembers. */
+const capacity = 20_000;
+
+export type LoggedEvent = ExecutionEvent & {
+	/** Wall-clock time since the epoch. */
+	readonly at: Milliseconds;
+};
+
+export type EventLog = {
+	readonly add: (event: ExecutionEvent) => void;
+	readonly about: (program: ProgramId) => readonly LoggedEvent[];
+};
+
+/** Creates an empty log that forgets its oldest events. */
+export function createEventLog(clock: Clock): EventLog {
+	const events: LoggedEvent[] = [];
+	let next = 0;
+	return {
+		add(event) {
+			events[next % capacity] = {...event, at: clock.wall()};
+			next++;
+		},
+		about: program => events.filter(event => event.program === program).toSorted((left, right) => left.at - right.at),
+	};
+}
--- /dev/null
+++ b/src/machines/fleet.ts
@@ -0,0 +1,156 @@
+/**
+The fleet: every back end that the accepted configuration names, as this instance knows it. It gives
+out places on them and forgets those that the configuration no longer lists.
+*/
+import {err, ok, type Result} from 'neverthrow';
+import {type Clock} from '../contracts/clock.js';
+import {type Configuration, emptyConfiguration} from '../contracts/configuration.js';
+import {describeError, type Failure, failure} from '../contracts/failure.js';
+import {
+	as, type DataCentreId, type EndpointId, type Milliseconds, type PoolName, type RouteName,
+} from '../contracts/id.js';
+import {type Pool} from '../contracts/pool.js';
+import {type Route} from '../contracts/route.js';
+import {type BackEnd, createBackEnd} from './back-end.js';
+import {choose, costOf, type PlacementQuery} from './placement.js';
+import {createRetryBudget, type RetryBudget} from './retry-budget.js';
+
+/** A place on a back end; the holder must release it. */
+export type Place = {
+	readonly backEnd: BackEnd;
+	readonly release: () => void;
+};
+
+export type AcquireOptions = {
+	/** Larger goes first. */
+	readonly priority: number;
+	/** Longest time that the caller is willing to wait for the whole answer. */
+	readonly patience: Milliseconds;
+	readonly signal: AbortSignal;
+};
+
+export type Fleet = {
+	readonly apply: (configuration: Configuration) => void;
+	readonly configuration: () => Configuration;
+	readonly route: (name: RouteName) => Route | undefined;
+	/** Waits for a place in the pool. Fails with `no-endpoint`, `overloaded` or `cancelled`; nothing ran then. */
+	readonly acquire: (pool: PoolName, query: Omit<PlacementQuery, 'now' | 'dataCentre'>, options: AcquireOptions) => Promise<Result<Place, Failure>>;
+	readonly retryBudget: (pool: PoolName) => RetryBudget;
+	readonly backEnd: (endpoint: EndpointId) => BackEnd | undefined;
+	readonly backEnds: () => readonly BackEnd[];
+	/** Median smoothed pace of the pool that an endpoint belongs to, in ms a unit of work. */
+	readonly typicalPace: (endpoint: EndpointId) => number;
+};
+
+export type FleetOptions = {
+	readonly dataCentre: DataCentreId;
+	readonly clock: Clock;
+};
+
+type Group = {readonly pool: Pool; readonly backEnds: readonly BackEnd[]; readonly budget: RetryBudget};
+
+const retryAfterMs = 1000;
+
+function isSame(backEnd: BackEnd, pool: Pool, index: number): boolean {
+	const endpoint = pool.endpoints[index];
+	return backEnd.endpoint.address === endpoint?.address && backEnd.endpoint.checksFencing === endpoint.checksFencing;
+}
+
+function median(values: readonly number[]): number {
+	const sorted = values.toSorted((left, right) => left - right);
+	return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
+}
+
+/** Creates a fleet without back ends. */
+export function createFleet(options: FleetOptions): Fleet {
+	const {clock, dataCentre} = options;
+	let configuration = emptyConfiguration;
+	let routes = new Map<RouteName, Route>();
+	let groups = new Map<PoolName, Group>();
+	let byEndpoint = new Map<EndpointId, {readonly backEnd: BackEnd; readonly group: Group}>();
+
+	function createGroup(pool: Pool): Group {
+		const backEnds = pool.endpoints.map((endpoint, index) => {
+			const known = byEndpoint.get(endpoint.id)?.backEnd;
+			if (known && isSame(known, pool, index)) {
+				known.queue.concurrency = pool.concurrency;
+				return known;
+			}
+
+			return createBackEnd(endpoint, pool);
+		});
+		return {pool, backEnds, budget: groups.get(pool.name)?.budget ?? createRetryBudget()};
+	}
+
+	function apply(next: Configuration): void {
+		configuration = next;
+		routes = new Map(next.routes.map(route => [route.name, route]));
+		groups = new Map(next.pools.map(pool => [pool.name, createGroup(pool)]));
+		byEndpoint = new Map([...groups.values()].flatMap(group => group.backEnds.map(backEnd => [backEnd.endpoint.id, {backEnd, group}])));
+	}
+
+	function refuse(code: 'no-endpoint' | 'overloaded' | 'cancelled', message: string, pool: PoolName): Result<never, Failure> {
+		return err(failure(code, message, {step: 'place', peer: pool, retryAfter: as<Milliseconds>(retryAfterMs)}));
+	}
+
+	/** Waits in the queue of one back end. Undefined means that the back end fell out while waiting. */
+	async function wait(backEnd: BackEnd, acquisition: AcquireOptions): Promise<Place | undefined> {
+		const signal = AbortSignal.any([acquisition.signal, backEnd.displaced()]);
+		const waiting = new AbortController();
+		const giveUp = () => {
+			waiting.abort(signal.reason);
+		};
+
+		signal.addEventListener('abort', giveUp, {once: true});
+		return new Promise(resolve => {
+			const occupy = async () => new Promise<void>(release => {
+				signal.removeEventListener('abort', giveUp);
+				resolve({backEnd, release});
+			});
+			backEnd.queue.add(occupy, {priority: acquisition.priority, signal: waiting.signal}).catch(() => {
+				resolve(undefined);
+			});
+		});
+	}
+
+	async function acquire(
+		name: PoolName,
+		partial: Omit<PlacementQuery, 'now' | 'dataCentre'>,
+		acquisition: AcquireOptions,
+	): Promise<Result<Place, Failure>> {
+		const group = groups.get(name);
+		while (!acquisition.signal.aborted) {
+			const query = {...partial, dataCentre, now: clock.now()};
+			const backEnd = group && choose(group.backEnds, query);
+			if (!backEnd) {
+				return refuse('no-endpoint', `No endpoint of pool "${name}" can take the call`, name);
+			}
+
+			const cost = costOf(backEnd, query);
+			if (cost > acquisition.patience) {
+				return refuse('overloaded', `Expected wait of ${Math.round(cost)} ms exceeds the ${acquisition.patience} ms left`, name);
+			}
+
+			const place = await wait(backEnd, acquisition);
+			if (place) {
+				return ok(place);
+			}
+		}
+
+		return refuse('cancelled', describeError(acquisition.signal.reason), name);
+	}
+
+	return {
+		apply,
+		configuration: () => configuration,
+		route: name => routes.get(name),
+		acquire,
+		retryBudget: pool => groups.get(pool)?.budget ?? createRetryBudget(),
+		backEnd: endpoint => byEndpoint.get(endpoint)?.backEnd,
+		backEnds: () => [...byEndpoint.values()].map(entry => entry.backEnd),
+		typicalPace(endpoint) {
+			const group = byEndpoint.get(endpoint)?.group;
+			return median((group?.backEnds ?? []).map(backEnd => backEnd.pace()).filter(pace => pace > 0));
+		},
+	};
+}
--- /dev/null
+++ b/src/machines/health.ts
@@ -0,0 +1,81 @@
+/**
+Health of an endpoint, judged first by what this instance saw itself: its own timings against those
+of the endpoint's peers, and its own failures. Reports by others only ever add reasons to avoid it.
+*/
+import {as, type Milliseconds} from '../contracts/id.js';
+
+export type Health
+	= | {readonly kind: 'healthy'}
+	/** Answers much later than its peers; gets one trial call at a time. */
+		| {readonly kind: 'slow'; readonly retryAt: Milliseconds}
+	/** Cannot be reached or crashed; not used before the time given. */
+		| {readonly kind: 'down'; readonly retryAt: Milliseconds; readonly failures: number}
+	/** About to stop; gets no new work. */
+		| {readonly kind: 'leaving'};
+
+export type HealthEvent
+	/** `pace` is the observed time a unit of work, `typical` the median pace of the pool, both in ms. */
+	= | {readonly kind: 'succeeded'; readonly pace: number; readonly typical: number}
+		| {readonly kind: 'failed'}
+		| {readonly kind: 'reported-leaving'}
+		| {readonly kind: 'reported-live'};
+
+/** Times the typical pace of the pool above which an endpoint counts as slow. */
+const slowFactor = 3;
+
+const slowTrialMs = 3000;
+const firstDownMs = 500;
+const longestDownMs = 10_000;
+
+/** Decides the next health of an endpoint. */
+export function nextHealth(health: Health, event: HealthEvent, now: Milliseconds): Health {
+	switch (event.kind) {
+		case 'succeeded': {
+			if (health.kind === 'leaving') {
+				return health;
+			}
+
+			const isSlow = event.typical > 0 && event.pace > event.typical * slowFactor;
+			return isSlow ? {kind: 'slow', retryAt: as<Milliseconds>(now + slowTrialMs)} : {kind: 'healthy'};
+		}
+
+		case 'failed': {
+			if (health.kind === 'leaving') {
+				return health;
+			}
+
+			const failures = health.kind === 'down' ? health.failures + 1 : 1;
+			const delay = Math.min(firstDownMs * (2 ** (failures - 1)), longestDownMs);
+			return {kind: 'down', retryAt: as<Milliseconds>(now + delay), failures};
+		}
+
+		case 'reported-leaving': {
+			return {kind: 'leaving'};
+		}
+
+		case 'reported-live': {
+			return health.kind === 'leaving' ? {kind: 'healthy'} : health;
+		}
+	}
+}
+
+/** Whether an endpoint may be given work now; `inFlight` counts the calls it already has from this instance. */
+export function isUsable(health: Health, inFlight: number, now: Milliseconds): boolean {
+	switch (health.kind) {
+		case 'healthy': {
+			return true;
+		}
+
+		case 'slow': {
+			return inFlight === 0 && now >= health.retryAt;
+		}
+
+		case 'down': {
+			return inFlight === 0 && now >= health.retryAt;
+		}
+
+		case 'leaving': {
+			return false;
+		}
+	}
+}
--- /dev/null
+++ b/src/machines/instance.ts
@@ -0,0 +1,509 @@
+/**
+An entry instance: takes requests of callers and peers, finds the home of the program concerned and
+passes them there, and runs this instance's share of the control work.
+*/
+import {type Dispatch} from '../contracts/attempt.js';
+import {type CallEvent, type Position} from '../contracts/call.js';
+import {type Clock, type Random} from '../contracts/clock.js';
+import {type Configuration} from '../contracts/configuration.js';
+import {type Failure, failure} from '../contracts/failure.js';
+import {
+	as, type Address, type DataCentreId, type Home, homeOf, type Incarnation, type InstanceId, type Milliseconds,
+	type ObjectName, type ProgramId,
+} from '../contracts/id.js';
+import {type Listing, type Platform} from '../contracts/platform.js';
+import {createConfigurationWatch} from '../zones/configuration-watch.js';
+import {createDataCentre} from '../zones/data-centre.js';
+import {createExecutor, type ExecutionEvent} from '../zones/execution.js';
+import {createMembership, type Member} from '../zones/membership.js';
+import {createNeighbourhood} from '../zones/neighbourhood.js';
+import {candidatesIn, ownerOf, shardKey} from '../zones/ownership.js';
+import {
+	type Gossip, type Peers, type ProgramReply, type ProgramRequest, type ShardReply, type ShardRequest,
+	type StreamRequest,
+} from '../zones/peers.js';
+import {type Opening, type Shard} from '../zones/shard.js';
+import {type BackEnd} from './back-end.js';
+import {createEndpointProbe} from './endpoint-probe.js';
+import {createEventLog, type LoggedEvent} from './event-log.js';
+import {createFleet} from './fleet.js';
+import {createMemoryKeeper} from './memory-keeper.js';
+import {createQuarantine} from './quarantine.js';
+
+/** How long a request about a program looks for its home. */
+const routingTimeoutMs = 5000;
+
+/** How long the events of a call are followed through changes of its home. */
+const followTimeoutMs = 60_000;
+
+const routingRetryMs = 100;
+const listingIntervalMs = 2000;
+const statusIntervalMs = 5000;
+const livingTimeoutMs = 1000;
+
+/** Something worth a line in the log. */
+export type InstanceEvent
+	= | {readonly kind: 'execution'; readonly execution: ExecutionEvent}
+		| {readonly kind: 'member'; readonly member: Member}
+		| {readonly kind: 'paused'; readonly gap: Milliseconds}
+		| {readonly kind: 'shard'; readonly change: 'opened' | 'lost' | 'relinquished'; readonly home: Home; readonly programs: number}
+		| {readonly kind: 'configuration'; readonly configuration: Configuration}
+		| {readonly kind: 'configuration-refused'; readonly failure: Failure}
+		| {readonly kind: 'endpoint'; readonly endpoint: string; readonly state: 'live' | 'leaving'};
+
+export type Instance = {
+	readonly id: InstanceId;
+	readonly dataCentre: DataCentreId;
+	readonly open: (opening: Opening) => Promise<ProgramReply>;
+	/** Answers about a program from wherever its home is. */
+	readonly program: (request: ProgramRequest) => Promise<ProgramReply>;
+	/** Events of a call, followed through a change of its program's home. */
+	readonly stream: (request: StreamRequest, signal: AbortSignal) => AsyncGenerator<CallEvent, void, undefined>;
+	readonly answerGossip: (message: Gossip) => Gossip;
+	readonly answerProgram: (request: ProgramRequest) => Promise<ProgramReply>;
+	readonly answerStream: (request: StreamRequest, signal: AbortSignal) => AsyncGenerator<CallEvent, void, undefined>;
+	readonly answerShard: (request: ShardRequest) => Promise<ShardReply>;
+	readonly members: () => readonly Member[];
+	readonly configuration: () => Configuration;
+	readonly explain: (program: ProgramId) => readonly LoggedEvent[];
+	readonly isReady: () => boolean;
+	/** State of the whole instance for operators. */
+	readonly dump: () => Record<string, unknown>;
+	readonly gauges: () => Gauges;
+	/** Runs the control loops until the signal aborts. */
+	readonly run: (signal: AbortSignal) => Promise<void>;
+	/** Tells peers, finishes all calls and gives every shard up. */
+	readonly leave: () => Promise<void>;
+};
+
+export type Gauges = {
+	readonly members: number;
+	readonly shards: number;
+	readonly programs: number;
+	readonly running: number;
+	readonly heldBytes: number;
+	readonly generation: number;
+};
+
+export type InstanceOptions = {
+	readonly id: InstanceId;
+	readonly dataCentre: DataCentreId;
+	readonly address: Address;
+	readonly incarnation: Incarnation;
+	readonly seeds: readonly Address[];
+	readonly platform: Platform;
+	readonly peers: Peers;
+	readonly dispatch: Dispatch;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly onEvent: (event: InstanceEvent) => void;
+};
+
+function isMoving(reason: Failure): boolean {
+	return reason.code === 'not-owner' || reason.code === 'leaving' || reason.code === 'peer-unreachable';
+}
+
+function homeOfRequest(request: ProgramRequest): Home {
+	return request.kind === 'open' ? request.home : homeOf(request.program);
+}
+
+function homeOfStream(request: StreamRequest): Home {
+	return homeOf(request.kind === 'call' ? request.call.program : request.target.program);
+}
+
+function groupByHome(programs: readonly ProgramId[]): Map<string, ProgramId[]> {
+	const groups = new Map<string, ProgramId[]>();
+	for (const program of programs) {
+		const key = shardKey(homeOf(program));
+		groups.set(key, [...(groups.get(key) ?? []), program]);
+	}
+
+	return groups;
+}
+
+function at(request: StreamRequest, position: Position): StreamRequest {
+	return {...request, position};
+}
+
+/** Creates an instance. Nothing runs before `run`. */
+export function createInstance(options: InstanceOptions): Instance {
+	const {clock, random, platform, peers, dispatch} = options;
+	const events = createEventLog(clock);
+	const fleet = createFleet({dataCentre: options.dataCentre, clock});
+	const quarantine = createQuarantine();
+	const {id, address, incarnation} = options;
+	const membership = createMembership({
+		id, dataCentre: options.dataCentre, address, incarnation,
+	}, random);
+
+	const configuration = createConfigurationWatch({
+		instance: options.id,
+		platform,
+		clock,
+		isWatcher: () => isChosen('configuration'),
+		onChange(next) {
+			fleet.apply(next);
+			neighbourhood.notify();
+			options.onEvent({kind: 'configuration', configuration: next});
+		},
+		onRefusal(reason) {
+			options.onEvent({kind: 'configuration-refused', failure: reason});
+		},
+	});
+
+	const neighbourhood = createNeighbourhood({
+		membership,
+		peers,
+		clock,
+		seeds: options.seeds,
+		generation: () => configuration.current().generation,
+		onMember(member) {
+			options.onEvent({kind: 'member', member});
+			dataCentre.adopt();
+		},
+		onPause(gap) {
+			options.onEvent({kind: 'paused', gap});
+		},
+		onEndpoint(news) {
+			fleet.backEnd(news.endpoint)?.report({kind: news.state === 'leaving' ? 'reported-leaving' : 'reported-live'}, clock.now());
+			options.onEvent({kind: 'endpoint', endpoint: news.endpoint, state: news.state});
+		},
+		onCrash(crash) {
+			if (quarantine.record(crash, clock.now())) {
+				neighbourhood.announceCrash(crash);
+			}
+		},
+		onGeneration(peer) {
+			void fetchConfiguration(peer);
+		},
+	});
+
+	const executor = createExecutor({
+		fleet,
+		dispatch,
+		quarantine,
+		clock,
+		random,
+		onEvent(execution) {
+			events.add(execution);
+			options.onEvent({kind: 'execution', execution});
+			if (execution.kind === 'crashed' && execution.endpoint !== undefined) {
+				neighbourhood.announceCrash({fingerprint: execution.detail, endpoint: execution.endpoint});
+			}
+		},
+	});
+
+	const memory = createMemoryKeeper({
+		fleet, dispatch, clock, isResponsible, ended,
+	});
+
+	const probe = createEndpointProbe({
+		fleet,
+		dispatch,
+		clock,
+		isResponsible,
+		onState(endpoint, state) {
+			neighbourhood.announceEndpoint({endpoint, state, at: clock.wall()});
+		},
+	});
+
+	const dataCentre = createDataCentre({
+		id: options.dataCentre,
+		instance: options.id,
+		incarnation: options.incarnation,
+		membership,
+		peers,
+		platform,
+		executor,
+		clock,
+		random,
+		release: memory.release,
+		onShard(change) {
+			options.onEvent({
+				kind: 'shard', change: change.kind, home: change.home, programs: change.programs,
+			});
+		},
+	});
+
+	/** Whether this instance does a piece of control work for its data centre. */
+	function isChosen(work: string): boolean {
+		return ownerOf(work, candidatesIn(options.dataCentre, membership.members()))?.id === options.id;
+	}
+
+	function isResponsible(backEnd: BackEnd): boolean {
+		return backEnd.endpoint.dataCentre === options.dataCentre && isChosen(`endpoint/${backEnd.endpoint.id}`);
+	}
+
+	async function fetchConfiguration(peer: Member): Promise<void> {
+		const fetched = await peers.configuration(peer);
+		if (fetched.isOk()) {
+			configuration.learn(fetched.value);
+		}
+	}
+
+	/** Programs whose home says that they are over. Those whose home cannot be asked are left alone. */
+	async function ended(programs: readonly ProgramId[]): Promise<readonly ProgramId[]> {
+		const groups = groupByHome(programs);
+		const results = await Promise.all([...groups.values()].map(async group => endedOf(group)));
+		return results.flat();
+	}
+
+	async function endedOf(programs: readonly ProgramId[]): Promise<readonly ProgramId[]> {
+		const [first] = programs;
+		const owner = first === undefined ? undefined : dataCentre.owner(homeOf(first));
+		if (first === undefined || !owner) {
+			return [];
+		}
+
+		const request: ShardRequest = {kind: 'living', home: homeOf(first), programs};
+		const reply = owner.id === options.id ? await dataCentre.answer(request) : await peers.shard(owner, request, as<Milliseconds>(livingTimeoutMs));
+		return reply.kind === 'living' ? programs.filter(program => !reply.programs.includes(program)) : [];
+	}
+
+	function unreachable(home: Home): Failure {
+		return failure('peer-unreachable', `No instance of data centre "${home.dataCentre}" can be reached`, {
+			step: 'forward', peer: home.dataCentre, retryAfter: as<Milliseconds>(routingTimeoutMs),
+		});
+	}
+
+	async function askHome(request: ProgramRequest): Promise<ProgramReply> {
+		const home = homeOfRequest(request);
+		const owner = dataCentre.owner(home);
+		if (!owner) {
+			return {kind: 'failed', failure: unreachable(home)};
+		}
+
+		return owner.id === options.id ? answerProgram(request) : peers.program(owner, request);
+	}
+
+	async function program(request: ProgramRequest): Promise<ProgramReply> {
+		const until = clock.now() + routingTimeoutMs;
+		for (;;) {
+			const reply = await askHome(request);
+			const isOver = clock.now() >= until || !dataCentre.owner(homeOfRequest(request));
+			if (reply.kind !== 'failed' || !isMoving(reply.failure) || isOver) {
+				return reply;
+			}
+
+			await clock.sleep(as<Milliseconds>(routingRetryMs));
+		}
+	}
+
+	async function answerProgram(request: ProgramRequest): Promise<ProgramReply> {
+		const opened = await dataCentre.shard(homeOfRequest(request));
+		return opened.isErr() ? {kind: 'failed', failure: opened.error} : answerFrom(opened.value, request);
+	}
+
+	async function answerFrom(shard: Shard, request: ProgramRequest): Promise<ProgramReply> {
+		const fail = (reason: Failure): ProgramReply => ({kind: 'failed', failure: reason});
+		switch (request.kind) {
+			case 'open': {
+				const opened = await shard.open(request.opening);
+				return opened.match<ProgramReply>(view => ({kind: 'view', view}), fail);
+			}
+
+			case 'end': {
+				const ending = await shard.end(request.program, request.customer, request.closing);
+				return ending.match<ProgramReply>(view => ({kind: 'view', view}), fail);
+			}
+
+			case 'view': {
+				return shard.view(request.program, request.customer).match<ProgramReply>(view => ({kind: 'view', view}), fail);
+			}
+
+			case 'history': {
+				return shard.history(request.program, request.customer).match<ProgramReply>(turns => ({kind: 'history', turns}), fail);
+			}
+		}
+	}
+
+	async function * answerStream(request: StreamRequest, signal: AbortSignal): AsyncGenerator<CallEvent, void, undefined> {
+		const opened = await dataCentre.shard(homeOfStream(request));
+		if (opened.isErr()) {
+			yield {kind: 'refused', failure: opened.error};
+			return;
+		}
+
+		yield * request.kind === 'call'
+			? opened.value.call(request.call, request.position, signal)
+			: opened.value.follow(request.target, request.position, signal);
+	}
+
+	function streamFromHome(request: StreamRequest, signal: AbortSignal): AsyncIterable<CallEvent> | undefined {
+		const owner = dataCentre.owner(homeOfStream(request));
+		if (!owner) {
+			return undefined;
+		}
+
+		return owner.id === options.id ? answerStream(request, signal) : peers.stream(owner, request, signal);
+	}
+
+	async function * stream(request: StreamRequest, signal: AbortSignal): AsyncGenerator<CallEvent, void, undefined> {
+		const until = clock.now() + (request.kind === 'call' ? request.call.timeout : followTimeoutMs);
+		let {position} = request;
+		while (!signal.aborted) {
+			const source = streamFromHome(at(request, position), signal);
+			if (!source) {
+				yield {kind: 'refused', failure: unreachable(homeOfStream(request))};
+				return;
+			}
+
+			let isRetried = false;
+			for await (const event of source) {
+				if (event.kind === 'refused' && isMoving(event.failure) && clock.now() < until) {
+					isRetried = true;
+					break;
+				}
+
+				yield event;
+				if (event.kind === 'token') {
+					position = {stream: event.stream, index: event.index + 1};
+				}
+			}
+
+			if (!isRetried) {
+				return;
+			}
+
+			await clock.sleep(as<Milliseconds>(routingRetryMs), signal);
+		}
+	}
+
+	async function readListing(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			const isFirst = membership.members().length === 1;
+			if (isFirst || isChosen('listing')) {
+				const listing = await platform.instances();
+				if (listing.isOk()) {
+					neighbourhood.learnListing(listing.value);
+					announceLeaving(listing.value);
+				}
+			}
+
+			await clock.sleep(as<Milliseconds>(listingIntervalMs), signal);
+		}
+	}
+
+	function announceLeaving(listing: readonly Listing[]): void {
+		for (const backEnd of fleet.backEnds()) {
+			const entry = listing.find(candidate => candidate.id === backEnd.endpoint.id);
+			if (entry?.state === 'leaving' && backEnd.health().kind !== 'leaving') {
+				neighbourhood.announceEndpoint({endpoint: backEnd.endpoint.id, state: 'leaving', at: clock.wall()});
+			}
+		}
+	}
+
+	function endpointStates() {
+		return fleet.backEnds().map(backEnd => ({
+			id: backEnd.endpoint.id,
+			health: backEnd.health(),
+			load: backEnd.load(),
+			paceMs: Math.round(backEnd.pace()),
+		}));
+	}
+
+	async function writeStatus(signal: AbortSignal): Promise<void> {
+		let written = '';
+		while (!signal.aborted) {
+			await clock.sleep(as<Milliseconds>(statusIntervalMs), signal);
+			if (!isChosen('status')) {
+				continue;
+			}
+
+			const status = composeStatus();
+			if (JSON.stringify(status) !== written && await putStatus(status)) {
+				written = JSON.stringify(status);
+			}
+		}
+	}
+
+	function composeStatus() {
+		const generations = neighbourhood.generations();
+		const local = membership.members().filter(member => member.dataCentre === options.dataCentre);
+		return {
+			by: options.id,
+			generation: configuration.current().generation,
+			instances: local.map(member => ({
+				id: member.id,
+				status: member.status,
+				generation: member.id === options.id ? configuration.current().generation : generations.get(member.id) ?? 0,
+			})),
+			outOfUse: endpointStates().filter(state => state.health.kind !== 'healthy').map(state => ({id: state.id, reason: state.health.kind})),
+		};
+	}
+
+	async function putStatus(status: unknown): Promise<boolean> {
+		const name = as<ObjectName>(`status/data-centre/${options.dataCentre}`);
+		const current = await platform.read(name);
+		if (current.isErr()) {
+			return false;
+		}
+
+		const update = await platform.update(name, current.value.version, status);
+		return update.kind === 'written';
+	}
+
+	function gauges(): Gauges {
+		const shards = dataCentre.owned();
+		return {
+			members: membership.members().length,
+			shards: shards.length,
+			programs: shards.reduce((sum, shard) => sum + shard.programs(), 0),
+			running: shards.reduce((sum, shard) => sum + shard.running(), 0),
+			heldBytes: dataCentre.heldBytes(),
+			generation: configuration.current().generation,
+		};
+	}
+
+	function dump(): Record<string, unknown> {
+		return {
+			self: membership.self(),
+			members: membership.members(),
+			gauges: gauges(),
+			shards: dataCentre.owned().map(shard => ({
+				home: shard.home,
+				epoch: shard.journal.epoch(),
+				phase: shard.journal.phase(),
+				pending: shard.journal.pending(),
+				programs: shard.programs(),
+				running: shard.running(),
+			})),
+			endpoints: endpointStates(),
+			quarantine: quarantine.crashes(),
+			released: memory.released(),
+		};
+	}
+
+	return {
+		id: options.id,
+		dataCentre: options.dataCentre,
+		open: async opening => program({kind: 'open', home: opening.parent === undefined ? dataCentre.newHome() : homeOf(opening.parent), opening}),
+		program,
+		stream,
+		answerGossip: message => neighbourhood.receive(message),
+		answerProgram,
+		answerStream,
+		answerShard: async request => dataCentre.answer(request),
+		members: () => membership.members(),
+		configuration: () => configuration.current(),
+		explain: id => events.about(id),
+		isReady: () => configuration.current().generation > 0,
+		dump,
+		gauges,
+		async run(signal) {
+			await Promise.all([
+				neighbourhood.run(signal),
+				configuration.run(signal),
+				readListing(signal),
+				writeStatus(signal),
+				dataCentre.run(signal),
+				memory.run(signal),
+				probe.run(signal),
+			]);
+		},
+		async leave() {
+			await neighbourhood.leave();
+			await dataCentre.leave();
+		},
+	};
+}
--- /dev/null
+++ b/src/machines/memory-keeper.ts
@@ -0,0 +1,84 @@
+/**
+Engine memory: releases what ended programs left on engines, and compares from time to time what
+engines hold with the programs that are still open, since a release may have been missed.
+*/
+import {type Clock} from '../contracts/clock.js';
+import {type Dispatch} from '../contracts/attempt.js';
+import {
+	as, type EndpointId, type Milliseconds, type ProgramId,
+} from '../contracts/id.js';
+import {type BackEnd} from './back-end.js';
+import {type Fleet} from './fleet.js';
+
+export const memorySweepMs = 10_000;
+
+const releaseRetryMs = 500;
+const releaseTries = 3;
+
+export type MemoryKeeper = {
+	/** Frees the memory of a program on the engines that served it. Failures are left to the sweep. */
+	readonly release: (program: ProgramId, holders: readonly EndpointId[]) => void;
+	/** Sweeps the engines this instance is responsible for until the signal aborts. */
+	readonly run: (signal: AbortSignal) => Promise<void>;
+	readonly sweep: () => Promise<void>;
+	readonly released: () => number;
+};
+
+export type MemoryKeeperOptions = {
+	readonly fleet: Fleet;
+	readonly dispatch: Dispatch;
+	readonly clock: Clock;
+	readonly isResponsible: (backEnd: BackEnd) => boolean;
+	/** Those programs that are over; undecidable ones are left out. */
+	readonly ended: (programs: readonly ProgramId[]) => Promise<readonly ProgramId[]>;
+};
+
+/** Creates the keeper of an instance. */
+export function createMemoryKeeper(options: MemoryKeeperOptions): MemoryKeeper {
+	const {fleet, dispatch, clock} = options;
+	let released = 0;
+
+	async function releaseAt(backEnd: BackEnd, program: ProgramId): Promise<void> {
+		for (let attempt = 0; attempt < releaseTries; attempt++) {
+			if (await dispatch.release(backEnd.endpoint, program)) {
+				released++;
+				backEnd.forget(program);
+				return;
+			}
+
+			await clock.sleep(as<Milliseconds>(releaseRetryMs));
+		}
+	}
+
+	function release(program: ProgramId, holders: readonly EndpointId[]): void {
+		for (const holder of holders) {
+			const backEnd = fleet.backEnd(holder);
+			if (backEnd?.kind === 'engine') {
+				void releaseAt(backEnd, program);
+			}
+		}
+	}
+
+	async function sweepOne(backEnd: BackEnd): Promise<void> {
+		const held = await dispatch.holdings(backEnd.endpoint);
+		const ended = held ? await options.ended(held) : [];
+		await Promise.all(ended.map(async program => releaseAt(backEnd, program)));
+	}
+
+	async function sweep(): Promise<void> {
+		const engines = fleet.backEnds().filter(backEnd => backEnd.kind === 'engine' && options.isResponsible(backEnd));
+		await Promise.all(engines.map(async backEnd => sweepOne(backEnd)));
+	}
+
+	return {
+		release,
+		sweep,
+		released: () => released,
+		async run(signal) {
+			while (!signal.aborted) {
+				await clock.sleep(as<Milliseconds>(memorySweepMs), signal);
+				await sweep();
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/machines/placement.ts
@@ -0,0 +1,61 @@
+/**
+Placement: which endpoint of a pool gets a call. Waiting, recomputing a prompt that another endpoint
+holds, and distance are priced in one currency, expected milliseconds.
+*/
+import {
+	type DataCentreId, type EndpointId, type Milliseconds, type ProgramId, type Tokens,
+} from '../contracts/id.js';
+import {type BackEnd} from './back-end.js';
+
+export type Candidate = {
+	readonly backEnd: BackEnd;
+	/** Expected time until the call could be answered, in ms. */
+	readonly cost: number;
+};
+
+export type PlacementQuery = {
+	readonly program: ProgramId;
+	/** Tokens of the whole prompt; zero for services. */
+	readonly prompt: Tokens;
+	readonly dataCentre: DataCentreId;
+	/** Endpoints that this call has already tried. */
+	readonly excluded: ReadonlySet<EndpointId>;
+	readonly now: Milliseconds;
+};
+
+/** Time an engine needs to compute one prompt token. */
+const prefillMsPerToken = 0.2;
+
+/** Extra time of a call that leaves the data centre. */
+const remoteMs = 2;
+
+/** Expected time that one call occupies a place, before anything was observed. */
+const assumedCallMs = 500;
+
+/** Expected time until the back end could answer the call, in ms. */
+export function costOf(backEnd: BackEnd, query: PlacementQuery): number {
+	const places = Math.max(1, backEnd.queue.concurrency);
+	const load = backEnd.load() + backEnd.foreignLoad(query.now);
+	const callMs = backEnd.pace() === 0 ? assumedCallMs : backEnd.pace();
+	const waiting = Math.max(0, load - places + 1) * (callMs / places);
+	const sharing = callMs * 0.5 * Math.min(1, load / places);
+	const missing = Math.max(0, query.prompt - backEnd.cached(query.program));
+	const distance = backEnd.endpoint.dataCentre === query.dataCentre ? 0 : remoteMs;
+	return waiting + sharing + (missing * prefillMsPerToken) + distance;
+}
+
+/** The cheapest usable back end. Falls back to any that is not leaving when none is known to be healthy. */
+export function choose(backEnds: readonly BackEnd[], query: PlacementQuery): BackEnd | undefined {
+	const untried = backEnds.filter(backEnd => !query.excluded.has(backEnd.endpoint.id));
+	const usable = untried.filter(backEnd => backEnd.isUsable(query.now));
+	const remaining = usable.length > 0 ? usable : untried.filter(backEnd => backEnd.health().kind !== 'leaving');
+	let best: Candidate | undefined;
+	for (const backEnd of remaining) {
+		const cost = costOf(backEnd, query);
+		if (!best || cost < best.cost) {
+			best = {backEnd, cost};
+		}
+	}
+
+	return best?.backEnd;
+}
--- /dev/null
+++ b/src/zones/data-centre.ts
@@ -0,0 +1,275 @@
+/**
+The data centre of this instance: the shards that it owns there, how it takes and gives them up, and
+where copies of their records are kept.
+*/
+import {err, ok, type Result} from 'neverthrow';
+import {type Clock, type Random} from '../contracts/clock.js';
+import {type Failure, failure} from '../contracts/failure.js';
+import {
+	as, type DataCentreId, type EndpointId, type FencingNumber, type Home, type Incarnation, type InstanceId,
+	type Milliseconds, type Nonce, type ProgramId, type ShardNumber, shardsPerDataCentre,
+} from '../contracts/id.js';
+import {type Platform} from '../contracts/platform.js';
+import {type JournalRecord} from '../contracts/record.js';
+import {type Executor} from './execution.js';
+import {createHoldings} from './holdings.js';
+import {createJournal, type Holder} from './journal.js';
+import {type Member, type Membership} from './membership.js';
+import {candidatesIn, ownerOf, shardKey} from './ownership.js';
+import {type Peers, type ShardReply, type ShardRequest} from './peers.js';
+import {createShard, type Shard} from './shard.js';
+
+/** Longest time that an owner may take to finish its calls before a successor claims the shard. */
+export const relinquishTimeoutMs = 25_000;
+
+/** How long a call waits for its shard to be opened before it is refused. */
+const openTimeoutMs = 5000;
+
+const collectTimeoutMs = 1000;
+const sweepIntervalMs = 1000;
+
+export type DataCentre = {
+	readonly id: DataCentreId;
+	/** The member that should own the shard, by this instance's view. */
+	readonly owner: (home: Home) => Member | undefined;
+	/** The shard, opened by this instance. Fails with `not-owner` or `platform-unavailable`; nothing ran then. */
+	readonly shard: (home: Home) => Promise<Result<Shard, Failure>>;
+	readonly answer: (request: ShardRequest) => Promise<ShardReply>;
+	readonly owned: () => readonly Shard[];
+	readonly heldBytes: () => number;
+	/** A home for a new program, on a shard of this data centre. */
+	readonly newHome: () => Home;
+	/** Ends and forgets programs until the signal aborts. */
+	readonly run: (signal: AbortSignal) => Promise<void>;
+	/** Finishes all calls and gives every shard up. */
+	readonly leave: () => Promise<void>;
+	/** Takes shards that have lost their owner. */
+	readonly adopt: () => void;
+};
+
+export type DataCentreOptions = {
+	readonly id: DataCentreId;
+	readonly instance: InstanceId;
+	readonly incarnation: Incarnation;
+	readonly membership: Membership;
+	readonly peers: Peers;
+	readonly platform: Platform;
+	readonly executor: Executor;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly release: (program: ProgramId, holders: readonly EndpointId[]) => void;
+	readonly onShard: (event: {readonly kind: 'opened' | 'lost' | 'relinquished'; readonly home: Home; readonly programs: number}) => void;
+};
+
+type Ownership = {
+	readonly controller: AbortController;
+	readonly opening: Promise<Result<Shard, Failure>>;
+	shard: Shard | undefined;
+};
+
+/** Creates the data centre without any shard. */
+export function createDataCentre(options: DataCentreOptions): DataCentre {
+	const {membership, peers, clock, random} = options;
+	const ownerships = new Map<string, Ownership>();
+	const holdings = createHoldings();
+	let isLeaving = false;
+
+	function owner(home: Home): Member | undefined {
+		return ownerOf(shardKey(home), candidatesIn(home.dataCentre, membership.members()));
+	}
+
+	/** Other members of this data centre that answer, leaving ones included. */
+	function neighbours(): readonly Member[] {
+		const self = membership.self();
+		return membership.members().filter(member => member.dataCentre === options.id && member.id !== self.id && member.status !== 'dead');
+	}
+
+	async function askNeighbours(request: ShardRequest, timeoutMs: number): Promise<readonly ShardReply[]> {
+		return Promise.all(neighbours().map(async peer => peers.shard(peer, request, as<Milliseconds>(timeoutMs))));
+	}
+
+	async function holdAtNeighbour(home: Home, epoch: FencingNumber, records: readonly JournalRecord[]): Promise<Result<void, Failure>> {
+		for (const peer of neighbours()) {
+			const reply = await peers.shard(peer, {
+				kind: 'hold', home, epoch, records,
+			}, as<Milliseconds>(collectTimeoutMs));
+			if (reply.kind === 'done') {
+				return ok();
+			}
+		}
+
+		return err(failure('platform-unavailable', 'No peer keeps copies of the records', {step: 'commit', peer: shardKey(home)}));
+	}
+
+	const holder: Holder = {
+		hold: holdAtNeighbour,
+		async collect(home) {
+			const replies = await askNeighbours({kind: 'collect', home}, collectTimeoutMs);
+			const records = replies.flatMap(reply => reply.kind === 'records' ? reply.records : []);
+			return [...holdings.collect(home), ...records];
+		},
+		release(home) {
+			holdings.release(home);
+			void askNeighbours({kind: 'release', home}, collectTimeoutMs);
+		},
+	};
+
+	async function openShard(home: Home, controller: AbortController): Promise<Result<Shard, Failure>> {
+		await askNeighbours({kind: 'relinquish', home}, relinquishTimeoutMs);
+		const journal = createJournal({
+			home,
+			instance: options.instance,
+			incarnation: options.incarnation,
+			platform: options.platform,
+			holder,
+			clock,
+			nextNonce: () => as<Nonce>(random.unique()),
+			signal: controller.signal,
+		});
+		const programs = await journal.open();
+		void journal.deposed.then(() => {
+			forget(home, controller, 'lost');
+		});
+		return programs.map(opened => {
+			options.onShard({kind: 'opened', home, programs: opened.size});
+			return createShard({
+				home,
+				programs: opened,
+				journal,
+				executor: options.executor,
+				clock,
+				random,
+				signal: controller.signal,
+				release: options.release,
+			});
+		});
+	}
+
+	function forget(home: Home, controller: AbortController, kind: 'lost' | 'relinquished'): void {
+		const ownership = ownerships.get(shardKey(home));
+		if (ownership?.controller === controller) {
+			ownerships.delete(shardKey(home));
+			options.onShard({kind, home, programs: ownership.shard?.programs() ?? 0});
+			controller.abort(new Error(`The shard was ${kind}`));
+		}
+	}
+
+	function own(home: Home): Ownership {
+		const existing = ownerships.get(shardKey(home));
+		if (existing) {
+			return existing;
+		}
+
+		const controller = new AbortController();
+		const opening = openShard(home, controller);
+		const ownership: Ownership = {controller, opening, shard: undefined};
+		ownerships.set(shardKey(home), ownership);
+		void opening.then(result => {
+			if (result.isOk()) {
+				ownership.shard = result.value;
+			} else {
+				forget(home, controller, 'lost');
+			}
+		});
+		return ownership;
+	}
+
+	async function shard(home: Home): Promise<Result<Shard, Failure>> {
+		const isOwner = !isLeaving && owner(home)?.id === options.instance;
+		const ownership = ownerships.get(shardKey(home));
+		if (!isOwner && !ownership?.shard) {
+			return err(failure('not-owner', `Shard ${shardKey(home)} belongs to another instance`, {step: 'admit', peer: options.instance}));
+		}
+
+		const timer = new AbortController();
+		const late = clock.sleep(as<Milliseconds>(openTimeoutMs), timer.signal).then(() => undefined);
+		const opened = await Promise.race([own(home).opening, late]);
+		timer.abort();
+		return opened ?? err(failure('platform-unavailable', `Shard ${shardKey(home)} could not be opened in time`, {
+			step: 'recover', peer: 'platform', retryAfter: as<Milliseconds>(openTimeoutMs),
+		}));
+	}
+
+	async function relinquish(home: Home): Promise<void> {
+		const ownership = ownerships.get(shardKey(home));
+		if (ownership?.shard) {
+			await ownership.shard.drain();
+			forget(home, ownership.controller, 'relinquished');
+		}
+	}
+
+	async function answer(request: ShardRequest): Promise<ShardReply> {
+		switch (request.kind) {
+			case 'hold': {
+				const held = holdings.hold(request.home, request.epoch, request.records);
+				return held.match<ShardReply>(() => ({kind: 'done'}), reason => ({kind: 'failed', failure: reason}));
+			}
+
+			case 'collect': {
+				return {kind: 'records', records: holdings.collect(request.home)};
+			}
+
+			case 'release': {
+				holdings.release(request.home);
+				return {kind: 'done'};
+			}
+
+			case 'relinquish': {
+				await relinquish(request.home);
+				return {kind: 'done'};
+			}
+
+			case 'living': {
+				const opened = await shard(request.home);
+				return opened.match<ShardReply>(
+					found => ({kind: 'living', programs: found.living(request.programs)}),
+					reason => ({kind: 'failed', failure: reason}),
+				);
+			}
+		}
+	}
+
+	function adopt(): void {
+		for (const home of homes()) {
+			if (!isLeaving && owner(home)?.id === options.instance && !ownerships.has(shardKey(home))) {
+				own(home);
+			}
+		}
+	}
+
+	function homes(): readonly Home[] {
+		return Array.from({length: shardsPerDataCentre}, (_, index) => ({dataCentre: options.id, shard: as<ShardNumber>(index)}));
+	}
+
+	async function run(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			for (const ownership of ownerships.values()) {
+				ownership.shard?.sweep();
+			}
+
+			await clock.sleep(as<Milliseconds>(sweepIntervalMs), signal);
+		}
+	}
+
+	async function leave(): Promise<void> {
+		isLeaving = true;
+		await Promise.all([...ownerships.values()].map(async ({shard: owned}) => owned && relinquish(owned.home)));
+	}
+
+	return {
+		id: options.id,
+		owner,
+		shard,
+		answer,
+		owned: () => [...ownerships.values()].flatMap(ownership => ownership.shard ?? []),
+		heldBytes: () => holdings.bytes(),
+		newHome() {
+			const owned = homes().filter(home => owner(home)?.id === options.instance);
+			const choices = owned.length > 0 ? owned : homes();
+			return choices[Math.floor(random.fraction() * choices.length)] ?? {dataCentre: options.id, shard: as<ShardNumber>(0)};
+		},
+		run,
+		leave,
+		adopt,
+	};
+}
--- /dev/null
+++ b/src/zones/execution.ts
@@ -0,0 +1,516 @@
+/**
+Execution of one call at its program's home: reserve, place, record the intent, dispatch, settle.
+
+The intent is recorded before a request that may not be repeated leaves. A request that may be
+repeated leaves at once, but its answer is shown to the caller only after the intent is durable, so
+that no caller sees the effect of a call that a successor would not know of.
+*/
+import {type Spend} from '../contracts/budget.js';
+import {type Call, type Message, type Request} from '../contracts/call.js';
+import {type Clock, type Random} from '../contracts/clock.js';
+import {
+	type Attempt, type AttemptResult, type Dispatch, nextStep,
+} from '../contracts/attempt.js';
+import {
+	describeError, type Execution as Certainty, type Failure, failure, type FailureCode, type Step,
+} from '../contracts/failure.js';
+import {
+	as, type AttemptId, type EndpointId, type IdempotencyKey, type Milliseconds, type Tokens,
+} from '../contracts/id.js';
+import {type Outcome, outcomeOf} from '../contracts/outcome.js';
+import {
+	applyRecord, type CallState, expiryOf, type Program, type Programs,
+} from '../contracts/program.js';
+import {type JournalRecord} from '../contracts/record.js';
+import {isRepeatable, type Route} from '../contracts/route.js';
+import {type BackEnd} from '../machines/back-end.js';
+import {type Fleet, type Place} from '../machines/fleet.js';
+import {type Quarantine} from '../machines/quarantine.js';
+import {type Journal} from './journal.js';
+import {type Transcript} from './transcript.js';
+
+/** Attempts that one call may take. */
+const maximumAttempts = 3;
+
+/** Time that a call which may not be repeated waits for its intent to be recorded. */
+export const commitTimeoutMs = 2000;
+
+/** Characters that one prompt token stands for on average. */
+const charactersPerToken = 4;
+
+/** Delay in the queue that a program accepts for every token it has already used. */
+const queueMsPerToken = 2;
+
+/** What a call works on. */
+export type Execution = {
+	readonly program: Program;
+	readonly programs: Programs;
+	readonly journal: Journal;
+	readonly transcript: Transcript;
+	readonly signal: AbortSignal;
+};
+
+export type Executor = {
+	/** Runs a call to its outcome. The transcript ends in any case. */
+	readonly run: (execution: Execution, call: Call, fingerprint: string) => Promise<void>;
+	/** Brings a call to its outcome whose intent another owner recorded. */
+	readonly recover: (execution: Execution, key: IdempotencyKey) => Promise<void>;
+};
+
+/** What happened, for logs, metrics and `explain`. */
+export type ExecutionEvent = {
+	readonly kind: 'placed' | 'retried' | 'settled' | 'recovered' | 'crashed';
+	readonly call: Call['id'];
+	readonly program: Program['id'];
+	readonly endpoint?: EndpointId;
+	readonly detail: string;
+};
+
+export type ExecutorOptions = {
+	readonly fleet: Fleet;
+	readonly dispatch: Dispatch;
+	readonly quarantine: Quarantine;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly onEvent: (event: ExecutionEvent) => void;
+};
+
+/** A call with everything that is fixed before its first attempt. */
+type Job = {
+	readonly execution: Execution;
+	readonly call: Call;
+	readonly fingerprint: string;
+	readonly route: Route;
+	readonly prompt: readonly Message[];
+	readonly reservation: Spend;
+	readonly deadline: Milliseconds;
+	readonly signal: AbortSignal;
+	readonly excluded: Set<EndpointId>;
+	stream: AttemptId | undefined;
+	mayHaveRun: boolean;
+	attempts: number;
+};
+
+/** Conversation that an engine has to see: the history of the program and the new messages. */
+export function promptOf(program: Program, request: Request): readonly Message[] {
+	if (request.kind !== 'model') {
+		return [];
+	}
+
+	const messages: Message[] = [];
+	for (const turn of program.history) {
+		if (turn.request.kind === 'model' && turn.answer.kind === 'message') {
+			messages.push(...turn.request.messages, {role: 'assistant', content: turn.answer.tokens.join('')});
+		}
+	}
+
+	return [...messages, ...request.messages];
+}
+
+/** Estimated tokens of a prompt. */
+export function countTokens(prompt: readonly Message[]): Tokens {
+	const characters = prompt.reduce((sum, message) => sum + message.content.length, 0);
+	return as<Tokens>(Math.ceil(characters / charactersPerToken));
+}
+
+function reservationOf(request: Request, prompt: readonly Message[]): Spend {
+	const tokens = request.kind === 'model' ? countTokens(prompt) + request.limit : 0;
+	return {tokens: as<Tokens>(tokens), calls: 1};
+}
+
+function usedBy(outcome: Outcome, reservation: Spend): Spend {
+	switch (outcome.kind) {
+		case 'completed': {
+			const {answer} = outcome;
+			const tokens = answer.kind === 'message' ? answer.usage.prompt + answer.usage.completion : 0;
+			return {tokens: as<Tokens>(tokens), calls: 1};
+		}
+
+		case 'not-run': {
+			return {tokens: as<Tokens>(0), calls: 0};
+		}
+
+		case 'failed':
+		case 'unknown': {
+			return reservation;
+		}
+	}
+}
+
+/** Creates the executor of an instance. */
+export function createExecutor(options: ExecutorOptions): Executor {
+	const {fleet, dispatch, quarantine, clock, random} = options;
+
+	function stop(step: Step, reason: unknown, certainty: Certainty): Failure {
+		const code: FailureCode = describeError(reason).includes('deadline') ? 'deadline-exceeded' : 'cancelled';
+		return failure(code, `The call was stopped: ${describeError(reason)}`, {step, peer: 'home', execution: certainty});
+	}
+
+	function refuse(execution: Execution, reason: Failure): void {
+		execution.transcript.end({kind: 'refused', failure: reason});
+	}
+
+	/** Applies a record here and sends it to the journal. */
+	function append(execution: Execution, record: JournalRecord) {
+		applyRecord(execution.programs, record);
+		return execution.journal.append([record]);
+	}
+
+	async function run(execution: Execution, call: Call, fingerprint: string): Promise<void> {
+		const job = prepare(execution, call, fingerprint);
+		if ('code' in job) {
+			refuse(execution, job);
+			return;
+		}
+
+		const {account} = execution.program;
+		const reserved = account.reserve(job.reservation);
+		if (reserved.isErr()) {
+			refuse(execution, reserved.error);
+			return;
+		}
+
+		fleet.retryBudget(job.route.pool).deposit();
+		const outcome = await attemptUntilSettled(job);
+		const used = usedBy(outcome, job.reservation);
+		account.settle(job.reservation, used);
+		await settle(job, outcome, used);
+	}
+
+	/** Checks what can be checked before anything is reserved. */
+	function prepare(execution: Execution, call: Call, fingerprint: string): Job | Failure {
+		const route = fleet.route(call.route);
+		if (!route) {
+			return failure('not-found', `No route "${call.route}"`, {step: 'admit', peer: 'configuration'});
+		}
+
+		if (route.kind !== call.request.kind) {
+			return failure('invalid-request', `Route "${call.route}" takes ${route.kind} calls`, {step: 'admit', peer: 'configuration'});
+		}
+
+		if (quarantine.isBlocked(fingerprint, clock.now())) {
+			return failure('quarantined', 'The request crashed several endpoints and is not run again', {step: 'admit', peer: 'home'});
+		}
+
+		const left = expiryOf(execution.program) - clock.wall();
+		const timeout = Math.min(call.timeout, route.timeout, left);
+		if (execution.signal.aborted || timeout <= 0) {
+			return stop('admit', execution.signal.aborted ? execution.signal.reason : new Error('deadline passed'), 'not-run');
+		}
+
+		const request = call.request.kind === 'model' && route.kind === 'model'
+			? {...call.request, limit: as<Tokens>(Math.min(call.request.limit, route.limit))}
+			: call.request;
+		const prompt = promptOf(execution.program, request);
+		return {
+			execution,
+			call: {...call, request},
+			fingerprint,
+			route,
+			prompt,
+			reservation: reservationOf(request, prompt),
+			deadline: as<Milliseconds>(clock.now() + timeout),
+			signal: execution.signal,
+			excluded: new Set(),
+			stream: undefined,
+			mayHaveRun: false,
+			attempts: 0,
+		};
+	}
+
+	async function attemptUntilSettled(job: Job): Promise<Outcome> {
+		for (;;) {
+			const place = await findPlace(job);
+			if ('code' in place) {
+				return outcomeOf({...place, execution: job.mayHaveRun ? 'failed' : 'not-run'});
+			}
+
+			const result = await attemptOn(job, place);
+			const pool = fleet.retryBudget(job.route.pool);
+			const mayRetry = canTryAgain(job) && pool.withdraw();
+			const step = nextStep(result, {isRepeatable: isRepeatable(job.route), mayRetry, mayHaveRun: job.mayHaveRun});
+			if (step.kind === 'settle') {
+				return step.outcome;
+			}
+
+			job.mayHaveRun ||= result.kind === 'broken';
+			emit(job, 'retried', step.failure.message, place.backEnd.endpoint.id);
+		}
+	}
+
+	function canTryAgain(job: Job): boolean {
+		const isStopped = job.signal.aborted || clock.now() >= job.deadline;
+		return job.attempts < maximumAttempts && !isStopped && !quarantine.isBlocked(job.fingerprint, clock.now());
+	}
+
+	async function findPlace(job: Job): Promise<Place | Failure> {
+		const patience = as<Milliseconds>(job.deadline - clock.now());
+		const expiring = new AbortController();
+		void clock.sleep(patience, expiring.signal).then(() => {
+			expiring.abort(new Error('deadline passed while waiting for a place'));
+		});
+		const attained = job.execution.program.account.spent().tokens;
+		const found = await fleet.acquire(job.route.pool, {
+			program: job.call.program,
+			prompt: countTokens(job.prompt),
+			excluded: job.excluded,
+		}, {
+			priority: -(clock.now() + (attained * queueMsPerToken)),
+			patience,
+			signal: AbortSignal.any([job.signal, expiring.signal]),
+		});
+		expiring.abort();
+		return found.match(place => place, reason => reason);
+	}
+
+	async function attemptOn(job: Job, place: Place): Promise<AttemptResult> {
+		const {backEnd} = place;
+		const attempt = createAttempt(job);
+		job.attempts++;
+		job.excluded.add(backEnd.endpoint.id);
+		emit(job, 'placed', `attempt ${job.attempts} after ${backEnd.queue.size} waiting`, backEnd.endpoint.id);
+		const committed = await recordIntent(job, attempt, backEnd);
+		if (committed) {
+			place.release();
+			return {kind: 'not-started', failure: committed, isLeaving: false};
+		}
+
+		const result = await send(job, attempt, backEnd);
+		place.release();
+		learn(job, result, backEnd);
+		return result;
+	}
+
+	function createAttempt(job: Job): Attempt {
+		const attempt: Attempt = {
+			id: as<AttemptId>(random.unique()),
+			program: job.call.program,
+			route: job.call.route,
+			key: job.call.key,
+			request: job.call.request,
+			prompt: job.prompt,
+			priority: Math.round(clock.wall() + (job.execution.program.account.spent().tokens * queueMsPerToken)),
+			prefix: [...job.execution.transcript.tokens()],
+		};
+		job.stream ??= attempt.id;
+		return attempt;
+	}
+
+	/** Records the intent. Returns a failure when the attempt must not be sent. */
+	async function recordIntent(job: Job, attempt: Attempt, backEnd: BackEnd): Promise<Failure | undefined> {
+		const {execution, call} = job;
+		const appended = append(execution, {
+			kind: 'intent',
+			program: call.program,
+			call: call.id,
+			key: call.key,
+			route: call.route,
+			fingerprint: job.fingerprint,
+			request: call.request,
+			attempt: attempt.id,
+			stream: job.stream ?? attempt.id,
+			prefix: attempt.prefix,
+			endpoint: backEnd.endpoint.id,
+			repeatable: isRepeatable(job.route),
+			reservation: job.reservation,
+		});
+		if (isRepeatable(job.route)) {
+			void appended.durable.then(() => {
+				execution.transcript.name(job.stream ?? attempt.id);
+			});
+			return undefined;
+		}
+
+		const timer = new AbortController();
+		const waiting = clock.sleep(as<Milliseconds>(Math.min(commitTimeoutMs, job.deadline - clock.now())), timer.signal)
+			.then(() => 'late' as const);
+		const first = await Promise.race([appended.committed, waiting]);
+		timer.abort();
+		if (first === 'late') {
+			return failure('platform-unavailable', 'The intent could not be recorded in time, so the request was not sent', {
+				step: 'commit', peer: 'platform', retryAfter: as<Milliseconds>(commitTimeoutMs),
+			});
+		}
+
+		if (job.signal.aborted) {
+			return stop('commit', job.signal.reason, 'not-run');
+		}
+
+		execution.transcript.name(job.stream ?? attempt.id);
+		return first.match(() => undefined, reason => ({...reason, execution: 'not-run' as const}));
+	}
+
+	async function send(job: Job, attempt: Attempt, backEnd: BackEnd): Promise<AttemptResult> {
+		const startedAt = clock.now();
+		const result = await dispatch.send(backEnd.endpoint, attempt, dispatchOptions(job, backEnd));
+		if (result.kind === 'answered') {
+			observe(backEnd, startedAt);
+		}
+
+		if (result.kind !== 'broken' || job.call.request.kind !== 'model' || job.signal.aborted) {
+			return result;
+		}
+
+		// The engine may still be generating although the connection broke.
+		const resumed = await dispatch.resume(backEnd.endpoint, attempt.id, dispatchOptions(job, backEnd, attempt.prefix.length));
+		return resumed.kind === 'answered' ? resumed : result;
+	}
+
+	function dispatchOptions(job: Job, backEnd: BackEnd, from = 0) {
+		const {transcript} = job.execution;
+		return {
+			timeout: as<Milliseconds>(Math.max(1, Math.ceil(job.deadline - clock.now()))),
+			signal: job.signal,
+			onToken(text: string, index: number) {
+				if (index + from === transcript.tokens().length) {
+					transcript.push(text);
+				}
+			},
+			onLoad(total: number) {
+				backEnd.reportLoad(total, clock.now());
+			},
+		};
+	}
+
+	function observe(backEnd: BackEnd, startedAt: Milliseconds): void {
+		const pace = clock.now() - startedAt;
+		backEnd.observePace(pace);
+		backEnd.report({kind: 'succeeded', pace: backEnd.pace(), typical: fleet.typicalPace(backEnd.endpoint.id)}, clock.now());
+	}
+
+	function learn(job: Job, result: AttemptResult, backEnd: BackEnd): void {
+		const endpoint = backEnd.endpoint.id;
+		switch (result.kind) {
+			case 'answered': {
+				backEnd.remember(job.call.program, countTokens(job.prompt));
+				return;
+			}
+
+			case 'not-started': {
+				backEnd.report(result.isLeaving ? {kind: 'reported-leaving'} : {kind: 'failed'}, clock.now());
+				return;
+			}
+
+			case 'rejected': {
+				return;
+			}
+
+			case 'broken': {
+				if (job.signal.aborted) {
+					return;
+				}
+
+				backEnd.report({kind: 'failed'}, clock.now());
+				if (result.failure.code === 'endpoint-failed' && quarantine.record({fingerprint: job.fingerprint, endpoint}, clock.now())) {
+					emit(job, 'crashed', job.fingerprint, endpoint);
+				}
+			}
+		}
+	}
+
+	async function settle(job: Job, outcome: Outcome, used: Spend): Promise<void> {
+		const {execution, call} = job;
+		emit(job, 'settled', outcome.kind === 'completed' ? 'completed' : `${outcome.kind}: ${outcome.failure.message}`);
+		if (job.stream === undefined) {
+			// No intent was recorded, so there is nothing to settle and the key may be used again.
+			execution.transcript.end(outcome.kind === 'completed' ? {kind: 'settled', outcome} : {kind: 'refused', failure: outcome.failure});
+			return;
+		}
+
+		const {durable} = append(execution, {
+			kind: 'settled', program: call.program, call: call.id, key: call.key, fingerprint: job.fingerprint, stream: job.stream, outcome, used,
+		});
+		if (outcome.kind === 'not-run') {
+			execution.transcript.end({kind: 'settled', outcome});
+			return;
+		}
+
+		const recorded = await durable;
+		execution.transcript.end(recorded.match<Parameters<Transcript['end']>[0]>(
+			() => ({kind: 'settled', outcome}),
+			reason => ({kind: 'refused', failure: {...reason, execution: 'unknown'}}),
+		));
+	}
+
+	async function recover(execution: Execution, key: IdempotencyKey): Promise<void> {
+		const state = execution.program.calls.get(key);
+		if (state?.kind !== 'intended') {
+			refuse(execution, failure('not-found', `No call with key ${key}`, {step: 'recover', peer: 'home'}));
+			return;
+		}
+
+		const outcome = state.request.kind === 'model' ? await resume(execution, state) : interrupted(state);
+		const used = usedBy(outcome, state.reservation);
+		// The reservation was counted as spent when the intent was replayed.
+		execution.program.account.restore({
+			tokens: as<Tokens>(used.tokens - state.reservation.tokens), calls: used.calls - state.reservation.calls,
+		});
+		execution.transcript.name(state.stream);
+		options.onEvent({
+			kind: 'recovered', call: state.call, program: execution.program.id, endpoint: state.endpoint, detail: outcome.kind,
+		});
+		const {durable} = append(execution, {
+			kind: 'settled',
+			program: execution.program.id,
+			call: state.call,
+			key,
+			fingerprint: state.fingerprint,
+			stream: state.stream,
+			outcome,
+			used,
+		});
+		const recorded = await durable;
+		execution.transcript.end(recorded.match<Parameters<Transcript['end']>[0]>(
+			() => ({kind: 'settled', outcome}),
+			reason => ({kind: 'refused', failure: {...reason, execution: 'unknown'}}),
+		));
+	}
+
+	/** Outcome of a call whose sender was lost: it is never sent again. */
+	function interrupted(state: Extract<CallState, {kind: 'intended'}>): Outcome {
+		return {
+			kind: 'unknown',
+			failure: failure('outcome-unknown', `The instance that sent the request to ${state.endpoint} was lost before the outcome was recorded`, {
+				step: 'recover', peer: state.endpoint, execution: 'unknown',
+			}),
+		};
+	}
+
+	/** Collects a model's answer from the engine that an earlier owner asked. */
+	async function resume(execution: Execution, state: Extract<CallState, {kind: 'intended'}>): Promise<Outcome> {
+		const backEnd = fleet.backEnd(state.endpoint);
+		const route = fleet.route(state.route);
+		if (!backEnd || !route) {
+			return interrupted(state);
+		}
+
+		for (const token of state.prefix) {
+			execution.transcript.push(token);
+		}
+
+		execution.transcript.name(state.stream);
+		const result = await dispatch.resume(backEnd.endpoint, state.attempt, {
+			timeout: route.timeout,
+			signal: execution.signal,
+			onToken(text) {
+				execution.transcript.push(text);
+			},
+			onLoad(total) {
+				backEnd.reportLoad(total, clock.now());
+			},
+		});
+		if (result.kind === 'answered') {
+			return {kind: 'completed', answer: result.answer};
+		}
+
+		return outcomeOf({...result.failure, step: 'recover', execution: 'failed'});
+	}
+
+	function emit(job: Job, kind: ExecutionEvent['kind'], detail: string, endpoint?: EndpointId): void {
+		options.onEvent({
+			kind, call: job.call.id, program: job.call.program, ...(endpoint !== undefined && {endpoint}), detail,
+		});
+	}
+
+	return {run, recover};
+}
--- /dev/null
+++ b/src/zones/neighbourhood.ts
@@ -0,0 +1,208 @@
+/**
+The neighbourhood of an instance: runs the membership protocol over the peer links and passes on
+what instances have to know of each other, such as generations, leaving endpoints and crashes.
+*/
+import {type Clock} from '../contracts/clock.js';
+import {
+	as, type Address, type ConfigurationGeneration, type EndpointId, type Incarnation, type InstanceId,
+	type Milliseconds,
+} from '../contracts/id.js';
+import {type Listing} from '../contracts/platform.js';
+import {type Crash} from '../machines/quarantine.js';
+import {createBroadcast} from './broadcast.js';
+import {
+	type Member, type Membership, type MembershipEffect, type MembershipEvent, probeIntervalMs,
+} from './membership.js';
+import {type EndpointNews, type Gossip, type Peers} from './peers.js';
+
+/** News of each sort that one message carries. */
+const newsPerMessage = 8;
+
+/** Shortest time between two exchanges of whole member lists. */
+const synchronizationMs = 10_000;
+
+export type Neighbourhood = {
+	/** Answers a probe. */
+	readonly receive: (message: Gossip) => Gossip;
+	readonly learnListing: (listing: readonly Listing[]) => void;
+	readonly announceEndpoint: (news: EndpointNews) => void;
+	readonly announceCrash: (crash: Crash) => void;
+	/** Tells every member of this data centre at once, without waiting for the next probes. */
+	readonly notify: () => void;
+	/** Generation that each instance last said it has. */
+	readonly generations: () => ReadonlyMap<InstanceId, ConfigurationGeneration>;
+	/** Introduces this instance to seeds and probes peers until the signal aborts. */
+	readonly run: (signal: AbortSignal) => Promise<void>;
+	/** Tells peers that this instance is leaving. */
+	readonly leave: () => Promise<void>;
+};
+
+export type NeighbourhoodOptions = {
+	readonly membership: Membership;
+	readonly peers: Peers;
+	readonly clock: Clock;
+	readonly seeds: readonly Address[];
+	readonly generation: () => ConfigurationGeneration;
+	readonly onMember: (member: Member) => void;
+	readonly onPause: (gap: Milliseconds) => void;
+	readonly onEndpoint: (news: EndpointNews) => void;
+	readonly onCrash: (crash: Crash) => void;
+	/** A peer has a newer configuration. */
+	readonly onGeneration: (peer: Member) => void;
+};
+
+/** Creates the neighbourhood of an instance that has not met anyone. */
+export function createNeighbourhood(options: NeighbourhoodOptions): Neighbourhood {
+	const {membership, peers, clock} = options;
+	const endpointNews = createBroadcast<EndpointId, EndpointNews>();
+	const crashNews = createBroadcast<string, Crash>();
+	const endpoints = new Map<EndpointId, EndpointNews>();
+	const generations = new Map<InstanceId, ConfigurationGeneration>();
+	let synchronizedAt = -synchronizationMs;
+
+	function compose(): Gossip {
+		return {
+			from: membership.self(),
+			members: membership.takeUpdates(),
+			digest: membership.digest(),
+			generation: options.generation(),
+			endpoints: endpointNews.take(newsPerMessage),
+			crashes: crashNews.take(newsPerMessage),
+		};
+	}
+
+	function handle(event: MembershipEvent): void {
+		for (const effect of membership.handle(event)) {
+			apply(effect);
+		}
+	}
+
+	function apply(effect: MembershipEffect): void {
+		switch (effect.kind) {
+			case 'probe': {
+				void probe(effect.member);
+				return;
+			}
+
+			case 'changed': {
+				options.onMember(effect.member);
+				return;
+			}
+
+			case 'paused': {
+				options.onPause(effect.gap);
+			}
+		}
+	}
+
+	async function probe(peer: Member): Promise<void> {
+		const reply = await peers.gossip(peer, compose());
+		if (reply.isErr()) {
+			handle({kind: 'unanswered', member: peer.id, now: clock.now()});
+			return;
+		}
+
+		handle({kind: 'acknowledged', member: peer.id, now: clock.now()});
+		learn(reply.value);
+		await synchronize(peer, reply.value);
+	}
+
+	/** Exchanges whole lists when two views differ for longer than gossip needs to level them. */
+	async function synchronize(peer: Member, message: Gossip): Promise<void> {
+		const isDue = clock.now() - synchronizedAt >= synchronizationMs;
+		if (message.digest === membership.digest() || !isDue) {
+			return;
+		}
+
+		synchronizedAt = clock.now();
+		const members = await peers.members(peer);
+		if (members.isOk()) {
+			handle({kind: 'updates', members: members.value, now: clock.now()});
+		}
+	}
+
+	function learn(message: Gossip): void {
+		handle({kind: 'updates', members: [message.from, ...message.members], now: clock.now()});
+		generations.set(message.from.id, message.generation);
+		for (const news of message.endpoints) {
+			learnEndpoint(news);
+		}
+
+		for (const crash of message.crashes) {
+			options.onCrash(crash);
+		}
+
+		if (message.generation > options.generation()) {
+			options.onGeneration(message.from);
+		}
+	}
+
+	function learnEndpoint(news: EndpointNews): void {
+		const known = endpoints.get(news.endpoint);
+		if (!known || news.at > known.at) {
+			endpoints.set(news.endpoint, news);
+			endpointNews.put(news.endpoint, news);
+			options.onEndpoint(news);
+		}
+	}
+
+	function learnListing(listing: readonly Listing[]): void {
+		const members = listing
+			.filter(entry => entry.role === 'entry' && entry.state === 'live')
+			.map(entry => ({
+				id: as<InstanceId>(entry.id),
+				dataCentre: entry.dataCentre,
+				address: entry.address,
+				incarnation: as<Incarnation>(0),
+				status: 'alive' as const,
+			}));
+		handle({kind: 'updates', members, now: clock.now()});
+	}
+
+	async function meetSeeds(): Promise<void> {
+		const self = membership.self();
+		for (const address of options.seeds) {
+			if (address !== self.address) {
+				const seed: Member = {...self, id: as<InstanceId>(address), address};
+				const members = await peers.members(seed);
+				if (members.isOk()) {
+					handle({kind: 'updates', members: members.value, now: clock.now()});
+				}
+			}
+		}
+	}
+
+	async function tellEveryone(): Promise<void> {
+		const self = membership.self();
+		const local = membership.members().filter(member => member.id !== self.id && member.dataCentre === self.dataCentre && member.status !== 'dead');
+		const message = compose();
+		await Promise.all(local.map(async member => peers.gossip(member, message)));
+	}
+
+	return {
+		receive(message) {
+			learn(message);
+			return compose();
+		},
+		learnListing,
+		announceEndpoint: learnEndpoint,
+		announceCrash(crash) {
+			crashNews.put(`${crash.fingerprint}|${crash.endpoint}`, crash);
+		},
+		notify() {
+			void tellEveryone();
+		},
+		generations: () => generations,
+		async run(signal) {
+			await meetSeeds();
+			while (!signal.aborted) {
+				handle({kind: 'tick', now: clock.now()});
+				await clock.sleep(as<Milliseconds>(probeIntervalMs), signal);
+			}
+		},
+		async leave() {
+			handle({kind: 'leave'});
+			await tellEveryone();
+		},
+	};
+}
--- /dev/null
+++ b/src/zones/peers.ts
@@ -0,0 +1,79 @@
+/**
+What instances ask of each other. The links carry these messages; nothing here knows how.
+*/
+import {type Result} from 'neverthrow';
+import {type Call, type CallEvent, type Position} from '../contracts/call.js';
+import {type Configuration} from '../contracts/configuration.js';
+import {type Failure} from '../contracts/failure.js';
+import {
+	type ConfigurationGeneration, type CustomerId, type EndpointId, type FencingNumber, type Home, type Milliseconds,
+	type ProgramId,
+} from '../contracts/id.js';
+import {type Turn} from '../contracts/program.js';
+import {type Closing, type JournalRecord} from '../contracts/record.js';
+import {type Crash} from '../machines/quarantine.js';
+import {type Member} from './membership.js';
+import {type Opening, type ProgramView, type Target} from './shard.js';
+
+/** State of an endpoint as some instance saw it. The newer observation wins. */
+export type EndpointNews = {
+	readonly endpoint: EndpointId;
+	readonly state: 'live' | 'leaving';
+	/** Wall-clock time since the epoch. */
+	readonly at: Milliseconds;
+};
+
+/** A probe, and equally its acknowledgement. */
+export type Gossip = {
+	readonly from: Member;
+	readonly members: readonly Member[];
+	readonly digest: number;
+	readonly generation: ConfigurationGeneration;
+	readonly endpoints: readonly EndpointNews[];
+	readonly crashes: readonly Crash[];
+};
+
+/** A request about programs, answered by their home. */
+export type ProgramRequest
+	= | {readonly kind: 'open'; readonly home: Home; readonly opening: Opening}
+		| {readonly kind: 'end'; readonly program: ProgramId; readonly customer: CustomerId; readonly closing: Closing}
+		| {readonly kind: 'view'; readonly program: ProgramId; readonly customer: CustomerId}
+		| {readonly kind: 'history'; readonly program: ProgramId; readonly customer: CustomerId};
+
+export type ProgramReply
+	= | {readonly kind: 'view'; readonly view: ProgramView}
+		| {readonly kind: 'history'; readonly turns: readonly Turn[]}
+		| {readonly kind: 'failed'; readonly failure: Failure};
+
+/** A request for the events of a call, answered by the home of its program. */
+export type StreamRequest
+	= | {readonly kind: 'call'; readonly call: Call; readonly position: Position}
+		| {readonly kind: 'follow'; readonly target: Target; readonly position: Position};
+
+/** A request about a shard, between its past, present and future owners and those that keep copies. */
+export type ShardRequest
+	/** Keep copies of records that the platform cannot take yet. */
+	= | {readonly kind: 'hold'; readonly home: Home; readonly epoch: FencingNumber; readonly records: readonly JournalRecord[]}
+		| {readonly kind: 'collect'; readonly home: Home}
+		| {readonly kind: 'release'; readonly home: Home}
+	/** Finish what runs and give the shard up. */
+		| {readonly kind: 'relinquish'; readonly home: Home}
+	/** Which of these programs are still open? */
+		| {readonly kind: 'living'; readonly home: Home; readonly programs: readonly ProgramId[]};
+
+export type ShardReply
+	= | {readonly kind: 'done'}
+		| {readonly kind: 'records'; readonly records: readonly JournalRecord[]}
+		| {readonly kind: 'living'; readonly programs: readonly ProgramId[]}
+		| {readonly kind: 'failed'; readonly failure: Failure};
+
+/** The other instances, as seen from this one. Failures carry the step `forward` and the peer's id. */
+export type Peers = {
+	readonly gossip: (peer: Member, message: Gossip) => Promise<Result<Gossip, Failure>>;
+	readonly members: (peer: Member) => Promise<Result<readonly Member[], Failure>>;
+	readonly configuration: (peer: Member) => Promise<Result<Configuration, Failure>>;
+	readonly program: (peer: Member, request: ProgramRequest) => Promise<ProgramReply>;
+	readonly shard: (peer: Member, request: ShardRequest, timeout: Milliseconds) => Promise<ShardReply>;
+	/** Ends with a refusal of code `peer-unreachable` when the connection breaks. */
+	readonly stream: (peer: Member, request: StreamRequest, signal: AbortSignal) => AsyncIterable<CallEvent>;
+};
--- /dev/null
+++ b/src/zones/shard.ts
@@ -0,0 +1,392 @@
+/**
+A shard: the home of a part of a data centre's programs. It opens and closes programs, keeps their
+calls in order and their budgets, and answers for what its journal has recorded.
+*/
+import {err, ok, type Result} from 'neverthrow';
+import PQueue from 'p-queue';
+import {type Budget, type Spend} from '../contracts/budget.js';
+import {type Call, type CallEvent, type Position} from '../contracts/call.js';
+import {type Clock, type Random} from '../contracts/clock.js';
+import {type Failure, failure, type FailureCode} from '../contracts/failure.js';
+import {fingerprintOf} from '../contracts/fingerprint.js';
+import {
+	createProgramId, type CustomerId, type EndpointId, type Home, type IdempotencyKey, type Milliseconds,
+	type ProgramId,
+} from '../contracts/id.js';
+import {
+	expiryOf, applyRecord, type Program, type Programs, turnsOf, type Turn,
+} from '../contracts/program.js';
+import {type Closing, type JournalRecord} from '../contracts/record.js';
+import {type Execution as CallExecution, type Executor} from './execution.js';
+import {type Journal} from './journal.js';
+import {createTranscript, type Transcript} from './transcript.js';
+
+/** How long the outcome of an ended program can still be read, in ms. */
+export const retentionMs = 600_000;
+
+/** Calls of one program that may wait behind each other. */
+const maximumWaitingCalls = 64;
+
+/** What a caller may see of a program. */
+export type ProgramView = {
+	readonly id: ProgramId;
+	readonly parent?: ProgramId;
+	readonly status: Program['status'];
+	readonly turns: number;
+	readonly budget: Budget;
+	readonly spent: Spend;
+	readonly reserved: Spend;
+	readonly expiresAt: Milliseconds;
+};
+
+export type Opening = {
+	readonly customer: CustomerId;
+	readonly budget: Budget;
+	readonly parent?: ProgramId;
+};
+
+/** A call that was made before. */
+export type Target = {
+	readonly program: ProgramId;
+	readonly customer: CustomerId;
+	readonly key: IdempotencyKey;
+};
+
+export type Shard = {
+	readonly home: Home;
+	readonly open: (opening: Opening) => Promise<Result<ProgramView, Failure>>;
+	/** Runs a call, or follows the one that has the same key already. */
+	readonly call: (call: Call, position: Position, signal: AbortSignal) => AsyncGenerator<CallEvent, void, undefined>;
+	/** Follows a call that was made before. */
+	readonly follow: (target: Target, position: Position, signal: AbortSignal) => AsyncGenerator<CallEvent, void, undefined>;
+	readonly end: (program: ProgramId, customer: CustomerId, closing: Closing) => Promise<Result<ProgramView, Failure>>;
+	readonly view: (program: ProgramId, customer: CustomerId) => Result<ProgramView, Failure>;
+	readonly history: (program: ProgramId, customer: CustomerId) => Result<readonly Turn[], Failure>;
+	/** Programs among those given that may still use engine memory. */
+	readonly living: (programs: readonly ProgramId[]) => readonly ProgramId[];
+	/** Ends programs whose time is over and forgets those that ended long ago. */
+	readonly sweep: () => void;
+	/** Stops taking calls and resolves when none is running any more. */
+	readonly drain: () => Promise<void>;
+	readonly programs: () => number;
+	readonly running: () => number;
+	readonly journal: Journal;
+};
+
+export type ShardOptions = {
+	readonly home: Home;
+	readonly programs: Programs;
+	readonly journal: Journal;
+	readonly executor: Executor;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly signal: AbortSignal;
+	/** Frees engine memory of a program that ended. */
+	readonly release: (program: ProgramId, holders: readonly EndpointId[]) => void;
+};
+
+type Running = {
+	readonly transcript: Transcript;
+	readonly controller: AbortController;
+	readonly fingerprint: string;
+};
+
+/** Creates a shard over programs that its journal has replayed. */
+export function createShard(options: ShardOptions): Shard {
+	const {home, programs, journal, clock, signal} = options;
+	const running = new Map<ProgramId, Map<IdempotencyKey, Running>>();
+	const sequences = new Map<ProgramId, PQueue>();
+	const recording = new Set<Promise<unknown>>();
+	let isDraining = false;
+
+	function refuse(code: FailureCode, message: string): Failure {
+		return failure(code, message, {step: 'admit', peer: 'home'});
+	}
+
+	/** A program of another customer answers as if it did not exist. */
+	function find(id: ProgramId, customer: CustomerId): Result<Program, Failure> {
+		const program = programs.get(id);
+		return program?.customer === customer ? ok(program) : err(refuse('not-found', `No program ${id}`));
+	}
+
+	function viewOf(program: Program): ProgramView {
+		return {
+			id: program.id,
+			...(program.parent !== undefined && {parent: program.parent}),
+			status: program.status,
+			turns: turnsOf(program),
+			budget: program.account.budget,
+			spent: program.account.spent(),
+			reserved: program.account.reserved(),
+			expiresAt: expiryOf(program),
+		};
+	}
+
+	async function record(entry: JournalRecord): Promise<Result<void, Failure>> {
+		applyRecord(programs, entry);
+		const {durable} = journal.append([entry]);
+		recording.add(durable);
+		const recorded = await durable;
+		recording.delete(durable);
+		return recorded.map(() => undefined);
+	}
+
+	function checkOpening(opening: Opening): Result<void, Failure> {
+		if (isDraining || signal.aborted) {
+			return err(refuse('leaving', 'The home of the program is moving'));
+		}
+
+		if (opening.parent === undefined) {
+			return ok();
+		}
+
+		const parent = find(opening.parent, opening.customer);
+		if (parent.isErr()) {
+			return err(parent.error);
+		}
+
+		return parent.value.status === 'open' ? ok() : err(refuse('conflict', `Program ${opening.parent} is ${parent.value.status}`));
+	}
+
+	async function open(opening: Opening): Promise<Result<ProgramView, Failure>> {
+		const checked = checkOpening(opening);
+		if (checked.isErr()) {
+			return err(checked.error);
+		}
+
+		const parent = opening.parent === undefined ? undefined : programs.get(opening.parent);
+		const id = createProgramId(home, options.random.unique());
+		const recorded = await record({
+			kind: 'opened',
+			program: id,
+			customer: opening.customer,
+			...(opening.parent !== undefined && {parent: opening.parent}),
+			budget: parent?.account.budget ?? opening.budget,
+			openedAt: parent?.openedAt ?? clock.wall(),
+		});
+		return recorded.andThen(() => find(id, opening.customer).map(found => viewOf(found)));
+	}
+
+	function checkCall(program: Program, call: Call): Result<void, Failure> {
+		if (isDraining || signal.aborted) {
+			return err(refuse('leaving', 'The home of the program is moving'));
+		}
+
+		if (program.status !== 'open') {
+			return err(refuse('conflict', `Program ${program.id} is ${program.status}`));
+		}
+
+		if (call.turn !== undefined && call.turn !== turnsOf(program)) {
+			return err(refuse('conflict', `Program ${program.id} has had ${turnsOf(program)} calls, not ${call.turn}`));
+		}
+
+		if ((running.get(program.id)?.size ?? 0) >= maximumWaitingCalls) {
+			return err(refuse('overloaded', `Program ${program.id} has ${maximumWaitingCalls} calls waiting`));
+		}
+
+		return ok();
+	}
+
+	/** A transcript of what the journal has recorded about a call. */
+	function replayTranscript(program: Program, key: IdempotencyKey): Transcript | undefined {
+		const state = program.calls.get(key);
+		if (state?.kind !== 'settled') {
+			return undefined;
+		}
+
+		const transcript = createTranscript();
+		if (state.outcome.kind === 'completed' && state.outcome.answer.kind === 'message') {
+			for (const token of state.outcome.answer.tokens) {
+				transcript.push(token);
+			}
+		}
+
+		transcript.name(state.stream);
+		transcript.end({kind: 'settled', outcome: state.outcome});
+		return transcript;
+	}
+
+	function knownTranscript(program: Program, key: IdempotencyKey, fingerprint: string | undefined): Result<Transcript | undefined, Failure> {
+		const current = running.get(program.id)?.get(key);
+		const state = program.calls.get(key);
+		const recorded = current?.fingerprint ?? state?.fingerprint;
+		if (fingerprint !== undefined && recorded !== undefined && recorded !== fingerprint) {
+			return err(refuse('conflict', `Key ${key} was used for another request`));
+		}
+
+		if (current) {
+			return ok(current.transcript);
+		}
+
+		// A call that certainly did not run may be made again under its key.
+		const isOver = state?.kind === 'settled' && (state.outcome.kind !== 'not-run' || fingerprint === undefined);
+		return ok(isOver ? replayTranscript(program, key) : undefined);
+	}
+
+	function sequenceOf(program: ProgramId): PQueue {
+		const existing = sequences.get(program);
+		if (existing) {
+			return existing;
+		}
+
+		const created = new PQueue({concurrency: 1});
+		sequences.set(program, created);
+		return created;
+	}
+
+	function begin(program: Program, key: IdempotencyKey, fingerprint: string): Running {
+		const entry = {transcript: createTranscript(), controller: new AbortController(), fingerprint};
+		const calls = running.get(program.id) ?? new Map<IdempotencyKey, Running>();
+		running.set(program.id, calls);
+		calls.set(key, entry);
+		return entry;
+	}
+
+	function finish(program: ProgramId, key: IdempotencyKey): void {
+		const calls = running.get(program);
+		calls?.delete(key);
+		if (calls?.size === 0) {
+			running.delete(program);
+			sequences.delete(program);
+		}
+	}
+
+	/** Runs a call behind the calls of its program that came before. */
+	function start(program: Program, key: IdempotencyKey, fingerprint: string, execute: (execution: CallExecution) => Promise<void>): Transcript {
+		const entry = begin(program, key, fingerprint);
+		const execution: CallExecution = {
+			program, programs, journal, transcript: entry.transcript,
+			signal: AbortSignal.any([signal, entry.controller.signal]),
+		};
+		void sequenceOf(program.id).add(async () => {
+			await execute(execution);
+			finish(program.id, key);
+		});
+		return entry.transcript;
+	}
+
+	function obtain(program: Program, call: Call): Result<Transcript, Failure> {
+		const fingerprint = fingerprintOf(call.route, call.request);
+		const known = knownTranscript(program, call.key, fingerprint);
+		if (known.isErr()) {
+			return err(known.error);
+		}
+
+		if (known.value) {
+			return ok(known.value);
+		}
+
+		if (program.calls.get(call.key)?.kind === 'intended') {
+			return ok(recover(program, call.key, fingerprint));
+		}
+
+		return checkCall(program, call).map(() => start(program, call.key, fingerprint, async execution => options.executor.run(execution, call, fingerprint)));
+	}
+
+	/** Continues a call whose intent was recorded by an earlier owner. */
+	function recover(program: Program, key: IdempotencyKey, fingerprint: string): Transcript {
+		return start(program, key, fingerprint, async execution => options.executor.recover(execution, key));
+	}
+
+	async function * deliver(transcript: Result<Transcript, Failure>, position: Position, reader: AbortSignal): AsyncGenerator<CallEvent, void, undefined> {
+		if (transcript.isErr()) {
+			yield {kind: 'refused', failure: transcript.error};
+			return;
+		}
+
+		yield * transcript.value.read(position, reader);
+	}
+
+	function followed({program: id, customer, key}: Target): Result<Transcript, Failure> {
+		return find(id, customer).andThen(program => {
+			const state = program.calls.get(key);
+			const known = knownTranscript(program, key, undefined);
+			if (known.isOk() && !known.value && state?.kind === 'intended') {
+				return ok(recover(program, key, state.fingerprint));
+			}
+
+			return known.andThen(transcript => transcript ? ok(transcript) : err(refuse('not-found', `No call with key ${key}`)));
+		});
+	}
+
+	function familyOf(program: Program): Program[] {
+		const members = [program];
+		for (const candidate of programs.values()) {
+			if (candidate.parent !== undefined && members.some(member => member.id === candidate.parent)) {
+				members.push(candidate);
+			}
+		}
+
+		return members;
+	}
+
+	function abortCalls(program: ProgramId, closing: Closing): void {
+		const code = closing === 'expired' ? 'deadline-exceeded' : 'cancelled';
+		for (const entry of running.get(program)?.values() ?? []) {
+			entry.controller.abort(new Error(code));
+		}
+	}
+
+	async function endOne(program: Program, closing: Closing): Promise<Result<void, Failure>> {
+		if (program.status !== 'open') {
+			return ok();
+		}
+
+		const recorded = record({kind: 'closed', program: program.id, closing});
+		program.endedAt = clock.wall();
+		abortCalls(program.id, closing);
+		options.release(program.id, [...program.holders]);
+		return recorded;
+	}
+
+	async function end(id: ProgramId, customer: CustomerId, closing: Closing): Promise<Result<ProgramView, Failure>> {
+		const found = find(id, customer);
+		if (found.isErr()) {
+			return err(found.error);
+		}
+
+		for (const ended of await Promise.all(familyOf(found.value).map(async member => endOne(member, closing)))) {
+			if (ended.isErr()) {
+				return err(ended.error);
+			}
+		}
+
+		return ok(viewOf(found.value));
+	}
+
+	function sweep(): void {
+		const now = clock.wall();
+		for (const program of programs.values()) {
+			if (program.status === 'open' && now >= expiryOf(program)) {
+				void endOne(program, 'expired');
+			}
+
+			const endedAt = program.endedAt ?? expiryOf(program);
+			if (program.status !== 'open' && now - endedAt > retentionMs) {
+				programs.delete(program.id);
+			}
+		}
+	}
+
+	async function drain(): Promise<void> {
+		isDraining = true;
+		await Promise.all([...sequences.values()].map(async sequence => sequence.onIdle()));
+		await Promise.all(recording);
+	}
+
+	return {
+		home,
+		open,
+		call: (call, position, reader) => deliver(find(call.program, call.customer).andThen(program => obtain(program, call)), position, reader),
+		follow: (target, position, reader) => deliver(followed(target), position, reader),
+		end,
+		view: (program, customer) => find(program, customer).map(found => viewOf(found)),
+		history: (program, customer) => find(program, customer).map(found => found.history),
+		living: ids => ids.filter(id => programs.get(id)?.status === 'open'),
+		sweep,
+		drain,
+		programs: () => programs.size,
+		running: () => [...running.values()].reduce((sum, calls) => sum + calls.size, 0),
+		journal,
+	};
+}
--- /dev/null
+++ b/src/zones/transcript.ts
@@ -0,0 +1,97 @@
+/**
+Transcript of one call's answer. Readers follow it at their own pace and may start at any token, so a
+slow caller holds up neither the engine nor other readers, and a lost connection can be resumed.
+*/
+import {type CallEvent, type Position} from '../contracts/call.js';
+import {failure} from '../contracts/failure.js';
+import {type AttemptId} from '../contracts/id.js';
+
+type Ending = Extract<CallEvent, {kind: 'settled' | 'refused'}>;
+
+export type Transcript = {
+	/** Adds tokens behind those already there. */
+	readonly push: (text: string) => void;
+	readonly tokens: () => readonly string[];
+	/** Names the stream once its first attempt is known. */
+	readonly name: (stream: AttemptId) => void;
+	readonly end: (ending: Ending) => void;
+	readonly ending: () => Ending | undefined;
+	/** Events from a position on. Ends after the ending, or silently when the signal aborts. */
+	readonly read: (position: Position, signal: AbortSignal) => AsyncGenerator<CallEvent, void, undefined>;
+};
+
+/** Creates an empty transcript. */
+export function createTranscript(): Transcript {
+	const tokens: string[] = [];
+	let stream: AttemptId | undefined;
+	let ending: Ending | undefined;
+	let wake: Array<() => void> = [];
+
+	function notify(): void {
+		const waiting = wake;
+		wake = [];
+		for (const resume of waiting) {
+			resume();
+		}
+	}
+
+	async function change(signal: AbortSignal): Promise<void> {
+		await new Promise<void>(resolve => {
+			const resume = () => {
+				signal.removeEventListener('abort', resume);
+				resolve();
+			};
+
+			wake.push(resume);
+			signal.addEventListener('abort', resume, {once: true});
+		});
+	}
+
+	function isOtherStream(position: Position): boolean {
+		return position.index > 0 && position.stream !== undefined && stream !== undefined && position.stream !== stream;
+	}
+
+	async function * read(position: Position, signal: AbortSignal): AsyncGenerator<CallEvent, void, undefined> {
+		let next = position.index;
+		while (!signal.aborted) {
+			if (isOtherStream(position)) {
+				const message = 'The stream that the position refers to was lost; read the answer from its start';
+				yield {kind: 'refused', failure: failure('stream-lost', message, {step: 'stream', peer: 'home', execution: 'unknown'})};
+				return;
+			}
+
+			if (stream && next < tokens.length) {
+				yield {
+					kind: 'token', stream, index: next, text: tokens[next] ?? '',
+				};
+				next++;
+				continue;
+			}
+
+			if (ending && next >= tokens.length) {
+				yield ending;
+				return;
+			}
+
+			await change(signal);
+		}
+	}
+
+	return {
+		push(text) {
+			tokens.push(text);
+			notify();
+		},
+		tokens: () => tokens,
+		name(value) {
+			stream = value;
+			notify();
+		},
+		end(value) {
+			ending ??= value;
+			notify();
+		},
+		ending: () => ending,
+		read,
+	};
+}
