Run one path from end to end as separate processes

Cause of three faults met on the way: a wildcard of the router gives one path segment, so objects collided (478 conflicts in 547 writes seen); a required key for absent objects kept shards from opening; a fractional time-out was refused by AbortSignal.

--- /dev/null
+++ b/src/links/body.ts
@@ -0,0 +1,59 @@
+/**
+Request bodies with an upper bound, so that an oversized request costs no memory.
+*/
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+import {type z} from 'zod';
+import {describeError, type Failure, failure} from '../contracts/failure.js';
+
+/** Largest request that callers may send, in bytes. */
+export const maximumRequestBytes = 256 * 1024;
+
+function refuse(code: 'invalid-request' | 'too-large', message: string): Result<never, Failure> {
+	return err(failure(code, message, {step: 'validate', peer: 'caller'}));
+}
+
+/** Reads a body as text. Fails with `too-large` or `invalid-request`. */
+export async function readText(request: IncomingMessage): Promise<Result<string, Failure>> {
+	const parts: Uint8Array[] = [];
+	let size = 0;
+	try {
+		for await (const part of request) {
+			const bytes = Buffer.isBuffer(part) ? part : Buffer.from(String(part));
+			size += bytes.length;
+			if (size > maximumRequestBytes) {
+				return refuse('too-large', `The body exceeds ${maximumRequestBytes} bytes`);
+			}
+
+			parts.push(bytes);
+		}
+	} catch (error) {
+		return refuse('invalid-request', `The body could not be read: ${describeError(error)}`);
+	}
+
+	return ok(Buffer.concat(parts).toString('utf8'));
+}
+
+/** Reads a JSON body that matches a schema. An empty body counts as an empty object. */
+export async function readBody<Body>(request: IncomingMessage, schema: z.ZodType<Body>): Promise<Result<Body, Failure>> {
+	const text = await readText(request);
+	return text.andThen(content => parseBody(content, schema));
+}
+
+function parseBody<Body>(content: string, schema: z.ZodType<Body>): Result<Body, Failure> {
+	let value: unknown;
+	try {
+		value = content === '' ? {} : JSON.parse(content);
+	} catch (error) {
+		return refuse('invalid-request', `The body is not JSON: ${describeError(error)}`);
+	}
+
+	const parsed = schema.safeParse(value);
+	if (parsed.success) {
+		return ok(parsed.data);
+	}
+
+	const reasons = parsed.error.issues.map(issue => `${issue.path.join('.') || 'body'}: ${issue.message}`);
+	return refuse('invalid-request', reasons.join('; '));
+}
--- /dev/null
+++ b/src/links/caller.ts
@@ -0,0 +1,495 @@
+/**
+Link to callers: programs as a small resource, model calls as chat completions, service calls as
+plain HTTP through a program. See docs/INTERFACE.md.
+*/
+import {createHash} from 'node:crypto';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {once} from 'node:events';
+import {err, ok, type Result} from 'neverthrow';
+import polka, {type Routed} from 'polka';
+import {z} from 'zod';
+import {type Budget} from '../contracts/budget.js';
+import {
+	type Call, type CallEvent, type Message, type Position, type Request, start,
+} from '../contracts/call.js';
+import {type Random} from '../contracts/clock.js';
+import {describeError, type Failure, failure} from '../contracts/failure.js';
+import {
+	as, type AttemptId, type CallId, type CustomerId, type IdempotencyKey, type Milliseconds, parseProgramId,
+	type ProgramId, type RouteName, type Tokens,
+} from '../contracts/id.js';
+import {type Outcome} from '../contracts/outcome.js';
+import {type Instance} from '../machines/instance.js';
+import {type ProgramReply} from '../zones/peers.js';
+import {readBody, readText} from './body.js';
+import {
+	errorBody, openEventStream, sendFailure, sendJson, sendOutcome,
+} from './reply.js';
+
+const defaultTokens = 100_000;
+const defaultCalls = 600;
+const defaultDurationMs = 3_600_000;
+const defaultCallTimeoutMs = 120_000;
+const defaultCompletionTokens = 1024;
+const longestKey = 128;
+const idleCheckMs = 50;
+
+const budgetBody = z.strictObject({
+	budget: z.strictObject({
+		tokens: z.number().int().positive().max(100_000_000).default(defaultTokens),
+		calls: z.number().int().positive().max(100_000).default(defaultCalls),
+		duration_ms: z.number().int().positive().max(86_400_000).default(defaultDurationMs),
+	}).prefault({}),
+});
+
+const completionBody = z.object({
+	model: z.string().min(1).max(63),
+	messages: z.array(z.object({role: z.enum(['system', 'user', 'assistant', 'tool']), content: z.string()})).min(1),
+	max_tokens: z.number().int().positive().max(100_000).default(defaultCompletionTokens),
+	stream: z.boolean().default(false),
+});
+
+const methods = z.enum(['GET', 'POST', 'PUT', 'DELETE']);
+
+/** Customers by the SHA-256 digest of their key, in hexadecimal. */
+export type Customers = ReadonlyMap<string, CustomerId>;
+
+export type CallerServerOptions = {
+	readonly instance: Instance;
+	readonly customers: Customers;
+	readonly random: Random;
+	readonly host: string;
+	readonly port: number;
+	readonly onRequest: (request: ServedRequest) => void;
+};
+
+/** A request that was answered. */
+export type ServedRequest = {
+	readonly method: string;
+	readonly path: string;
+	readonly status: number;
+	readonly durationMs: number;
+};
+
+export type CallerServer = {
+	readonly server: Server;
+	/** Stops accepting connections and resolves when all requests have been answered. */
+	readonly drain: () => Promise<void>;
+};
+
+type Headers = {readonly key: IdempotencyKey; readonly timeout: Milliseconds; readonly turn?: number};
+
+function invalid(message: string): Failure {
+	return failure('invalid-request', message, {step: 'validate', peer: 'caller'});
+}
+
+function headerOf(request: IncomingMessage, name: string): string | undefined {
+	const value = request.headers[name];
+	return typeof value === 'string' ? value : undefined;
+}
+
+function numberHeader(request: IncomingMessage, name: string, maximum: number): Result<number | undefined, Failure> {
+	const text = headerOf(request, name);
+	if (text === undefined) {
+		return ok(undefined);
+	}
+
+	const value = Number(text);
+	const isValid = Number.isInteger(value) && value >= 0 && value <= maximum;
+	return isValid ? ok(value) : err(invalid(`Header ${name} must be a whole number from 0 to ${maximum}`));
+}
+
+function positionOf(request: IncomingMessage): Result<Position, Failure> {
+	const last = headerOf(request, 'last-event-id');
+	if (last === undefined) {
+		return ok(start);
+	}
+
+	const match = /^([a-z\d]{1,64})\.(\d{1,9})$/v.exec(last);
+	return match ? ok({stream: as<AttemptId>(match[1] ?? ''), index: Number(match[2]) + 1}) : err(invalid('Last-Event-ID is malformed'));
+}
+
+/** The part of the path that is meant for the service: all behind `/v1/programs/ID/services/ROUTE`. */
+function servicePathOf(request: Routed): string {
+	return `/${request.path.split('/').slice(6).join('/')}`;
+}
+
+/** Serves callers. Resolves once the port is bound. */
+export async function serveCallers(options: CallerServerOptions): Promise<CallerServer> {
+	const {instance, random} = options;
+
+	function authenticate(request: IncomingMessage): Result<CustomerId, Failure> {
+		const key = /^Bearer (\S+)$/v.exec(request.headers.authorization ?? '')?.[1] ?? '';
+		const customer = options.customers.get(createHash('sha256').update(key).digest('hex'));
+		return customer ? ok(customer) : err(failure('unauthenticated', 'The key is not known', {step: 'authenticate', peer: 'caller'}));
+	}
+
+	function readHeaders(request: IncomingMessage): Result<Headers, Failure> {
+		const key = headerOf(request, 'idempotency-key');
+		if (key !== undefined && (key.length === 0 || key.length > longestKey)) {
+			return err(invalid(`Idempotency-Key must have 1 to ${longestKey} characters`));
+		}
+
+		return numberHeader(request, 'hickoryfork-timeout-ms', 3_600_000).andThen(timeout =>
+			numberHeader(request, 'hickoryfork-turn', 1_000_000).map(turn => ({
+				key: as<IdempotencyKey>(key ?? random.unique()),
+				timeout: as<Milliseconds>(timeout ?? defaultCallTimeoutMs),
+				...(turn !== undefined && {turn}),
+			})));
+	}
+
+	function sendReply(response: ServerResponse, reply: ProgramReply, status: number): void {
+		switch (reply.kind) {
+			case 'view': {
+				const {view} = reply;
+				sendJson(response, status, {
+					id: view.id,
+					parent: view.parent,
+					status: view.status,
+					turns: view.turns,
+					budget: {tokens: view.budget.tokens, calls: view.budget.calls, duration_ms: view.budget.duration},
+					spent: view.spent,
+					reserved: view.reserved,
+					expires_at_ms: view.expiresAt,
+				});
+				return;
+			}
+
+			case 'history': {
+				sendJson(response, status, {turns: reply.turns});
+				return;
+			}
+
+			case 'failed': {
+				sendFailure(response, reply.failure);
+			}
+		}
+	}
+
+	async function openProgram(request: IncomingMessage, response: ServerResponse, parent?: ProgramId): Promise<void> {
+		const customer = authenticate(request);
+		const body = await readBody(request, budgetBody);
+		if (customer.isErr() || body.isErr()) {
+			sendFailure(response, customer.isErr() ? customer.error : body._unsafeUnwrapErr());
+			return;
+		}
+
+		const {budget} = body.value;
+		const granted: Budget = {
+			tokens: as<Tokens>(budget.tokens), calls: budget.calls, duration: as<Milliseconds>(budget.duration_ms),
+		};
+		const reply = await instance.open({customer: customer.value, budget: granted, ...(parent !== undefined && {parent})});
+		sendReply(response, reply, 201);
+	}
+
+	/** Runs a handler for a program that the path names. */
+	async function withProgram(
+		request: Routed,
+		response: ServerResponse,
+		handle: (customer: CustomerId, program: ProgramId) => Promise<void>,
+	): Promise<void> {
+		const customer = authenticate(request);
+		const program = parseProgramId(request.params.id ?? '');
+		if (customer.isErr()) {
+			sendFailure(response, customer.error);
+			return;
+		}
+
+		await program.match(async id => handle(customer.value, id), async reason => {
+			sendFailure(response, reason);
+		});
+	}
+
+	function closedSignal(response: ServerResponse): AbortSignal {
+		const controller = new AbortController();
+		response.once('close', () => {
+			controller.abort(new Error('the caller went away'));
+		});
+		return controller.signal;
+	}
+
+	async function lastEvent(events: AsyncIterable<CallEvent>): Promise<CallEvent | undefined> {
+		let last: CallEvent | undefined;
+		for await (const event of events) {
+			last = event;
+		}
+
+		return last;
+	}
+
+	function sendEnding(response: ServerResponse, event: CallEvent | undefined, send: (outcome: Outcome) => void): void {
+		if (event?.kind === 'settled') {
+			send(event.outcome);
+		} else if (event?.kind === 'refused') {
+			sendFailure(response, event.failure);
+		}
+	}
+
+	function finishOf(outcome: Outcome) {
+		if (outcome.kind !== 'completed' || outcome.answer.kind !== 'message') {
+			return undefined;
+		}
+
+		const {finish, usage} = outcome.answer;
+		return {
+			finish,
+			usage: {
+				prompt_tokens: usage.prompt,
+				completion_tokens: usage.completion,
+				total_tokens: usage.prompt + usage.completion,
+				prompt_tokens_details: {cached_tokens: usage.cached},
+			},
+		};
+	}
+
+	async function streamAnswer(response: ServerResponse, events: AsyncIterable<CallEvent>, signal: AbortSignal): Promise<void> {
+		const iterator = events[Symbol.asyncIterator]();
+		let next = await iterator.next();
+		if (next.done !== true && next.value.kind === 'refused') {
+			sendFailure(response, next.value.failure);
+			return;
+		}
+
+		const stream = openEventStream(response, signal);
+		while (next.done !== true) {
+			await sendEvent(stream, next.value);
+			next = await iterator.next();
+		}
+
+		stream.end();
+	}
+
+	async function sendEvent(stream: ReturnType<typeof openEventStream>, event: CallEvent): Promise<void> {
+		switch (event.kind) {
+			case 'token': {
+				const data = JSON.stringify({object: 'chat.completion.chunk', choices: [{index: 0, delta: {content: event.text}, finish_reason: null}]});
+				await stream.send({id: `${event.stream}.${event.index}`, data});
+				return;
+			}
+
+			case 'settled': {
+				const end = finishOf(event.outcome);
+				if (end) {
+					await stream.send({data: JSON.stringify({object: 'chat.completion.chunk', choices: [{index: 0, delta: {}, finish_reason: end.finish}], usage: end.usage})});
+					await stream.send({data: '[DONE]'});
+				} else if (event.outcome.kind !== 'completed') {
+					await stream.send({name: 'error', data: JSON.stringify(errorBody(event.outcome.failure))});
+				}
+
+				return;
+			}
+
+			case 'refused': {
+				await stream.send({name: 'error', data: JSON.stringify(errorBody(event.failure))});
+			}
+		}
+	}
+
+	function sendCompletion(response: ServerResponse, outcome: Outcome, program: ProgramId): void {
+		const end = finishOf(outcome);
+		if (!end || outcome.kind !== 'completed' || outcome.answer.kind !== 'message') {
+			sendOutcome(response, outcome);
+			return;
+		}
+
+		response.setHeader('hickoryfork-outcome', 'completed');
+		sendJson(response, 200, {
+			object: 'chat.completion',
+			program,
+			choices: [{index: 0, message: {role: 'assistant', content: outcome.answer.tokens.join('')}, finish_reason: end.finish}],
+			usage: end.usage,
+		});
+	}
+
+	/** The program that a completion belongs to; without one, a program is opened for this call alone. */
+	async function programOf(request: IncomingMessage, customer: CustomerId): Promise<Result<{readonly id: ProgramId; readonly isOwn: boolean}, Failure>> {
+		const named = headerOf(request, 'hickoryfork-program');
+		if (named !== undefined) {
+			return parseProgramId(named).map(id => ({id, isOwn: false}));
+		}
+
+		const budget: Budget = {
+			tokens: as<Tokens>(defaultTokens * 10), calls: 1, duration: as<Milliseconds>(defaultCallTimeoutMs),
+		};
+		const reply = await instance.open({customer, budget});
+		switch (reply.kind) {
+			case 'view': {
+				return ok({id: reply.view.id, isOwn: true});
+			}
+
+			case 'failed': {
+				return err(reply.failure);
+			}
+
+			case 'history': {
+				return err(failure('internal', 'Opening a program gave a history', {step: 'admit', peer: 'home'}));
+			}
+		}
+	}
+
+	async function complete(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const customer = authenticate(request);
+		const headers = readHeaders(request);
+		const position = positionOf(request);
+		const body = await readBody(request, completionBody);
+		const refusal = [customer, headers, position, body].find(part => part.isErr());
+		if (customer.isErr() || headers.isErr() || position.isErr() || body.isErr()) {
+			sendFailure(response, refusal?._unsafeUnwrapErr() ?? invalid('The request is not valid'));
+			return;
+		}
+
+		const program = await programOf(request, customer.value);
+		if (program.isErr()) {
+			sendFailure(response, program.error);
+			return;
+		}
+
+		const {id, isOwn} = program.value;
+		const {messages} = body.value;
+		const call = createCall({
+			program: id,
+			customer: customer.value,
+			route: as<RouteName>(body.value.model),
+			request: {kind: 'model', messages, limit: as<Tokens>(body.value.max_tokens)},
+		}, headers.value);
+		response.setHeader('hickoryfork-program', id);
+		response.setHeader('hickoryfork-key', call.key);
+		const signal = closedSignal(response);
+		const events = instance.stream({kind: 'call', call, position: position.value}, signal);
+		if (body.value.stream) {
+			await streamAnswer(response, events, signal);
+		} else {
+			sendEnding(response, await lastEvent(events), outcome => {
+				sendCompletion(response, outcome, id);
+			});
+		}
+
+		if (isOwn) {
+			await instance.program({
+				kind: 'end', program: id, customer: customer.value, closing: 'closed',
+			});
+		}
+	}
+
+	function createCall(parts: Omit<Call, 'id' | keyof Headers>, headers: Headers): Call {
+		return {id: as<CallId>(random.unique()), ...parts, ...headers};
+	}
+
+	async function callService(request: Routed, response: ServerResponse): Promise<void> {
+		await withProgram(request, response, async (customer, program) => {
+			const headers = readHeaders(request);
+			const method = methods.safeParse(request.method);
+			const body = await readText(request);
+			if (headers.isErr() || !method.success || body.isErr()) {
+				sendFailure(response, headers.isErr() ? headers.error : (body.isErr() ? body.error : invalid('The method is not supported')));
+				return;
+			}
+
+			const path = `${servicePathOf(request)}${request.search ?? ''}`;
+			const call = createCall({
+				program,
+				customer,
+				route: as<RouteName>(request.params.route ?? ''),
+				request: {
+					kind: 'service', method: method.data, path, body: body.value,
+				},
+			}, headers.value);
+			response.setHeader('hickoryfork-key', call.key);
+			const events = instance.stream({kind: 'call', call, position: start}, closedSignal(response));
+			sendEnding(response, await lastEvent(events), outcome => {
+				sendOutcome(response, outcome);
+			});
+		});
+	}
+
+	async function followCall(request: Routed, response: ServerResponse): Promise<void> {
+		await withProgram(request, response, async (customer, program) => {
+			const position = positionOf(request);
+			if (position.isErr()) {
+				sendFailure(response, position.error);
+				return;
+			}
+
+			const target = {program, customer, key: as<IdempotencyKey>(decodeURIComponent(request.params.key ?? ''))};
+			const signal = closedSignal(response);
+			const events = instance.stream({kind: 'follow', target, position: position.value}, signal);
+			if (request.headers.accept?.includes('text/event-stream')) {
+				await streamAnswer(response, events, signal);
+				return;
+			}
+
+			sendEnding(response, await lastEvent(events), outcome => {
+				sendJson(response, 200, outcome.kind === 'completed' ? outcome : {kind: outcome.kind, ...errorBody(outcome.failure)});
+			});
+		});
+	}
+
+	async function askProgram(request: Routed, response: ServerResponse, kind: 'view' | 'history' | 'closed' | 'cancelled'): Promise<void> {
+		await withProgram(request, response, async (customer, program) => {
+			const isEnding = kind === 'closed' || kind === 'cancelled';
+			const reply = await instance.program(isEnding
+				? {
+					kind: 'end', program, customer, closing: kind,
+				}
+				: {kind, program, customer});
+			sendReply(response, reply, 200);
+		});
+	}
+
+	type Handler = (request: Routed, response: ServerResponse) => Promise<void>;
+
+	/** Turns a fault of this program into an answer, and reports every answer. */
+	function guard(handler: Handler) {
+		return (request: Routed, response: ServerResponse) => {
+			const startedAt = performance.now();
+			response.once('close', () => {
+				options.onRequest({
+					method: request.method ?? '', path: request.path, status: response.statusCode, durationMs: performance.now() - startedAt,
+				});
+			});
+			void handler(request, response).catch((error: unknown) => {
+				const reason = failure('internal', describeError(error), {step: 'admit', peer: instance.id, execution: 'unknown'});
+				if (response.headersSent) {
+					response.destroy();
+				} else {
+					sendFailure(response, reason);
+				}
+			});
+		};
+	}
+
+	const server = createServer();
+	const app = polka({
+		server,
+		onNoMatch(_request, response) {
+			sendFailure(response, failure('not-found', 'There is nothing at this path', {step: 'validate', peer: 'caller'}));
+		},
+	});
+	app.post('/v1/programs', guard(async (request, response) => openProgram(request, response)));
+	app.post('/v1/programs/:id/programs', guard(async (request, response) => withProgram(request, response, async (_customer, parent) => openProgram(request, response, parent))));
+	app.get('/v1/programs/:id', guard(async (request, response) => askProgram(request, response, 'view')));
+	app.get('/v1/programs/:id/history', guard(async (request, response) => askProgram(request, response, 'history')));
+	app.post('/v1/programs/:id/close', guard(async (request, response) => askProgram(request, response, 'closed')));
+	app.post('/v1/programs/:id/cancel', guard(async (request, response) => askProgram(request, response, 'cancelled')));
+	app.get('/v1/programs/:id/calls/:key', guard(async (request, response) => followCall(request, response)));
+	app.post('/v1/chat/completions', guard(async (request, response) => complete(request, response)));
+	app.all('/v1/programs/:id/services/:route/*', guard(async (request, response) => callService(request, response)));
+	app.listen(options.port, options.host);
+	await once(server, 'listening');
+
+	return {
+		server,
+		async drain() {
+			const closed = once(server, 'close');
+			server.close();
+			// Connections that callers keep alive become idle one by one as their requests end.
+			const timer = setInterval(() => {
+				server.closeIdleConnections();
+			}, idleCheckMs);
+			await closed;
+			clearInterval(timer);
+		},
+	};
+}
--- /dev/null
+++ b/src/links/dispatch.ts
@@ -0,0 +1,49 @@
+/**
+Links to all back ends behind one interface.
+*/
+import {Agent} from 'undici';
+import {type Dispatch} from '../contracts/attempt.js';
+import {createEngineLink} from './engine.js';
+import {createServiceLink} from './service.js';
+
+const connectTimeoutMs = 1000;
+const probeTimeoutMs = 800;
+
+/** Creates the links to back ends. Connections close when the signal aborts. */
+export function createDispatch(signal: AbortSignal): Dispatch {
+	const agent = new Agent({connect: {timeout: connectTimeoutMs}});
+	signal.addEventListener('abort', () => {
+		void agent.destroy();
+	}, {once: true});
+	const engine = createEngineLink(agent);
+	const service = createServiceLink(agent);
+
+	return {
+		async send(endpoint, attempt, options) {
+			switch (attempt.request.kind) {
+				case 'model': {
+					return engine.send(endpoint, attempt, options);
+				}
+
+				case 'service': {
+					return service.send(endpoint, attempt, options);
+				}
+			}
+		},
+		resume: engine.resume,
+		release: engine.release,
+		holdings: engine.holdings,
+		async probe(endpoint) {
+			try {
+				const response = await agent.request({
+					origin: `http://${endpoint.address}`, path: '/health', method: 'GET', headersTimeout: probeTimeoutMs, bodyTimeout: probeTimeoutMs,
+				});
+				await response.body.dump();
+				return response.headers['x-leaving'] === 'true' ? 'leaving' : 'live';
+			} catch {
+				// No answer says nothing about leaving; failed calls judge the endpoint's health.
+				return undefined;
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/links/metrics.ts
@@ -0,0 +1,76 @@
+/**
+Metrics in the Prometheus text format. docs/OPERATING.md explains each.
+*/
+import {
+	collectDefaultMetrics, Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import {type Gauges, type InstanceEvent} from '../machines/instance.js';
+import {type ServedRequest} from './caller.js';
+
+const bucketsSeconds = [0.001, 0.005, 0.01, 0.05, 0.1, 0.5, 1, 5, 10, 60];
+
+export type Metrics = {
+	readonly count: (event: InstanceEvent) => void;
+	readonly observe: (request: ServedRequest) => void;
+	readonly text: () => Promise<string>;
+};
+
+/** Creates the metrics of one process; gauges are read when metrics are asked for. */
+export function createMetrics(readGauges: () => Gauges): Metrics {
+	const registry = new Registry();
+	const registers = [registry];
+	collectDefaultMetrics({register: registry, prefix: 'hickoryfork_'});
+	const events = new Counter({
+		name: 'hickoryfork_events_total', help: 'Events by kind and detail', labelNames: ['kind', 'detail'], registers,
+	});
+	const requests = new Histogram({
+		name: 'hickoryfork_request_seconds', help: 'Time from a request to the end of its answer', labelNames: ['status'], buckets: bucketsSeconds, registers,
+	});
+	const names: ReadonlyArray<keyof Gauges> = ['members', 'shards', 'programs', 'running', 'heldBytes', 'generation'];
+	for (const name of names) {
+		const gauge: Gauge = new Gauge({
+			name: `hickoryfork_${name.replaceAll(/[A-Z]/gv, letter => `_${letter.toLowerCase()}`)}`,
+			help: `Current ${name}`,
+			registers,
+			collect() {
+				gauge.set(readGauges()[name]);
+			},
+		});
+	}
+
+	function detailOf(event: InstanceEvent): string {
+		switch (event.kind) {
+			case 'execution': {
+				return event.execution.kind;
+			}
+
+			case 'member': {
+				return event.member.status;
+			}
+
+			case 'shard': {
+				return event.change;
+			}
+
+			case 'endpoint': {
+				return event.state;
+			}
+
+			case 'paused':
+			case 'configuration':
+			case 'configuration-refused': {
+				return '';
+			}
+		}
+	}
+
+	return {
+		count(event) {
+			events.inc({kind: event.kind, detail: detailOf(event)});
+		},
+		observe(request) {
+			requests.observe({status: request.status}, request.durationMs / 1000);
+		},
+		text: async () => registry.metrics(),
+	};
+}
--- /dev/null
+++ b/src/links/peer.ts
@@ -0,0 +1,179 @@
+/**
+Link between instances over tRPC. Peers prove themselves with a shared token; messages are the
+unions of `zones/peers`, which only processes of the same system produce.
+*/
+import {createServer, type Server} from 'node:http';
+import {once} from 'node:events';
+import {
+	createTRPCClient, httpBatchStreamLink, httpLink, splitLink, type TRPCClient,
+} from '@trpc/client';
+import {initTRPC, TRPCError} from '@trpc/server';
+import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import {err, ok, type Result} from 'neverthrow';
+import {Agent, fetch as undiciFetch} from 'undici';
+import {type CallEvent} from '../contracts/call.js';
+import {type Configuration} from '../contracts/configuration.js';
+import {describeError, type Failure, failure} from '../contracts/failure.js';
+import {type Address, type Milliseconds} from '../contracts/id.js';
+import {type Instance} from '../machines/instance.js';
+import {type Member} from '../zones/membership.js';
+import {
+	type Gossip, type Peers, type ProgramReply, type ProgramRequest, type ShardReply, type ShardRequest,
+	type StreamRequest,
+} from '../zones/peers.js';
+
+const gossipTimeoutMs = 1000;
+const programTimeoutMs = 6000;
+const connectTimeoutMs = 1000;
+const keepAliveMs = 30_000;
+
+/** Upper bound of one message between instances. */
+const maximumBodyBytes = 8 * 1024 * 1024;
+
+type Context = {readonly token: string};
+
+const trpc = initTRPC.context<Context>().create();
+
+/** Accepts a message as it is; both ends are built from the same types. */
+function trusted<Message>() {
+	return (value: unknown): Message => {
+		if (typeof value !== 'object' || value === null) {
+			throw new TRPCError({code: 'BAD_REQUEST', message: 'A peer sent something that is not a message'});
+		}
+
+		// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Authenticated peers run the same program.
+		return value as Message;
+	};
+}
+
+function createRouter(instance: Instance, token: string) {
+	const procedure = trpc.procedure.use(async ({ctx, next}) => {
+		if (ctx.token !== token) {
+			throw new TRPCError({code: 'UNAUTHORIZED', message: 'The peer token is wrong'});
+		}
+
+		return next();
+	});
+	return trpc.router({
+		gossip: procedure.input(trusted<Gossip>()).mutation(({input}): Gossip => instance.answerGossip(input)),
+		members: procedure.query((): readonly Member[] => instance.members()),
+		configuration: procedure.query((): Configuration => instance.configuration()),
+		program: procedure.input(trusted<ProgramRequest>()).mutation(async ({input}): Promise<ProgramReply> => instance.answerProgram(input)),
+		shard: procedure.input(trusted<ShardRequest>()).mutation(async ({input}): Promise<ShardReply> => instance.answerShard(input)),
+		stream: procedure.input(trusted<StreamRequest>()).mutation(async function * ({input, signal}): AsyncGenerator<CallEvent, void, undefined> {
+			yield * instance.answerStream(input, signal ?? new AbortController().signal);
+		}),
+	});
+}
+
+type Router = ReturnType<typeof createRouter>;
+
+export type PeerServerOptions = {
+	readonly instance: Instance;
+	readonly host: string;
+	readonly port: number;
+	readonly token: string;
+};
+
+/** Serves peers. Resolves once the port is bound. */
+export async function servePeers(options: PeerServerOptions): Promise<Server> {
+	const handler = createHTTPHandler({
+		router: createRouter(options.instance, options.token),
+		createContext: ({req}): Context => ({token: String(req.headers['x-peer-token'] ?? '')}),
+		maxBodySize: maximumBodyBytes,
+	});
+	const server = createServer(handler);
+	server.keepAliveTimeout = keepAliveMs;
+	server.listen(options.port, options.host);
+	await once(server, 'listening');
+	return server;
+}
+
+export type PeersOptions = {
+	readonly token: string;
+	readonly signal: AbortSignal;
+};
+
+/** Creates the client side of the link. Connections close when the signal aborts. */
+export function createPeers(options: PeersOptions): Peers {
+	const agent = new Agent({connect: {timeout: connectTimeoutMs}, keepAliveTimeout: keepAliveMs / 2});
+	const clients = new Map<Address, TRPCClient<Router>>();
+	options.signal.addEventListener('abort', () => {
+		void agent.destroy();
+	}, {once: true});
+
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- The client's own fetch type omits undici's dispatcher.
+	const fetchThroughAgent = (async (url: string | URL, init: Record<string, unknown>) => undiciFetch(url, {...init, dispatcher: agent})) as unknown as typeof fetch;
+
+	function clientOf(peer: Member): TRPCClient<Router> {
+		const existing = clients.get(peer.address);
+		if (existing) {
+			return existing;
+		}
+
+		const common = {
+			url: `http://${peer.address}`,
+			headers: {'x-peer-token': options.token},
+			fetch: fetchThroughAgent,
+		};
+		const client = createTRPCClient<Router>({
+			links: [
+				splitLink({
+					condition: operation => operation.path === 'stream',
+					true: httpBatchStreamLink({...common, maxItems: 1}),
+					false: httpLink(common),
+				}),
+			],
+		});
+		clients.set(peer.address, client);
+		return client;
+	}
+
+	function unreachable(peer: Member, error: unknown): Failure {
+		return failure('peer-unreachable', `${peer.id} at ${peer.address} did not answer: ${describeError(error)}`, {step: 'forward', peer: peer.id});
+	}
+
+	async function attempt<Value>(peer: Member, timeoutMs: number, ask: (signal: AbortSignal) => Promise<Value>): Promise<Result<Value, Failure>> {
+		try {
+			return ok(await ask(AbortSignal.any([options.signal, AbortSignal.timeout(timeoutMs)])));
+		} catch (error) {
+			return err(unreachable(peer, error));
+		}
+	}
+
+	async function * stream(peer: Member, request: StreamRequest, signal: AbortSignal): AsyncGenerator<CallEvent, void, undefined> {
+		let isEnded = false;
+		try {
+			const events = await clientOf(peer).stream.mutate(request, {signal});
+			for await (const event of events) {
+				isEnded = event.kind !== 'token';
+				yield event;
+			}
+		} catch (error) {
+			if (!isEnded && !signal.aborted) {
+				yield {kind: 'refused', failure: unreachable(peer, error)};
+			}
+
+			return;
+		}
+
+		if (!isEnded && !signal.aborted) {
+			yield {kind: 'refused', failure: unreachable(peer, new Error('the stream ended early'))};
+		}
+	}
+
+	return {
+		gossip: async (peer, message) => attempt(peer, gossipTimeoutMs, async signal => clientOf(peer).gossip.mutate(message, {signal})),
+		members: async peer => attempt(peer, gossipTimeoutMs, async signal => clientOf(peer).members.query(undefined, {signal})),
+		configuration: async peer => attempt(peer, programTimeoutMs, async signal => clientOf(peer).configuration.query(undefined, {signal})),
+		async program(peer, request) {
+			const reply = await attempt(peer, programTimeoutMs, async signal => clientOf(peer).program.mutate(request, {signal}));
+			return reply.match<ProgramReply>(value => value, reason => ({kind: 'failed', failure: reason}));
+		},
+		async shard(peer, request, timeout: Milliseconds) {
+			const reply = await attempt(peer, timeout, async signal => clientOf(peer).shard.mutate(request, {signal}));
+			return reply.match<ShardReply>(value => value, reason => ({kind: 'failed', failure: reason}));
+		},
+		stream,
+	};
+}
--- /dev/null
+++ b/src/links/platform.ts
@@ -0,0 +1,123 @@
+/**
+Link to the platform: its object service and instance list over HTTP with JSON bodies. Versions
+travel as `ETag` and `If-Match`.
+*/
+import {err, ok, type Result} from 'neverthrow';
+import {Agent, type Dispatcher} from 'undici';
+import {z} from 'zod';
+import {describeError, type Failure, failure} from '../contracts/failure.js';
+import {
+	as, type Address, type DataCentreId, type EndpointId, type Milliseconds, type ObjectName, type ObjectVersion,
+} from '../contracts/id.js';
+import {type Listing, type Platform, type Update} from '../contracts/platform.js';
+import {isNotSent, readJson} from './http.js';
+
+const requestTimeoutMs = 2000;
+const connections = 16;
+
+const objectBody = z.object({version: z.number(), value: z.unknown().optional()});
+const versionBody = z.object({version: z.number()});
+const revisionBody = z.object({revision: z.number()});
+const listingBody = z.array(z.object({
+	id: z.string(),
+	role: z.enum(['entry', 'engine', 'service']),
+	dataCentre: z.string(),
+	address: z.string(),
+	state: z.enum(['live', 'leaving']),
+}));
+
+export type PlatformOptions = {
+	readonly address: Address;
+	readonly signal: AbortSignal;
+};
+
+function unavailable(message: string): Failure {
+	return failure('platform-unavailable', message, {step: 'commit', peer: 'platform'});
+}
+
+/** Creates a client of the platform. Connections close when the signal aborts. */
+export function createPlatform(options: PlatformOptions): Platform {
+	const agent = new Agent({connections, connect: {timeout: requestTimeoutMs}});
+	options.signal.addEventListener('abort', () => {
+		void agent.destroy();
+	}, {once: true});
+	const origin = `http://${options.address}`;
+
+	async function request(method: 'GET' | 'PUT', path: string, extra: Partial<Dispatcher.RequestOptions> = {}): Promise<Dispatcher.ResponseData> {
+		return agent.request({
+			origin, path, method, headersTimeout: requestTimeoutMs, bodyTimeout: requestTimeoutMs, ...extra,
+		});
+	}
+
+	async function get<Body>(path: string, schema: z.ZodType<Body>, extra: Partial<Dispatcher.RequestOptions> = {}): Promise<Result<Body, Failure>> {
+		try {
+			const response = await request('GET', path, extra);
+			const body = await readJson(response);
+			if (response.statusCode !== 200) {
+				return err(unavailable(`GET ${path} answered ${response.statusCode}`));
+			}
+
+			return ok(schema.parse(body));
+		} catch (error) {
+			return err(unavailable(`GET ${path}: ${describeError(error)}`));
+		}
+	}
+
+	async function readUpdate(response: Dispatcher.ResponseData, path: string): Promise<Update> {
+		const body = await readJson(response);
+		switch (response.statusCode) {
+			case 200: {
+				return {kind: 'written', version: as<ObjectVersion>(versionBody.parse(body).version)};
+			}
+
+			case 412: {
+				return {kind: 'conflict'};
+			}
+
+			case 413:
+			case 429:
+			case 503: {
+				return {kind: 'unavailable', failure: unavailable(`PUT ${path} answered ${response.statusCode}`)};
+			}
+
+			default: {
+				return {kind: 'doubtful', failure: unavailable(`PUT ${path} answered ${response.statusCode}`)};
+			}
+		}
+	}
+
+	return {
+		async read(name: ObjectName) {
+			const body = await get(`/v1/objects/${encodeURI(name)}`, objectBody);
+			return body.map(({version, value}) => ({version: as<ObjectVersion>(version), value}));
+		},
+		async update(name, expected, value) {
+			const path = `/v1/objects/${encodeURI(name)}`;
+			try {
+				const response = await request('PUT', path, {
+					headers: {'content-type': 'application/json', 'if-match': String(expected)},
+					body: JSON.stringify(value),
+				});
+				return await readUpdate(response, path);
+			} catch (error) {
+				const reason = unavailable(`PUT ${path}: ${describeError(error)}`);
+				return isNotSent(error) ? {kind: 'unavailable', failure: reason} : {kind: 'doubtful', failure: reason};
+			}
+		},
+		async watch(prefix, since, wait: Milliseconds, signal) {
+			const query = new URLSearchParams({prefix, since: String(since), wait: String(wait)});
+			const timeout = wait + requestTimeoutMs;
+			return get(`/v1/watch?${query.toString()}`, revisionBody, {headersTimeout: timeout, bodyTimeout: timeout, signal});
+		},
+		async instances() {
+			const body = await get('/v1/instances', listingBody);
+			return body.map(entries => entries.map<Listing>(entry => ({
+				id: as<EndpointId>(entry.id),
+				role: entry.role,
+				dataCentre: as<DataCentreId>(entry.dataCentre),
+				address: as<Address>(entry.address),
+				state: entry.state,
+			})));
+		},
+	};
+}
--- /dev/null
+++ b/src/links/polka.d.ts
@@ -0,0 +1,32 @@
+/**
+Types of the part of polka 0.5 that the links use; the published types describe a later release.
+*/
+declare module 'polka' {
+	import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+
+	/** A request after routing. */
+	export type Routed = IncomingMessage & {
+		readonly params: Readonly<Record<string, string>>;
+		readonly path: string;
+		/** Query string with its question mark, or null. */
+		readonly search: string | undefined;
+	};
+
+	export type Handler = (request: Routed, response: ServerResponse) => void;
+
+	export type Router = {
+		readonly get: (pattern: string, handler: Handler) => Router;
+		readonly post: (pattern: string, handler: Handler) => Router;
+		readonly put: (pattern: string, handler: Handler) => Router;
+		readonly delete: (pattern: string, handler: Handler) => Router;
+		readonly all: (pattern: string, handler: Handler) => Router;
+		readonly listen: (port: number, host: string) => Router;
+	};
+
+	export type Options = {
+		readonly server: Server;
+		readonly onNoMatch: Handler;
+	};
+
+	export default function polka(options: Options): Router;
+}
--- /dev/null
+++ b/src/links/service.ts
@@ -0,0 +1,61 @@
+/**
+Link to plain services: HTTP with the idempotency key of the call. A request that may not be repeated
+goes over a connection of its own, so that a connection closed while idle cannot leave it in doubt.
+*/
+import {type Agent} from 'undici';
+import {type Attempt, type AttemptResult, type DispatchOptions} from '../contracts/attempt.js';
+import {failure} from '../contracts/failure.js';
+import {type Endpoint} from '../contracts/pool.js';
+import {
+	interrupted, isTurnedAway, limited, turnedAway,
+} from './engine.js';
+
+/** Upper bound of a service's answer. */
+export const maximumAnswerBytes = 256 * 1024;
+
+export type ServiceLink = {
+	readonly send: (endpoint: Endpoint, attempt: Attempt, options: DispatchOptions) => Promise<AttemptResult>;
+};
+
+/** Creates the service link over a connection agent. */
+export function createServiceLink(agent: Agent): ServiceLink {
+	async function send(endpoint: Endpoint, attempt: Attempt, options: DispatchOptions): Promise<AttemptResult> {
+		const {request} = attempt;
+		if (request.kind !== 'service') {
+			throw new TypeError('A service takes service requests only');
+		}
+
+		try {
+			const response = await agent.request({
+				origin: `http://${endpoint.address}`,
+				path: request.path,
+				method: request.method,
+				headers: {
+					'content-type': 'application/json', 'idempotency-key': attempt.key, 'x-attempt': attempt.id, 'x-program': attempt.program,
+				},
+				...(request.method !== 'GET' && {body: request.body}),
+				headersTimeout: options.timeout,
+				bodyTimeout: options.timeout,
+				signal: limited(options),
+				reset: true,
+			});
+			if (isTurnedAway(response)) {
+				return await turnedAway(response, endpoint);
+			}
+
+			const body = await response.body.text();
+			if (body.length > maximumAnswerBytes) {
+				return {
+					kind: 'rejected',
+					failure: failure('too-large', `${endpoint.id} answered with more than ${maximumAnswerBytes} bytes`, {step: 'stream', peer: endpoint.id, execution: 'failed'}),
+				};
+			}
+
+			return {kind: 'answered', answer: {kind: 'response', status: response.statusCode, body}};
+		} catch (error) {
+			return interrupted(error, endpoint, options);
+		}
+	}
+
+	return {send};
+}
