Prove the invariants under failure in one data centre, with fakes at the interfaces

Cause of two faults that the tests found: 1. A copy of an intent that may not be repeated, kept at a peer during an outage, made the successor report 'unknown' although its sender sends only after the platform has the intent. Such copies are no longer kept; the call then runs once at the successor. 2. The quarantine did not recognise a request with other spacing, because one digest served both the check of keys and the quarantine. There are now two.

--- a/src/contracts/fingerprint.ts
+++ b/src/contracts/fingerprint.ts
@@ -1,12 +1,35 @@
 /**
-Fingerprints: a short digest that is equal for requests of equal content.
+Digests of requests: an exact one, which tells whether a key is used for the same request again, and a
+fingerprint that ignores spelling, which recognises a harmful request that is sent again.
 */
 import {createHash} from 'node:crypto';
 import {type Request} from './call.js';
 import {type RouteName} from './id.js';
 
-/** Digest of a request on a route. Letter case and white space do not count. */
+const digestLength = 22;
+
+function hash(value: unknown): string {
+	return createHash('sha256').update(JSON.stringify(value)).digest('base64url').slice(0, digestLength);
+}
+
+function normalize(text: string): string {
+	return text.trim().toLowerCase().replaceAll(/\s+/gv, ' ');
+}
+
+/** Digest that is equal only for equal requests on the same route. */
+export function digestOf(route: RouteName, request: Request): string {
+	return hash([route, request]);
+}
+
+/** Digest of a request's content in which letter case and white space do not count. */
 export function fingerprintOf(route: RouteName, request: Request): string {
-	const content = JSON.stringify([route, request]).toLowerCase().replaceAll(/\\n|\\t|\s+/gv, ' ');
-	return createHash('sha256').update(content).digest('base64url').slice(0, 22);
+	switch (request.kind) {
+		case 'model': {
+			return hash([route, request.messages.map(message => [message.role, normalize(message.content)])]);
+		}
+
+		case 'service': {
+			return hash([route, request.method, request.path, normalize(request.body)]);
+		}
+	}
 }
--- a/src/contracts/program.ts
+++ b/src/contracts/program.ts
@@ -17,7 +17,7 @@
 		readonly kind: 'intended';
 		readonly call: CallId;
 		readonly route: RouteName;
-		readonly fingerprint: string;
+		readonly digest: string;
 		readonly request: Request;
 		readonly attempt: AttemptId;
 		readonly stream: AttemptId;
@@ -26,7 +26,7 @@
 		readonly repeatable: boolean;
 		readonly reservation: Spend;
 	}
-	| {readonly kind: 'settled'; readonly call: CallId; readonly fingerprint: string; readonly stream: AttemptId; readonly outcome: Outcome};
+	| {readonly kind: 'settled'; readonly call: CallId; readonly digest: string; readonly stream: AttemptId; readonly outcome: Outcome};
 
 /** One completed step of a program. */
 export type Turn = {
@@ -95,7 +95,7 @@
 function settle(program: Program, record: Extract<JournalRecord, {kind: 'settled'}>): void {
 	const previous = program.calls.get(record.key);
 	program.calls.set(record.key, {
-		kind: 'settled', call: record.call, fingerprint: record.fingerprint, stream: record.stream, outcome: record.outcome,
+		kind: 'settled', call: record.call, digest: record.digest, stream: record.stream, outcome: record.outcome,
 	});
 	if (previous?.kind === 'intended' && record.outcome.kind === 'completed') {
 		program.history.push({
--- a/src/contracts/record.ts
+++ b/src/contracts/record.ts
@@ -28,7 +28,7 @@
 		readonly call: CallId;
 		readonly key: IdempotencyKey;
 		readonly route: RouteName;
-		readonly fingerprint: string;
+		readonly digest: string;
 		readonly request: Request;
 		readonly attempt: AttemptId;
 		/** First attempt of the answer that this attempt starts or continues. */
@@ -44,7 +44,7 @@
 		readonly program: ProgramId;
 		readonly call: CallId;
 		readonly key: IdempotencyKey;
-		readonly fingerprint: string;
+		readonly digest: string;
 		readonly stream: AttemptId;
 		readonly outcome: Outcome;
 		readonly used: Spend;
--- a/src/zones/execution.ts
+++ b/src/zones/execution.ts
@@ -14,6 +14,7 @@
 import {
 	describeError, type Execution as Certainty, type Failure, failure, type FailureCode, type Step,
 } from '../contracts/failure.js';
+import {fingerprintOf} from '../contracts/fingerprint.js';
 import {
 	as, type AttemptId, type EndpointId, type IdempotencyKey, type Milliseconds, type Tokens,
 } from '../contracts/id.js';
@@ -52,7 +53,7 @@
 
 export type Executor = {
 	/** Runs a call to its outcome. The transcript ends in any case. */
-	readonly run: (execution: Execution, call: Call, fingerprint: string) => Promise<void>;
+	readonly run: (execution: Execution, call: Call, digest: string) => Promise<void>;
 	/** Brings a call to its outcome whose intent another owner recorded. */
 	readonly recover: (execution: Execution, key: IdempotencyKey) => Promise<void>;
 };
@@ -79,6 +80,7 @@
 type Job = {
 	readonly execution: Execution;
 	readonly call: Call;
+	readonly digest: string;
 	readonly fingerprint: string;
 	readonly route: Route;
 	readonly prompt: readonly Message[];
@@ -156,8 +158,8 @@
 		return execution.journal.append([record]);
 	}
 
-	async function run(execution: Execution, call: Call, fingerprint: string): Promise<void> {
-		const job = prepare(execution, call, fingerprint);
+	async function run(execution: Execution, call: Call, digest: string): Promise<void> {
+		const job = prepare(execution, call, digest);
 		if ('code' in job) {
 			refuse(execution, job);
 			return;
@@ -178,7 +180,8 @@
 	}
 
 	/** Checks what can be checked before anything is reserved. */
-	function prepare(execution: Execution, call: Call, fingerprint: string): Job | Failure {
+	function prepare(execution: Execution, call: Call, digest: string): Job | Failure {
+		const fingerprint = fingerprintOf(call.route, call.request);
 		const route = fleet.route(call.route);
 		if (!route) {
 			return failure('not-found', `No route "${call.route}"`, {step: 'admit', peer: 'configuration'});
@@ -205,6 +208,7 @@
 		return {
 			execution,
 			call: {...call, request},
+			digest,
 			fingerprint,
 			route,
 			prompt,
@@ -305,7 +309,7 @@
 			call: call.id,
 			key: call.key,
 			route: call.route,
-			fingerprint: job.fingerprint,
+			digest: job.digest,
 			request: call.request,
 			attempt: attempt.id,
 			stream: job.stream ?? attempt.id,
@@ -418,7 +422,7 @@
 		}
 
 		const {durable} = append(execution, {
-			kind: 'settled', program: call.program, call: call.id, key: call.key, fingerprint: job.fingerprint, stream: job.stream, outcome, used,
+			kind: 'settled', program: call.program, call: call.id, key: call.key, digest: job.digest, stream: job.stream, outcome, used,
 		});
 		if (outcome.kind === 'not-run') {
 			execution.transcript.end({kind: 'settled', outcome});
@@ -454,7 +458,7 @@
 			program: execution.program.id,
 			call: state.call,
 			key,
-			fingerprint: state.fingerprint,
+			digest: state.digest,
 			stream: state.stream,
 			outcome,
 			used,
--- a/src/zones/journal.ts
+++ b/src/zones/journal.ts
@@ -87,6 +87,11 @@
 	return isObject(value) && typeof value.upTo === 'number' && Array.isArray(value.records);
 }
 
+/** A request that may not be repeated is sent only after the platform has its intent, so a copy elsewhere proves nothing. */
+function isWorthHolding(record: JournalRecord): boolean {
+	return record.kind !== 'intent' || record.repeatable;
+}
+
 function slotOf(object: StoredObject): Slot {
 	return {version: object.version, batch: isBatch(object.value) ? object.value : undefined};
 }
@@ -327,7 +332,8 @@
 			ticket.isHeld = true;
 		}
 
-		const held = await holder.hold(home, ledger.epoch(), waiting.flatMap(ticket => ticket.records));
+		const records = waiting.flatMap(ticket => ticket.records).filter(record => isWorthHolding(record));
+		const held = await holder.hold(home, ledger.epoch(), records);
 		hasHeldRecords ||= held.isOk();
 		for (const ticket of waiting) {
 			ticket.isHeld = held.isOk();
--- a/src/zones/shard.ts
+++ b/src/zones/shard.ts
@@ -8,7 +8,7 @@
 import {type Call, type CallEvent, type Position} from '../contracts/call.js';
 import {type Clock, type Random} from '../contracts/clock.js';
 import {type Failure, failure, type FailureCode} from '../contracts/failure.js';
-import {fingerprintOf} from '../contracts/fingerprint.js';
+import {digestOf} from '../contracts/fingerprint.js';
 import {
 	createProgramId, type CustomerId, type EndpointId, type Home, type IdempotencyKey, type Milliseconds,
 	type ProgramId,
@@ -88,7 +88,7 @@
 type Running = {
 	readonly transcript: Transcript;
 	readonly controller: AbortController;
-	readonly fingerprint: string;
+	readonly digest: string;
 };
 
 /** Creates a shard over programs that its journal has replayed. */
@@ -206,11 +206,11 @@
 		return transcript;
 	}
 
-	function knownTranscript(program: Program, key: IdempotencyKey, fingerprint: string | undefined): Result<Transcript | undefined, Failure> {
+	function knownTranscript(program: Program, key: IdempotencyKey, digest: string | undefined): Result<Transcript | undefined, Failure> {
 		const current = running.get(program.id)?.get(key);
 		const state = program.calls.get(key);
-		const recorded = current?.fingerprint ?? state?.fingerprint;
-		if (fingerprint !== undefined && recorded !== undefined && recorded !== fingerprint) {
+		const recorded = current?.digest ?? state?.digest;
+		if (digest !== undefined && recorded !== undefined && recorded !== digest) {
 			return err(refuse('conflict', `Key ${key} was used for another request`));
 		}
 
@@ -219,7 +219,7 @@
 		}
 
 		// A call that certainly did not run may be made again under its key.
-		const isOver = state?.kind === 'settled' && (state.outcome.kind !== 'not-run' || fingerprint === undefined);
+		const isOver = state?.kind === 'settled' && (state.outcome.kind !== 'not-run' || digest === undefined);
 		return ok(isOver ? replayTranscript(program, key) : undefined);
 	}
 
@@ -234,8 +234,8 @@
 		return created;
 	}
 
-	function begin(program: Program, key: IdempotencyKey, fingerprint: string): Running {
-		const entry = {transcript: createTranscript(), controller: new AbortController(), fingerprint};
+	function begin(program: Program, key: IdempotencyKey, digest: string): Running {
+		const entry = {transcript: createTranscript(), controller: new AbortController(), digest};
 		const calls = running.get(program.id) ?? new Map<IdempotencyKey, Running>();
 		running.set(program.id, calls);
 		calls.set(key, entry);
@@ -252,8 +252,8 @@
 	}
 
 	/** Runs a call behind the calls of its program that came before. */
-	function start(program: Program, key: IdempotencyKey, fingerprint: string, execute: (execution: CallExecution) => Promise<void>): Transcript {
-		const entry = begin(program, key, fingerprint);
+	function start(program: Program, key: IdempotencyKey, digest: string, execute: (execution: CallExecution) => Promise<void>): Transcript {
+		const entry = begin(program, key, digest);
 		const execution: CallExecution = {
 			program, programs, journal, transcript: entry.transcript,
 			signal: AbortSignal.any([signal, entry.controller.signal]),
@@ -266,8 +266,8 @@
 	}
 
 	function obtain(program: Program, call: Call): Result<Transcript, Failure> {
-		const fingerprint = fingerprintOf(call.route, call.request);
-		const known = knownTranscript(program, call.key, fingerprint);
+		const digest = digestOf(call.route, call.request);
+		const known = knownTranscript(program, call.key, digest);
 		if (known.isErr()) {
 			return err(known.error);
 		}
@@ -277,15 +277,15 @@
 		}
 
 		if (program.calls.get(call.key)?.kind === 'intended') {
-			return ok(recover(program, call.key, fingerprint));
+			return ok(recover(program, call.key, digest));
 		}
 
-		return checkCall(program, call).map(() => start(program, call.key, fingerprint, async execution => options.executor.run(execution, call, fingerprint)));
+		return checkCall(program, call).map(() => start(program, call.key, digest, async execution => options.executor.run(execution, call, digest)));
 	}
 
 	/** Continues a call whose intent was recorded by an earlier owner. */
-	function recover(program: Program, key: IdempotencyKey, fingerprint: string): Transcript {
-		return start(program, key, fingerprint, async execution => options.executor.recover(execution, key));
+	function recover(program: Program, key: IdempotencyKey, digest: string): Transcript {
+		return start(program, key, digest, async execution => options.executor.recover(execution, key));
 	}
 
 	async function * deliver(transcript: Result<Transcript, Failure>, position: Position, reader: AbortSignal): AsyncGenerator<CallEvent, void, undefined> {
@@ -302,7 +302,7 @@
 			const state = program.calls.get(key);
 			const known = knownTranscript(program, key, undefined);
 			if (known.isOk() && !known.value && state?.kind === 'intended') {
-				return ok(recover(program, key, state.fingerprint));
+				return ok(recover(program, key, state.digest));
 			}
 
 			return known.andThen(transcript => transcript ? ok(transcript) : err(refuse('not-found', `No call with key ${key}`)));
--- /dev/null
+++ b/tests/failures.test.ts
@@ -0,0 +1,304 @@
+/**
+What must hold when instances die, freeze or stop, the platform goes away and data centres are cut off.
+*/
+import assert from 'node:assert/strict';
+import {
+	afterEach, beforeEach, describe, test,
+} from 'node:test';
+import {type CallEvent, start} from '../src/contracts/call.js';
+import {as, type IdempotencyKey} from '../src/contracts/id.js';
+import {
+	brenta, conclusion, createWorld, finish, openProgram, question, reservation, trentside, within, type World,
+} from './fixtures/world.js';
+
+describe('one data centre with two instances', () => {
+	let world: World;
+	beforeEach(async () => {
+		world = await createWorld();
+	});
+	afterEach(async () => {
+		await world.stop();
+	});
+
+	function others(program: Awaited<ReturnType<typeof openProgram>>) {
+		const owner = world.ownerOf(program);
+		const other = world.nodes.find(node => node !== owner && node.isAlive());
+		assert.ok(other);
+		return {owner, other};
+	}
+
+	function executionsOf(key: string): number {
+		return world.backEnds.executions.filter(execution => execution.key === key).length;
+	}
+
+	test('a program is served from any instance and its history grows in order', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		for (const [index, text] of ['one', 'two', 'three'].entries()) {
+			const event = await within(world, finish(world.node(index % 2), question(program, text)), 2000);
+			assert.equal(conclusion(event), 'completed');
+		}
+
+		assert.deepEqual(world.backEnds.prompts, ['one', 'one| one:0 one:1 one:2 one:3|two', 'one| one:0 one:1 one:2 one:3|two| two:0 two:1 two:2 two:3|three']);
+	});
+
+	test('calls of one program that arrive together run one after the other', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		world.backEnds.duration = 200;
+		const calls = ['a', 'b', 'c'].map(async text => finish(world.node(0), question(program, text)));
+		await within(world, Promise.all(calls), 5000);
+		assert.deepEqual(world.backEnds.prompts.map(prompt => prompt.split('|').length), [1, 3, 5]);
+	});
+
+	test('the program of another customer answers as if it did not exist', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		const foreign = await within(world, finish(world.node(1), {...question(program, 'x'), customer: trentside}), 2000);
+		const absent = await within(world, finish(world.node(1), question(as(`${program.slice(0, -4)}0000`), 'x')), 2000);
+		assert.ok(foreign?.kind === 'refused' && absent?.kind === 'refused');
+		assert.equal(foreign.failure.code, 'not-found');
+		assert.deepEqual({...foreign.failure, message: ''}, {...absent.failure, message: ''});
+	});
+
+	test('a successor has the whole history after the owner dies between turns', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		await within(world, finish(world.node(0), question(program, 'one')), 2000);
+		const {owner, other} = others(program);
+		owner.kill();
+		const event = await within(world, finish(other, question(program, 'two')), 20_000);
+		assert.equal(conclusion(event), 'completed');
+		assert.equal(world.backEnds.prompts.at(-1), 'one| one:0 one:1 one:2 one:3|two');
+	});
+
+	test('a reservation whose sender dies is reported unknown and is not sent again', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		const {owner, other} = others(program);
+		world.backEnds.duration = 3000;
+		const answered = finish(other, reservation(program, 'glass'));
+		await world.clock.advance(1000);
+		assert.equal(executionsOf('glass'), 1);
+		owner.kill();
+		assert.equal(conclusion(await within(world, answered, 20_000)), 'unknown');
+		assert.equal(conclusion(await within(world, finish(other, reservation(program, 'glass')), 5000)), 'unknown');
+		assert.equal(executionsOf('glass'), 1);
+	});
+
+	test('a reservation whose sender dies before the intent is recorded runs once, at the successor', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		const {owner, other} = others(program);
+		world.platform.isDown = true;
+		const answered = finish(other, {...reservation(program, 'early')});
+		await world.clock.advance(200);
+		owner.kill();
+		world.platform.isDown = false;
+		const event = await within(world, answered, 30_000);
+		assert.equal(conclusion(event), 'completed');
+		assert.equal(executionsOf('early'), 1);
+	});
+
+	test('an owner that was frozen cannot act after a successor took over', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		const {owner, other} = others(program);
+		const direct = finish(owner, reservation(program, 'frozen'));
+		owner.freeze();
+		await world.clock.advance(10_000);
+		const first = await within(world, finish(other, reservation(program, 'frozen')), 20_000);
+		assert.ok(['completed', 'unknown'].includes(conclusion(first)));
+		owner.thaw();
+		await within(world, direct, 30_000);
+		assert.ok(executionsOf('frozen') <= 1);
+	});
+
+	test('a retry of a key gets the recorded outcome, and a new request under it is refused', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		const answers = await within(world, Promise.all(world.nodes.map(async node => finish(node, reservation(program, 'same')))), 5000);
+		assert.deepEqual(answers[0], answers[1]);
+		const other = reservation(program, 'other');
+		const misuse = await within(world, finish(world.node(0), {...other, key: as<IdempotencyKey>('same')}), 2000);
+		assert.equal(misuse?.kind === 'refused' && misuse.failure.code, 'conflict');
+		assert.equal(executionsOf('same'), 1);
+	});
+
+	test('when the answer to a ledger write is lost, the reservation still runs once', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		world.platform.lostAnswers = 3;
+		const event = await within(world, finish(world.node(1), reservation(program, 'lost')), 10_000);
+		assert.equal(conclusion(event), 'completed');
+		assert.equal(executionsOf('lost'), 1);
+	});
+
+	test('while the platform is down a reservation is not run, and model calls go on', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		world.platform.isDown = true;
+		const refused = await within(world, finish(world.node(0), reservation(program, 'outage')), 10_000);
+		assert.equal(conclusion(refused), 'not-run');
+		assert.equal(executionsOf('outage'), 0);
+		const answered = await within(world, finish(world.node(1), question(program, 'still here?')), 10_000);
+		assert.equal(conclusion(answered), 'completed');
+		world.platform.isDown = false;
+		await world.clock.advance(5000);
+		const again = await within(world, finish(world.node(0), reservation(program, 'outage')), 10_000);
+		assert.equal(conclusion(again), 'completed');
+		assert.equal(executionsOf('outage'), 1);
+	});
+
+	test('a turn acknowledged during an outage survives the loss of its owner', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		world.platform.isDown = true;
+		assert.equal(conclusion(await within(world, finish(world.node(0), question(program, 'kept')), 10_000)), 'completed');
+		const {owner, other} = others(program);
+		owner.kill();
+		await world.clock.advance(8000);
+		world.platform.isDown = false;
+		const event = await within(world, finish(other, question(program, 'after')), 30_000);
+		assert.equal(conclusion(event), 'completed');
+		assert.equal(world.backEnds.prompts.at(-1), 'kept| kept:0 kept:1 kept:2 kept:3|after');
+	});
+
+	test('a planned stop finishes the calls that run and refuses none', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		const {owner, other} = others(program);
+		world.backEnds.duration = 3000;
+		const running = finish(other, reservation(program, 'running'));
+		await world.clock.advance(500);
+		const leaving = owner.instance.leave();
+		const later = finish(other, question(program, 'later'));
+		const events = await within(world, Promise.all([running, later]), 30_000);
+		await within(world, leaving, 1000);
+		assert.deepEqual(events.map(event => conclusion(event)), ['completed', 'completed']);
+		assert.equal(executionsOf('running'), 1);
+	});
+
+	test('a budget holds over a takeover, sub-agents included', async () => {
+		const program = await within(world, openProgram(world.node(0), {calls: 3}), 2000);
+		const child = await within(world, openProgram(world.node(1), {}, program), 2000);
+		await within(world, finish(world.node(0), question(program, 'one')), 2000);
+		await within(world, finish(world.node(0), question(child, 'two')), 2000);
+		const {owner, other} = others(program);
+		owner.kill();
+		const third = await within(world, finish(other, question(child, 'three')), 20_000);
+		const fourth = await within(world, finish(other, question(program, 'four')), 5000);
+		assert.equal(conclusion(third), 'completed');
+		assert.equal(fourth?.kind === 'refused' && fourth.failure.code, 'budget-exhausted');
+	});
+
+	test('concurrent sub-agents cannot overspend a budget', async () => {
+		const program = await within(world, openProgram(world.node(0), {calls: 2}), 2000);
+		const children = await within(world, Promise.all([1, 2, 3, 4].map(async () => openProgram(world.node(0), {}, program))), 5000);
+		world.backEnds.duration = 500;
+		const events = await within(world, Promise.all(children.map(async (child, index) => finish(world.node(index % 2), question(child, `q${index}`)))), 10_000);
+		assert.deepEqual(events.map(event => conclusion(event)).toSorted(), ['completed', 'completed', 'not-run', 'not-run']);
+		assert.equal(world.backEnds.executions.length, 2);
+	});
+
+	test('engine memory is released at the end of a program, and by the sweep when the engine was away', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		await within(world, finish(world.node(0), question(program, 'hold')), 2000);
+		const holder = [...world.backEnds.holdings].find(([, programs]) => programs.has(program))?.[0];
+		assert.ok(holder);
+		world.backEnds.faults.set(holder, 'unreachable');
+		await within(world, world.node(0).instance.program({
+			kind: 'end', program, customer: brenta, closing: 'closed',
+		}), 2000);
+		await world.clock.advance(5000);
+		assert.ok(world.backEnds.holdings.get(holder)?.has(program));
+		world.backEnds.faults.delete(holder);
+		await world.clock.advance(15_000);
+		assert.ok(!world.backEnds.holdings.get(holder)?.has(program));
+	});
+
+	test('engine memory is released when the home dies and the program expires', async () => {
+		const program = await within(world, openProgram(world.node(0), {duration: 20_000}), 2000);
+		await within(world, finish(world.node(0), question(program, 'hold')), 2000);
+		others(program).owner.kill();
+		await world.clock.advance(60_000);
+		assert.ok([...world.backEnds.holdings.values()].every(programs => !programs.has(program)));
+	});
+
+	test('a hung tool ends at its time-out with an honest outcome', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		world.backEnds.faults.set('service-0', 'hangs');
+		world.backEnds.faults.set('service-1', 'hangs');
+		const event = await within(world, finish(world.node(0), reservation(program, 'hung')), 10_000);
+		assert.equal(conclusion(event), 'unknown');
+		assert.equal(executionsOf('hung'), 1);
+	});
+
+	test('a program that loops is ended by its number of calls', async () => {
+		const program = await within(world, openProgram(world.node(0), {calls: 5}), 2000);
+		const conclusions: string[] = [];
+		for (let turn = 0; turn < 8; turn++) {
+			conclusions.push(conclusion(await within(world, finish(world.node(0), question(program, `loop ${turn}`)), 2000)));
+		}
+
+		assert.deepEqual(conclusions, [...Array.from({length: 5}, () => 'completed'), ...Array.from({length: 3}, () => 'not-run')]);
+	});
+
+	test('a request that crashes endpoints is quarantined on every instance, also under another key', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		world.backEnds.faults.set('engine-0', 'crashes');
+		world.backEnds.faults.set('engine-1', 'crashes');
+		await within(world, finish(world.node(0), question(program, 'poison', 'first')), 30_000);
+		const ran = world.backEnds.executions.length;
+		await world.clock.advance(3000);
+		world.backEnds.faults.clear();
+		const second = await within(world, openProgram(world.node(1)), 2000);
+		const event = await within(world, finish(world.node(1), question(second, '  POISON ', 'second')), 10_000);
+		assert.ok(ran <= 2, `${ran} executions`);
+		assert.equal(event?.kind === 'refused' && event.failure.code, 'quarantined');
+		assert.equal(world.backEnds.executions.length, ran);
+	});
+
+	test('an endpoint that is leaving gets no new work after a few seconds although the list lags', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		world.backEnds.faults.set('service-0', 'leaving');
+		await world.clock.advance(4000);
+		const before = world.backEnds.executions.filter(execution => execution.endpoint === 'service-0').length;
+		for (let index = 0; index < 6; index++) {
+			assert.equal(conclusion(await within(world, finish(world.node(index % 2), reservation(program, `leave-${index}`)), 3000)), 'completed');
+		}
+
+		assert.equal(world.backEnds.executions.filter(execution => execution.endpoint === 'service-0').length, before);
+	});
+
+	test('a stream that breaks at one instance goes on at another without a missing or doubled token', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		const call = question(program, 'stream');
+		await within(world, finish(world.node(0), call), 3000);
+		const tokens: string[] = [];
+		const read = async (node: (typeof world.nodes)[number], from: CallEvent | undefined) => {
+			const position = from?.kind === 'token' ? {stream: from.stream, index: from.index + 1} : start;
+			const target = {program, customer: brenta, key: call.key};
+			let last = from;
+			for await (const event of node.instance.stream({kind: 'follow', target, position}, new AbortController().signal)) {
+				if (event.kind === 'token') {
+					tokens.push(event.text);
+					last = event;
+					if (tokens.length === 2) {
+						break;
+					}
+				}
+			}
+
+			return last;
+		};
+
+		const last = await within(world, read(world.node(0), undefined), 2000);
+		others(program).owner.kill();
+		const survivor = world.nodes.find(node => node.isAlive());
+		assert.ok(survivor);
+		await within(world, read(survivor, last), 20_000);
+		assert.deepEqual(tokens, [' stream:0', ' stream:1', ' stream:2', ' stream:3']);
+	});
+
+	test('a model answer whose home dies while it is generated is resumed from the engine', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		const {owner, other} = others(program);
+		world.backEnds.duration = 5000;
+		const answered = finish(other, question(program, 'resume'));
+		await world.clock.advance(1000);
+		owner.kill();
+		const event = await within(world, answered, 30_000);
+		assert.ok(event?.kind === 'settled' && event.outcome.kind === 'completed' && event.outcome.answer.kind === 'message');
+		assert.deepEqual(event.outcome.answer.tokens, [' resume:0', ' resume:1', ' resume:2', ' resume:3']);
+		assert.equal(world.backEnds.executions.length, 1);
+	});
+});
