Keep the ownership of shards and the word 'not run' true under partitions and pauses

Causes found by the tests, each with the check that found it: 1. After a cut between data centres healed, the far side's reports of death moved shards between instances that could see each other ('shards stay where they are'). A report of death now counts only from the own data centre or the member's. 2. An entry that lost its connection to the home in the middle of a reservation told the caller 'not run' ('never called not run'). It now says 'unknown' unless the ledger answers. 3. A call whose shard is lost is now passed on to the new owner, and a paused instance reads the next slot first.

--- a/src/contracts/ledger.ts
+++ b/src/contracts/ledger.ts
@@ -43,6 +43,8 @@
 		| {readonly kind: 'slot-read'; readonly slot: Slot}
 		| {readonly kind: 'slot-unavailable'}
 		| {readonly kind: 'checkpointed'; readonly base: number}
+	/** Find out whether the shard is still owned; asked after a pause. */
+		| {readonly kind: 'verify'}
 		| {readonly kind: 'retry'};
 
 export type LedgerEffect
@@ -70,9 +72,20 @@
 
 export type Ledger = {
 	readonly handle: (event: LedgerEvent) => readonly LedgerEffect[];
-	readonly phase: () => Phase['kind'];
-	readonly epoch: () => FencingNumber;
-	readonly pending: () => number;
+	readonly state: () => LedgerState;
+};
+
+/** What an operator may see of a ledger. */
+export type LedgerState = {
+	readonly phase: Phase['kind'];
+	readonly epoch: FencingNumber;
+	/** First batch that a successor would replay, and the next to be written. */
+	readonly base: number;
+	readonly next: number;
+	/** Appends that are waiting or being written. */
+	readonly pending: number;
+	/** Nonce of the batch that is being written. */
+	readonly writing: Nonce | undefined;
 };
 
 export type LedgerOptions = {
@@ -236,10 +249,16 @@
 		}
 	}
 
+	function verify(): LedgerEffect[] {
+		// A write under way finds out by itself.
+		return phase.kind === 'open' && !flight ? [{kind: 'read-slot', slot: next % slotsPerShard}] : [];
+	}
+
 	function readBack(slot: Slot): LedgerEffect[] {
 		const batch = outstanding();
 		if (!batch) {
-			return [];
+			const isTaken = phase.kind === 'open' && slot.batch?.sequence === next;
+			return isTaken ? depose() : [];
 		}
 
 		if (slot.batch?.nonce === batch.nonce) {
@@ -300,6 +319,10 @@
 				return flush();
 			}
 
+			case 'verify': {
+				return verify();
+			}
+
 			case 'retry': {
 				return retry();
 			}
@@ -308,9 +331,14 @@
 
 	return {
 		handle,
-		phase: () => phase.kind,
-		epoch: () => epoch,
-		pending: () => pending.length + (flight?.tickets.length ?? 0),
+		state: () => ({
+			phase: phase.kind,
+			epoch,
+			base,
+			next,
+			pending: pending.length + (flight?.tickets.length ?? 0),
+			writing: outstanding()?.nonce,
+		}),
 	};
 }
 
--- a/src/links/peer.ts
+++ b/src/links/peer.ts
@@ -21,6 +21,7 @@
 	type Gossip, type Peers, type ProgramReply, type ProgramRequest, type ShardReply, type ShardRequest,
 	type StreamRequest,
 } from '../zones/peers.js';
+import {isNotSent} from './http.js';
 
 const gossipTimeoutMs = 1000;
 const programTimeoutMs = 6000;
@@ -129,8 +130,11 @@
 		return client;
 	}
 
+	/** A peer that got the request may have acted on it although its answer never came. */
 	function unreachable(peer: Member, error: unknown): Failure {
-		return failure('peer-unreachable', `${peer.id} at ${peer.address} did not answer: ${describeError(error)}`, {step: 'forward', peer: peer.id});
+		return failure('peer-unreachable', `${peer.id} at ${peer.address} did not answer: ${describeError(error)}`, {
+			step: 'forward', peer: peer.id, execution: isNotSent(error) ? 'not-run' : 'unknown',
+		});
 	}
 
 	async function attempt<Value>(peer: Member, timeoutMs: number, ask: (signal: AbortSignal) => Promise<Value>): Promise<Result<Value, Failure>> {
--- a/src/machines/instance.ts
+++ b/src/machines/instance.ts
@@ -121,6 +121,20 @@
 	return groups;
 }
 
+/** Whether a refusal comes from a home that has its ledger, and so knows of every earlier attempt. */
+function isFromLedger(reason: Failure): boolean {
+	return !isMoving(reason) && reason.step !== 'recover';
+}
+
+/** After a lost connection, only the ledger can say that the call did not run. */
+function doubt(event: CallEvent): CallEvent {
+	if (event.kind !== 'refused' || isFromLedger(event.failure)) {
+		return event;
+	}
+
+	return {kind: 'refused', failure: {...event.failure, execution: 'unknown'}};
+}
+
 function at(request: StreamRequest, position: Position): StreamRequest {
 	return {...request, position};
 }
@@ -163,6 +177,7 @@
 		},
 		onPause(gap) {
 			options.onEvent({kind: 'paused', gap});
+			dataCentre.verify();
 		},
 		onEndpoint(news) {
 			fleet.backEnd(news.endpoint)?.report({kind: news.state === 'leaving' ? 'reported-leaving' : 'reported-live'}, clock.now());
@@ -341,30 +356,33 @@
 	async function * stream(request: StreamRequest, signal: AbortSignal): AsyncGenerator<CallEvent, void, undefined> {
 		const until = clock.now() + (request.kind === 'call' ? request.call.timeout : followTimeoutMs);
 		let {position} = request;
+		let mayHaveRun = false;
 		while (!signal.aborted) {
 			const source = streamFromHome(at(request, position), signal);
 			if (!source) {
-				yield {kind: 'refused', failure: unreachable(homeOfStream(request))};
+				yield {kind: 'refused', failure: {...unreachable(homeOfStream(request)), execution: mayHaveRun ? 'unknown' : 'not-run'}};
 				return;
 			}
 
-			let isRetried = false;
+			let moving: Failure | undefined;
 			for await (const event of source) {
 				if (event.kind === 'refused' && isMoving(event.failure) && clock.now() < until) {
-					isRetried = true;
+					moving = event.failure;
 					break;
 				}
 
-				yield event;
+				yield mayHaveRun ? doubt(event) : event;
 				if (event.kind === 'token') {
 					position = {stream: event.stream, index: event.index + 1};
 				}
 			}
 
-			if (!isRetried) {
+			if (!moving) {
 				return;
 			}
 
+			mayHaveRun ||= moving.execution !== 'not-run';
+
 			await clock.sleep(as<Milliseconds>(routingRetryMs), signal);
 		}
 	}
@@ -462,9 +480,7 @@
 			gauges: gauges(),
 			shards: dataCentre.owned().map(shard => ({
 				home: shard.home,
-				epoch: shard.journal.epoch(),
-				phase: shard.journal.phase(),
-				pending: shard.journal.pending(),
+				ledger: shard.journal.state(),
 				programs: shard.programs(),
 				running: shard.running(),
 			})),
--- a/src/zones/data-centre.ts
+++ b/src/zones/data-centre.ts
@@ -43,6 +43,8 @@
 	readonly run: (signal: AbortSignal) => Promise<void>;
 	/** Finishes all calls and gives every shard up. */
 	readonly leave: () => Promise<void>;
+	/** Finds out which shards are still owned; called after a pause. */
+	readonly verify: () => void;
 	/** Takes shards that have lost their owner. */
 	readonly adopt: () => void;
 };
@@ -270,6 +272,11 @@
 		},
 		run,
 		leave,
+		verify() {
+			for (const ownership of ownerships.values()) {
+				ownership.shard?.journal.verify();
+			}
+		},
 		adopt,
 	};
 }
--- a/src/zones/execution.ts
+++ b/src/zones/execution.ts
@@ -48,6 +48,9 @@
 	readonly programs: Programs;
 	readonly journal: Journal;
 	readonly transcript: Transcript;
+	/** Aborts when the shard is lost to another instance. */
+	readonly lost: AbortSignal;
+	/** Aborts when the call should stop for any reason. */
 	readonly signal: AbortSignal;
 };
 
@@ -148,6 +151,12 @@
 		return failure(code, `The call was stopped: ${describeError(reason)}`, {step, peer: 'home', execution: certainty});
 	}
 
+	/** What is known here no longer counts: the new owner has the ledger and answers for the key. */
+	function lostShard(outcome: Outcome): Failure {
+		const certainty = outcome.kind === 'not-run' ? 'not-run' : 'unknown';
+		return failure('not-owner', 'The shard was lost during the call', {step: 'settle', peer: 'home', execution: certainty});
+	}
+
 	function refuse(execution: Execution, reason: Failure): void {
 		execution.transcript.end({kind: 'refused', failure: reason});
 	}
@@ -195,6 +204,10 @@
 			return failure('quarantined', 'The request crashed several endpoints and is not run again', {step: 'admit', peer: 'home'});
 		}
 
+		if (execution.lost.aborted) {
+			return failure('not-owner', 'The shard was lost before the call began', {step: 'admit', peer: 'home'});
+		}
+
 		const left = expiryOf(execution.program) - clock.wall();
 		const timeout = Math.min(call.timeout, route.timeout, left);
 		if (execution.signal.aborted || timeout <= 0) {
@@ -415,6 +428,11 @@
 	async function settle(job: Job, outcome: Outcome, used: Spend): Promise<void> {
 		const {execution, call} = job;
 		emit(job, 'settled', outcome.kind === 'completed' ? 'completed' : `${outcome.kind}: ${outcome.failure.message}`);
+		if (execution.lost.aborted) {
+			refuse(execution, lostShard(outcome));
+			return;
+		}
+
 		if (job.stream === undefined) {
 			// No intent was recorded, so there is nothing to settle and the key may be used again.
 			execution.transcript.end(outcome.kind === 'completed' ? {kind: 'settled', outcome} : {kind: 'refused', failure: outcome.failure});
--- a/src/zones/journal.ts
+++ b/src/zones/journal.ts
@@ -11,7 +11,7 @@
 	type ObjectName, type ObjectVersion, type ProgramId,
 } from '../contracts/id.js';
 import {
-	createLedger, type Head, type LedgerEffect, type LedgerEvent, type Slot, slotsPerShard,
+	createLedger, type Head, type LedgerEffect, type LedgerEvent, type LedgerState, type Slot, slotsPerShard,
 } from '../contracts/ledger.js';
 import {type Platform, type StoredObject} from '../contracts/platform.js';
 import {
@@ -44,9 +44,9 @@
 	/** Claims the shard and replays it. Waits through outages until the signal aborts. */
 	readonly open: () => Promise<Result<Programs, Failure>>;
 	readonly append: (records: readonly JournalRecord[]) => Append;
-	readonly epoch: () => FencingNumber;
-	readonly phase: () => string;
-	readonly pending: () => number;
+	readonly state: () => LedgerState;
+	/** Finds out whether the shard is still owned. `deposed` resolves if it is not. */
+	readonly verify: () => void;
 	/** Resolves when another instance has taken the shard or the signal aborts. */
 	readonly deposed: Promise<void>;
 };
@@ -324,7 +324,7 @@
 
 	async function holdPending(): Promise<void> {
 		const waiting = [...tickets.values()].filter(ticket => !ticket.isHeld);
-		if (waiting.length === 0 || ledger.phase() !== 'open') {
+		if (waiting.length === 0 || ledger.state().phase !== 'open') {
 			return;
 		}
 
@@ -333,7 +333,7 @@
 		}
 
 		const records = waiting.flatMap(ticket => ticket.records).filter(record => isWorthHolding(record));
-		const held = await holder.hold(home, ledger.epoch(), records);
+		const held = await holder.hold(home, ledger.state().epoch, records);
 		hasHeldRecords ||= held.isOk();
 		for (const ticket of waiting) {
 			ticket.isHeld = held.isOk();
@@ -426,9 +426,10 @@
 			return opening.promise;
 		},
 		append,
-		epoch: () => ledger.epoch(),
-		phase: () => ledger.phase(),
-		pending: () => ledger.pending(),
+		state: () => ledger.state(),
+		verify() {
+			handle({kind: 'verify'});
+		},
 		deposed: deposing.promise,
 	};
 }
--- a/src/zones/membership.ts
+++ b/src/zones/membership.ts
@@ -43,7 +43,8 @@
 	= | {readonly kind: 'tick'; readonly now: Milliseconds}
 		| {readonly kind: 'acknowledged'; readonly member: InstanceId; readonly now: Milliseconds}
 		| {readonly kind: 'unanswered'; readonly member: InstanceId; readonly now: Milliseconds}
-		| {readonly kind: 'updates'; readonly members: readonly Member[]; readonly now: Milliseconds}
+		/** `reporter` is the data centre from which the members were seen. */
+		| {readonly kind: 'updates'; readonly reporter: DataCentreId; readonly members: readonly Member[]; readonly now: Milliseconds}
 		| {readonly kind: 'leave'};
 
 export type MembershipEffect
@@ -119,18 +120,46 @@
 
 	/** Answers a wrong report about this instance with a higher incarnation. */
 	function refute(report: Member): void {
-		if (report.incarnation >= self.incarnation && report.status !== self.status) {
-			self = {...self, incarnation: as<Incarnation>(report.incarnation + 1)};
+		if (report.incarnation < self.incarnation) {
+			return;
+		}
+
+		const isWrong = report.status !== self.status;
+		const incarnation = as<Incarnation>(isWrong ? report.incarnation + 1 : report.incarnation);
+		if (incarnation !== self.incarnation) {
+			self = {...self, incarnation};
 			publish(self);
 		}
 	}
 
-	function merge(candidate: Member, now: Milliseconds): MembershipEffect[] {
+	/**
+	Whether a report counts here. That a member cannot be reached is true only as seen from somewhere:
+	from this data centre, or from the member's own.
+	*/
+	function isCredible(candidate: Member, reporter: DataCentreId): boolean {
+		switch (candidate.status) {
+			case 'alive':
+			case 'leaving': {
+				return true;
+			}
+
+			case 'suspect':
+			case 'dead': {
+				return reporter === self.dataCentre || reporter === candidate.dataCentre;
+			}
+		}
+	}
+
+	function merge(candidate: Member, reporter: DataCentreId, now: Milliseconds): MembershipEffect[] {
 		if (candidate.id === self.id) {
 			refute(candidate);
 			return [];
 		}
 
+		if (!isCredible(candidate, reporter)) {
+			return [];
+		}
+
 		const current = known.get(candidate.id);
 		if (!current && candidate.status === 'dead') {
 			return [];
@@ -245,7 +274,7 @@
 			}
 
 			case 'updates': {
-				return event.members.flatMap(member => merge(member, event.now));
+				return event.members.flatMap(member => merge(member, event.reporter, event.now));
 			}
 
 			case 'leave': {
--- a/src/zones/neighbourhood.ts
+++ b/src/zones/neighbourhood.ts
@@ -107,22 +107,27 @@
 		await synchronize(peer, reply.value);
 	}
 
-	/** Exchanges whole lists when two views differ for longer than gossip needs to level them. */
+	/** Fetches a neighbour's whole list when the two views differ. Other data centres see other things. */
 	async function synchronize(peer: Member, message: Gossip): Promise<void> {
 		const isDue = clock.now() - synchronizedAt >= synchronizationMs;
-		if (message.digest === membership.digest() || !isDue) {
+		const isLocal = peer.dataCentre === membership.self().dataCentre;
+		if (message.digest === membership.digest() || !isDue || !isLocal) {
 			return;
 		}
 
 		synchronizedAt = clock.now();
 		const members = await peers.members(peer);
 		if (members.isOk()) {
-			handle({kind: 'updates', members: members.value, now: clock.now()});
+			handle({
+				kind: 'updates', reporter: peer.dataCentre, members: members.value, now: clock.now(),
+			});
 		}
 	}
 
 	function learn(message: Gossip): void {
-		handle({kind: 'updates', members: [message.from, ...message.members], now: clock.now()});
+		handle({
+			kind: 'updates', reporter: message.from.dataCentre, members: [message.from, ...message.members], now: clock.now(),
+		});
 		generations.set(message.from.id, message.generation);
 		for (const news of message.endpoints) {
 			learnEndpoint(news);
@@ -156,7 +161,9 @@
 				incarnation: as<Incarnation>(0),
 				status: 'alive' as const,
 			}));
-		handle({kind: 'updates', members, now: clock.now()});
+		handle({
+			kind: 'updates', reporter: membership.self().dataCentre, members, now: clock.now(),
+		});
 	}
 
 	async function meetSeeds(): Promise<void> {
@@ -166,7 +173,9 @@
 				const seed: Member = {...self, id: as<InstanceId>(address), address};
 				const members = await peers.members(seed);
 				if (members.isOk()) {
-					handle({kind: 'updates', members: members.value, now: clock.now()});
+					handle({
+						kind: 'updates', reporter: self.dataCentre, members: members.value.filter(member => member.status !== 'dead'), now: clock.now(),
+					});
 				}
 			}
 		}
@@ -182,6 +191,8 @@
 	return {
 		receive(message) {
 			learn(message);
+			// A message from a peer proves that it is alive.
+			handle({kind: 'acknowledged', member: message.from.id, now: clock.now()});
 			return compose();
 		},
 		learnListing,
--- a/src/zones/shard.ts
+++ b/src/zones/shard.ts
@@ -255,7 +255,7 @@
 	function start(program: Program, key: IdempotencyKey, digest: string, execute: (execution: CallExecution) => Promise<void>): Transcript {
 		const entry = begin(program, key, digest);
 		const execution: CallExecution = {
-			program, programs, journal, transcript: entry.transcript,
+			program, programs, journal, transcript: entry.transcript, lost: signal,
 			signal: AbortSignal.any([signal, entry.controller.signal]),
 		};
 		void sequenceOf(program.id).add(async () => {
--- /dev/null
+++ b/tests/configuration.test.ts
@@ -0,0 +1,115 @@
+/**
+Configuration: the joined check of the two tables, operators' races, and generations that never go back.
+*/
+import assert from 'node:assert/strict';
+import {
+	afterEach, beforeEach, describe, test,
+} from 'node:test';
+import fc from 'fast-check';
+import {
+	acceptTables, checkTables, type Configuration, emptyConfiguration, newerConfiguration,
+} from '../src/contracts/configuration.js';
+import {as, type ConfigurationGeneration, type ObjectVersion} from '../src/contracts/id.js';
+import {parsePools, parseRoutes} from '../src/contracts/tables.js';
+import {createWorld, tables, type World} from './fixtures/world.js';
+
+const route = {
+	kind: 'model', name: 'quotes', pool: 'engines', timeoutMs: 1000, maximumTokens: 10,
+};
+const pool = {
+	name: 'engines', kind: 'engine', concurrency: 4, endpoints: [{id: 'engine-0', dataCentre: 'padova', address: '127.0.0.1:9000'}],
+};
+
+const refusals: ReadonlyArray<readonly [string, unknown, unknown, RegExp]> = [
+	['a route to a pool that does not exist', {routes: [{...route, pool: 'none'}]}, {pools: [pool]}, /"quotes" names pool "none", which does not exist/v],
+	['a model route to a pool of services', {routes: [route]}, {pools: [{...pool, kind: 'service'}]}, /"quotes" is a model route/v],
+	['a route that is defined twice', {routes: [route, route]}, {pools: [pool]}, /Route "quotes" is defined twice/v],
+	['a pool that is defined twice', {routes: []}, {pools: [pool, pool]}, /Pool "engines" is defined twice/v],
+	['an endpoint in two pools', {routes: []}, {pools: [pool, {...pool, name: 'others'}]}, /Endpoint "engine-0" is listed twice/v],
+	['an address with a host name', {routes: []}, {pools: [{...pool, endpoints: [{id: 'e', dataCentre: 'padova', address: 'engine:80'}]}]}, /must be an IP number and port/v],
+	['an unknown key', {routes: [{...route, retries: 3}]}, {pools: [pool]}, /retries/v],
+	['a time-out below one', {routes: [{...route, timeoutMs: 0}]}, {pools: [pool]}, /routes\.0\.timeoutMs/v],
+];
+
+for (const [name, routes, pools, reason] of refusals) {
+	test(`refused with a reason: ${name}`, () => {
+		const checked = parseRoutes(routes).andThen(parsed => parsePools(pools).andThen(others => checkTables(parsed, others)));
+		assert.match(checked._unsafeUnwrapErr().message, reason);
+		assert.equal(checked._unsafeUnwrapErr().code, 'configuration-refused');
+	});
+}
+
+test('whatever order generations arrive in, an instance ends with the highest and never steps back', () => {
+	fc.assert(fc.property(fc.array(fc.nat({max: 20}), {minLength: 1}), generations => {
+		let current = emptyConfiguration;
+		for (const number of generations) {
+			const candidate: Configuration = {...emptyConfiguration, generation: as<ConfigurationGeneration>(number)};
+			const next = newerConfiguration(current, candidate);
+			assert.ok(next.generation >= current.generation);
+			current = next;
+		}
+
+		assert.equal(current.generation, Math.max(...generations));
+	}), {seed: 7});
+});
+
+test('tables that are older than the accepted ones are not accepted again', () => {
+	const sources = (routes: number, pools: number) => ({routes: as<ObjectVersion>(routes), pools: as<ObjectVersion>(pools)});
+	const accepted: Configuration = {...emptyConfiguration, generation: as<ConfigurationGeneration>(4), sources: sources(5, 6)};
+	assert.equal(acceptTables(accepted, {routes: [], pools: [], sources: sources(4, 6)}).kind, 'unchanged');
+	assert.equal(acceptTables(accepted, {routes: [], pools: [], sources: sources(5, 6)}).kind, 'unchanged');
+	const next = acceptTables(accepted, {routes: [], pools: [], sources: sources(6, 6)});
+	assert.equal(next.kind === 'accept' && next.configuration.generation, 5);
+});
+
+describe('instances of two data centres', () => {
+	let world: World;
+	beforeEach(async () => {
+		world = await createWorld({dataCentres: ['padova', 'verona']});
+	});
+	afterEach(async () => {
+		await world.stop();
+	});
+
+	const generations = () => world.nodes.map(node => node.instance.configuration().generation);
+
+	test('an accepted change is in force on every instance within seven seconds', async () => {
+		world.platform.put('configuration/routes', tables(['padova', 'verona']).routes);
+		await world.clock.advance(7000);
+		assert.deepEqual(generations(), [2, 2, 2, 2]);
+	});
+
+	test('a pair that does not join is refused in the status with its reason, and the accepted one stays', async () => {
+		world.platform.put('configuration/routes', {routes: [{...route, pool: 'missing'}]});
+		await world.clock.advance(7000);
+		assert.deepEqual(generations(), [1, 1, 1, 1]);
+		assert.match(JSON.stringify(world.platform.objects.get('status/configuration')?.value), /\\"quotes\\" names pool \\"missing\\"/v);
+	});
+
+	test('two tables changed one after the other, invalid between, end in one valid generation', async () => {
+		const {pools} = tables(['padova', 'verona']);
+		world.platform.put('configuration/routes', {routes: [{...route, pool: 'renamed'}]});
+		await world.clock.advance(1000);
+		world.platform.put('configuration/pools', {pools: pools.pools.map(entry => entry.name === 'engines' ? {...entry, name: 'renamed'} : entry)});
+		await world.clock.advance(7000);
+		assert.deepEqual(generations(), [2, 2, 2, 2]);
+		assert.equal(world.node(0).instance.configuration().routes[0]?.pool, 'renamed');
+	});
+
+	test('a newcomer during an outage takes the configuration from its peers', async () => {
+		world.platform.put('configuration/routes', tables(['padova', 'verona']).routes);
+		await world.clock.advance(7000);
+		const newcomer = world.start('padova-new', 'padova');
+		await world.clock.advance(500);
+		world.platform.isDown = true;
+		await world.clock.advance(7000);
+		assert.equal(newcomer.instance.configuration().generation, 2);
+	});
+
+	test('the answer to the accepting write may be lost without a generation being skipped or doubled', async () => {
+		world.platform.lostAnswers = 1;
+		world.platform.put('configuration/routes', tables(['padova', 'verona']).routes);
+		await world.clock.advance(7000);
+		assert.deepEqual(generations(), [2, 2, 2, 2]);
+	});
+});
--- /dev/null
+++ b/tests/partitions.test.ts
@@ -0,0 +1,109 @@
+/**
+What must hold when data centres are cut off from each other and from the platform.
+*/
+import assert from 'node:assert/strict';
+import {
+	afterEach, beforeEach, describe, test,
+} from 'node:test';
+import {
+	conclusion, createWorld, finish, openProgram, question, reservation, within, type World,
+} from './fixtures/world.js';
+
+describe('two data centres', () => {
+	let world: World;
+	beforeEach(async () => {
+		world = await createWorld({dataCentres: ['padova', 'verona']});
+	});
+	afterEach(async () => {
+		await world.stop();
+	});
+
+	function cutBetween(): void {
+		world.cuts.add('padova|verona');
+	}
+
+	test('cut off from each other, each goes on with its own programs', async () => {
+		const padova = await within(world, openProgram(world.node(0)), 2000);
+		const verona = await within(world, openProgram(world.node(2)), 2000);
+		cutBetween();
+		await world.clock.advance(10_000);
+		const events = await within(world, Promise.all([finish(world.node(1), question(padova, 'here')), finish(world.node(3), question(verona, 'there'))]), 10_000);
+		assert.deepEqual(events.map(event => conclusion(event)), ['completed', 'completed']);
+	});
+
+	test('a call for a home that cannot be reached is not run, and runs after the cut is healed', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		cutBetween();
+		await world.clock.advance(10_000);
+		const refused = await within(world, finish(world.node(2), reservation(program, 'far')), 30_000);
+		assert.ok(refused?.kind === 'refused');
+		assert.equal(refused.failure.execution, 'not-run');
+		assert.equal(refused.failure.peer, 'padova');
+		assert.equal(world.backEnds.executions.length, 0);
+		world.cuts.clear();
+		await world.clock.advance(10_000);
+		const event = await within(world, finish(world.node(2), reservation(program, 'far')), 10_000);
+		assert.equal(conclusion(event), 'completed');
+		assert.equal(world.backEnds.executions.length, 1);
+	});
+
+	test('shards stay where they are through a cut between data centres and its healing', async () => {
+		const seen = world.nodes.map(node => node.events.length);
+		cutBetween();
+		await world.clock.advance(15_000);
+		world.cuts.clear();
+		await world.clock.advance(15_000);
+		const changes = world.nodes.flatMap((node, index) => node.events.slice(seen[index]).filter(event => event.kind === 'shard'));
+		assert.deepEqual(changes, []);
+	});
+
+	test('a cut in the middle of a reservation leaves one execution, whoever asks again', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		world.backEnds.duration = 2000;
+		const answered = finish(world.node(2), reservation(program, 'middle'));
+		await world.clock.advance(500);
+		cutBetween();
+		const first = await within(world, answered, 60_000);
+		assert.ok(['not-run', 'unknown', 'none'].includes(conclusion(first)) || conclusion(first) === 'completed');
+		world.cuts.clear();
+		await world.clock.advance(10_000);
+		const again = await within(world, finish(world.node(3), reservation(program, 'middle')), 20_000);
+		assert.equal(conclusion(again), 'completed');
+		assert.equal(world.backEnds.executions.filter(execution => execution.key === 'middle').length, 1);
+	});
+
+	test('an answer cut off after the request ran is never called not run', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		world.backEnds.duration = 2000;
+		const answered = finish(world.node(2), reservation(program, 'honest'));
+		await world.clock.advance(500);
+		assert.equal(world.backEnds.executions.length, 1);
+		cutBetween();
+		assert.notEqual(conclusion(await within(world, answered, 60_000)), 'not-run');
+	});
+
+	test('a data centre cut off from the platform refuses reservations and serves model calls', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		world.cuts.add('padova|platform');
+		const [model, service] = await within(world, Promise.all([
+			finish(world.node(0), question(program, 'repeatable')),
+			finish(world.node(1), reservation(program, 'single')),
+		]), 20_000);
+		assert.deepEqual([conclusion(model), conclusion(service)], ['completed', 'not-run']);
+	});
+
+	test('a configuration accepted on one side of a cut comes into force on the other after it, and none goes back', async () => {
+		cutBetween();
+		world.cuts.add('verona|platform');
+		await world.clock.advance(5000);
+		const {routes, pools} = structuredClone({routes: world.platform.objects.get('configuration/routes')?.value, pools: world.platform.objects.get('configuration/pools')?.value});
+		assert.ok(routes && pools);
+		world.platform.put('configuration/routes', routes);
+		await world.clock.advance(7000);
+		const generations = () => world.nodes.map(node => node.instance.configuration().generation);
+		assert.deepEqual(generations(), [2, 2, 1, 1]);
+		world.cuts.clear();
+		await world.clock.advance(7000);
+		assert.deepEqual(generations(), [2, 2, 2, 2]);
+	});
+});
