--- a/src/links/dispatch.ts
+++ b/src/links/dispatch.ts
@@ -36,7 +36,7 @@
 		async probe(endpoint) {
 			try {
 				const response = await agent.request({
-					origin: `http://${endpoint.address}`, path: '/health', method: 'GET', headersTimeout: probeTimeoutMs, bodyTimeout: probeTimeoutMs,
+					origin: `http://${endpoint.address}`, path: '/health', method: 'GET', signal: AbortSignal.timeout(probeTimeoutMs),
 				});
 				await response.body.dump();
 				return response.headers['x-leaving'] === 'true' ? 'leaving' : 'live';
--- a/src/links/engine.ts
+++ b/src/links/engine.ts
@@ -216,7 +216,7 @@
 	async function control(endpoint: Endpoint, method: 'GET' | 'DELETE', path: string): Promise<unknown> {
 		try {
 			const response = await agent.request({
-				origin: `http://${endpoint.address}`, path, method, headersTimeout: controlTimeoutMs, bodyTimeout: controlTimeoutMs,
+				origin: `http://${endpoint.address}`, path, method, signal: AbortSignal.timeout(controlTimeoutMs),
 			});
 			const body = await readJson(response);
 			return response.statusCode === 200 ? body : undefined;
--- a/src/links/peer.ts
+++ b/src/links/peer.ts
@@ -148,7 +148,8 @@
 	async function * stream(peer: Member, request: StreamRequest, signal: AbortSignal): AsyncGenerator<CallEvent, void, undefined> {
 		let isEnded = false;
 		try {
-			const events = await clientOf(peer).stream.mutate(request, {signal});
+			// A signal of its own, because the client leaves its listeners behind.
+			const events = await clientOf(peer).stream.mutate(request, {signal: AbortSignal.any([signal])});
 			for await (const event of events) {
 				isEnded = event.kind !== 'token';
 				yield event;
--- a/src/links/platform.ts
+++ b/src/links/platform.ts
@@ -12,7 +12,7 @@
 import {type Listing, type Platform, type Update} from '../contracts/platform.js';
 import {isNotSent, readJson} from './http.js';
 
-const requestTimeoutMs = 2000;
+const defaultTimeoutMs = 2000;
 const connections = 16;
 
 const objectBody = z.object({version: z.number(), value: z.unknown().optional()});
@@ -29,6 +29,8 @@
 export type PlatformOptions = {
 	readonly address: Address;
 	readonly signal: AbortSignal;
+	/** Time after which a request counts as unanswered; 2 s unless given. */
+	readonly timeout?: Milliseconds;
 };
 
 function unavailable(message: string): Failure {
@@ -37,6 +39,7 @@
 
 /** Creates a client of the platform. Connections close when the signal aborts. */
 export function createPlatform(options: PlatformOptions): Platform {
+	const requestTimeoutMs = options.timeout ?? defaultTimeoutMs;
 	const agent = new Agent({connections, connect: {timeout: requestTimeoutMs}});
 	options.signal.addEventListener('abort', () => {
 		void agent.destroy();
@@ -45,7 +48,7 @@
 
 	async function request(method: 'GET' | 'PUT', path: string, extra: Partial<Dispatcher.RequestOptions> = {}): Promise<Dispatcher.ResponseData> {
 		return agent.request({
-			origin, path, method, headersTimeout: requestTimeoutMs, bodyTimeout: requestTimeoutMs, ...extra,
+			origin, path, method, signal: AbortSignal.timeout(requestTimeoutMs), ...extra,
 		});
 	}
 
@@ -104,10 +107,10 @@
 				return isNotSent(error) ? {kind: 'unavailable', failure: reason} : {kind: 'doubtful', failure: reason};
 			}
 		},
-		async watch(prefix, since, wait: Milliseconds, signal) {
+		async watch(prefix, since, wait, signal) {
 			const query = new URLSearchParams({prefix, since: String(since), wait: String(wait)});
 			const timeout = wait + requestTimeoutMs;
-			return get(`/v1/watch?${query.toString()}`, revisionBody, {headersTimeout: timeout, bodyTimeout: timeout, signal});
+			return get(`/v1/watch?${query.toString()}`, revisionBody, {signal: AbortSignal.any([signal, AbortSignal.timeout(timeout)])});
 		},
 		async instances() {
 			const body = await get('/v1/instances', listingBody);
--- a/src/machines/instance.ts
+++ b/src/machines/instance.ts
@@ -23,6 +23,7 @@
 	type StreamRequest,
 } from '../zones/peers.js';
 import {type Opening, type Shard} from '../zones/shard.js';
+import {createForwards} from '../zones/forwards.js';
 import {type BackEnd} from './back-end.js';
 import {createEndpointProbe} from './endpoint-probe.js';
 import {createEventLog, type LoggedEvent} from './event-log.js';
@@ -31,7 +32,7 @@
 import {createQuarantine} from './quarantine.js';
 
 /** How long a request about a program looks for its home. */
-const routingTimeoutMs = 5000;
+const routingTimeoutMs = 10_000;
 
 /** How long the events of a call are followed through changes of its home. */
 const followTimeoutMs = 60_000;
@@ -150,6 +151,9 @@
 		id, dataCentre: options.dataCentre, address, incarnation,
 	}, random);
 
+	const forwards = createForwards({peers, members: () => membership.members()});
+	let isJoined = false;
+
 	const configuration = createConfigurationWatch({
 		instance: options.id,
 		platform,
@@ -173,6 +177,7 @@
 		generation: () => configuration.current().generation,
 		onMember(member) {
 			options.onEvent({kind: 'member', member});
+			forwards.recheck();
 			dataCentre.adopt();
 		},
 		onPause(gap) {
@@ -227,6 +232,7 @@
 		instance: options.id,
 		incarnation: options.incarnation,
 		membership,
+		isJoined: () => isJoined,
 		peers,
 		platform,
 		executor,
@@ -242,7 +248,7 @@
 
 	/** Whether this instance does a piece of control work for its data centre. */
 	function isChosen(work: string): boolean {
-		return ownerOf(work, candidatesIn(options.dataCentre, membership.members()))?.id === options.id;
+		return isJoined && ownerOf(work, candidatesIn(options.dataCentre, membership.members()))?.id === options.id;
 	}
 
 	function isResponsible(backEnd: BackEnd): boolean {
@@ -344,13 +350,14 @@
 			: opened.value.follow(request.target, request.position, signal);
 	}
 
+	/** Events of a call from its home; undefined when no home can be reached. Ends with a refusal if the home dies. */
 	function streamFromHome(request: StreamRequest, signal: AbortSignal): AsyncIterable<CallEvent> | undefined {
 		const owner = dataCentre.owner(homeOfStream(request));
 		if (!owner) {
 			return undefined;
 		}
 
-		return owner.id === options.id ? answerStream(request, signal) : peers.stream(owner, request, signal);
+		return owner.id === options.id ? answerStream(request, signal) : forwards.follow(owner, request, signal);
 	}
 
 	async function * stream(request: StreamRequest, signal: AbortSignal): AsyncGenerator<CallEvent, void, undefined> {
@@ -387,6 +394,18 @@
 		}
 	}
 
+	/** Learns who is there before anything is owned. Goes on alone when neither platform nor peers answer. */
+	async function join(): Promise<void> {
+		const listing = await platform.instances();
+		if (listing.isOk()) {
+			neighbourhood.learnListing(listing.value);
+		}
+
+		await neighbourhood.meet();
+		isJoined = true;
+		dataCentre.adopt();
+	}
+
 	async function readListing(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			const isFirst = membership.members().length === 1;
@@ -507,6 +526,7 @@
 		dump,
 		gauges,
 		async run(signal) {
+			await join();
 			await Promise.all([
 				neighbourhood.run(signal),
 				configuration.run(signal),
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -6,6 +6,7 @@
 A planned stop (SIGTERM, SIGINT or the drain order) tells peers, finishes every call, gives the shards
 up and exits with 0. A second signal, or the deadline of the settings, ends it at once with 1.
 */
+import {setMaxListeners} from 'node:events';
 import {type Server} from 'node:http';
 import process from 'node:process';
 import meow from 'meow';
@@ -21,7 +22,9 @@
 import {createPeers, servePeers} from '../links/peer.js';
 import {createPlatform} from '../links/platform.js';
 import {createInstance, type Instance, type InstanceEvent} from '../machines/instance.js';
-import {nextSignal, systemClock, systemRandom} from './runtime.js';
+import {
+	listenForStops, type Stops, systemClock, systemRandom,
+} from './runtime.js';
 import {readSettings, type Settings} from './settings.js';
 
 /** Time for which callers are still accepted after peers have been told, so that balancers notice. */
@@ -73,7 +76,10 @@
 }
 
 async function serve(settings: Settings, log: Log): Promise<number> {
+	const stops = listenForStops();
 	const stopped = new AbortController();
+	// Every control loop listens to this one signal.
+	setMaxListeners(0, stopped.signal);
 	const drainOrder = createDeferred<string>();
 	const instance = createEntry(settings, log, stopped.signal, event => {
 		metrics.count(event);
@@ -106,7 +112,7 @@
 	}, 'started');
 	const running = instance.run(stopped.signal);
 
-	const reason = await Promise.race([nextSignal(['SIGTERM', 'SIGINT']), drainOrder.promise]);
+	const reason = await Promise.race([stops.next(), drainOrder.promise]);
 	log.info({event: 'stopping', reason}, 'planned stop');
 	const graceful = async () => {
 		await instance.leave();
@@ -115,17 +121,20 @@
 		return 0;
 	};
 
-	const code = await Promise.race([graceful(), forced(settings)]);
+	const code = await Promise.race([graceful(), forced(settings, stops)]);
 	stopped.abort(new Error('stopped'));
 	closeAll([callers.server, peers, operators]);
-	await running;
+	if (code === 0) {
+		await running;
+	}
+
 	log.info({event: 'stopped', code}, 'stopped');
 	return code;
 }
 
 /** Resolves when a stop has to be cut short: at the deadline or on a second signal. */
-async function forced(settings: Settings): Promise<number> {
-	await Promise.race([nextSignal(['SIGTERM', 'SIGINT']), systemClock.sleep(settings.stopDeadline)]);
+async function forced(settings: Settings, stops: Stops): Promise<number> {
+	await Promise.race([stops.next(), systemClock.sleep(settings.stopDeadline)]);
 	return 1;
 }
 
--- a/src/programs/runtime.ts
+++ b/src/programs/runtime.ts
@@ -5,6 +5,7 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type Clock, type Random} from '../contracts/clock.js';
+import {createDeferred} from '../contracts/deferred.js';
 import {as, type Milliseconds} from '../contracts/id.js';
 
 const uniqueBytes = 12;
@@ -28,13 +29,34 @@
 	unique: () => randomBytes(uniqueBytes).toString('hex'),
 };
 
-/** Resolves with the name of the first of the signals that arrives. */
-export async function nextSignal(names: readonly NodeJS.Signals[]): Promise<NodeJS.Signals> {
-	return new Promise(resolve => {
-		for (const name of names) {
-			process.once(name, () => {
-				resolve(name);
-			});
-		}
-	});
+export type Stops = {
+	/** Resolves with the name of the next signal to stop. */
+	readonly next: () => Promise<NodeJS.Signals>;
+};
+
+/** Listens for SIGTERM and SIGINT from now on; none of them ends the process by itself. */
+export function listenForStops(): Stops {
+	const arrived: NodeJS.Signals[] = [];
+	let waiting = createDeferred<void>();
+	const arrive = (name: NodeJS.Signals) => {
+		arrived.push(name);
+		waiting.resolve();
+	};
+
+	process.on('SIGTERM', arrive);
+	process.on('SIGINT', arrive);
+
+	return {
+		async next() {
+			for (;;) {
+				const name = arrived.shift();
+				if (name !== undefined) {
+					return name;
+				}
+
+				waiting = createDeferred<void>();
+				await waiting.promise;
+			}
+		},
+	};
 }
--- a/src/zones/data-centre.ts
+++ b/src/zones/data-centre.ts
@@ -54,6 +54,8 @@
 	readonly instance: InstanceId;
 	readonly incarnation: Incarnation;
 	readonly membership: Membership;
+	/** Whether this instance has joined; before that it owns nothing. */
+	readonly isJoined: () => boolean;
 	readonly peers: Peers;
 	readonly platform: Platform;
 	readonly executor: Executor;
@@ -80,6 +82,10 @@
 		return ownerOf(shardKey(home), candidatesIn(home.dataCentre, membership.members()));
 	}
 
+	function isCandidate(): boolean {
+		return options.isJoined() && !isLeaving;
+	}
+
 	/** Other members of this data centre that answer, leaving ones included. */
 	function neighbours(): readonly Member[] {
 		const self = membership.self();
@@ -177,7 +183,7 @@
 	}
 
 	async function shard(home: Home): Promise<Result<Shard, Failure>> {
-		const isOwner = !isLeaving && owner(home)?.id === options.instance;
+		const isOwner = isCandidate() && owner(home)?.id === options.instance;
 		const ownership = ownerships.get(shardKey(home));
 		if (!isOwner && !ownership?.shard) {
 			return err(failure('not-owner', `Shard ${shardKey(home)} belongs to another instance`, {step: 'admit', peer: options.instance}));
@@ -233,7 +239,7 @@
 
 	function adopt(): void {
 		for (const home of homes()) {
-			if (!isLeaving && owner(home)?.id === options.instance && !ownerships.has(shardKey(home))) {
+			if (isCandidate() && owner(home)?.id === options.instance && !ownerships.has(shardKey(home))) {
 				own(home);
 			}
 		}
--- a/src/zones/neighbourhood.ts
+++ b/src/zones/neighbourhood.ts
@@ -4,7 +4,7 @@
 */
 import {type Clock} from '../contracts/clock.js';
 import {
-	as, type Address, type ConfigurationGeneration, type EndpointId, type Incarnation, type InstanceId,
+	as, type Address, type ConfigurationGeneration, type DataCentreId, type EndpointId, type Incarnation, type InstanceId,
 	type Milliseconds,
 } from '../contracts/id.js';
 import {type Listing} from '../contracts/platform.js';
@@ -18,6 +18,9 @@
 /** News of each sort that one message carries. */
 const newsPerMessage = 8;
 
+/** Neighbours whose view a starting instance asks for. */
+const neighboursToMeet = 3;
+
 /** Shortest time between two exchanges of whole member lists. */
 const synchronizationMs = 10_000;
 
@@ -31,7 +34,9 @@
 	readonly notify: () => void;
 	/** Generation that each instance last said it has. */
 	readonly generations: () => ReadonlyMap<InstanceId, ConfigurationGeneration>;
-	/** Introduces this instance to seeds and probes peers until the signal aborts. */
+	/** Learns the view of seeds and known neighbours, so that ownership is judged by the same view as theirs. */
+	readonly meet: () => Promise<void>;
+	/** Probes peers until the signal aborts. */
 	readonly run: (signal: AbortSignal) => Promise<void>;
 	/** Tells peers that this instance is leaving. */
 	readonly leave: () => Promise<void>;
@@ -118,16 +123,12 @@
 		synchronizedAt = clock.now();
 		const members = await peers.members(peer);
 		if (members.isOk()) {
-			handle({
-				kind: 'updates', reporter: peer.dataCentre, members: members.value, now: clock.now(),
-			});
+			learnMembers(members.value, peer.dataCentre);
 		}
 	}
 
 	function learn(message: Gossip): void {
-		handle({
-			kind: 'updates', reporter: message.from.dataCentre, members: [message.from, ...message.members], now: clock.now(),
-		});
+		learnMembers([message.from, ...message.members], message.from.dataCentre);
 		generations.set(message.from.id, message.generation);
 		for (const news of message.endpoints) {
 			learnEndpoint(news);
@@ -173,22 +174,41 @@
 				const seed: Member = {...self, id: as<InstanceId>(address), address};
 				const members = await peers.members(seed);
 				if (members.isOk()) {
-					handle({
-						kind: 'updates', reporter: self.dataCentre, members: members.value.filter(member => member.status !== 'dead'), now: clock.now(),
-					});
+					learnMembers(members.value.filter(member => member.status !== 'dead'), self.dataCentre);
 				}
 			}
 		}
 	}
 
-	async function tellEveryone(): Promise<void> {
+	async function meetNeighbours(): Promise<void> {
+		await Promise.all(neighbours().slice(0, neighboursToMeet).map(async peer => {
+			const members = await peers.members(peer);
+			if (members.isOk()) {
+				learnMembers(members.value, peer.dataCentre);
+			}
+		}));
+	}
+
+	function neighbours(): readonly Member[] {
 		const self = membership.self();
-		const local = membership.members().filter(member => member.id !== self.id && member.dataCentre === self.dataCentre && member.status !== 'dead');
+		return membership.members().filter(member => member.id !== self.id && member.dataCentre === self.dataCentre && member.status !== 'dead');
+	}
+
+	function learnMembers(members: readonly Member[], reporter: DataCentreId): void {
+		handle({
+			kind: 'updates', reporter, members, now: clock.now(),
+		});
+	}
+
+	async function tellEveryone(): Promise<void> {
 		const message = compose();
-		await Promise.all(local.map(async member => peers.gossip(member, message)));
+		await Promise.all(neighbours().map(async member => peers.gossip(member, message)));
 	}
 
 	return {
+		async meet() {
+			await Promise.all([meetSeeds(), meetNeighbours()]);
+		},
 		receive(message) {
 			learn(message);
 			// A message from a peer proves that it is alive.
@@ -205,7 +225,6 @@
 		},
 		generations: () => generations,
 		async run(signal) {
-			await meetSeeds();
 			while (!signal.aborted) {
 				handle({kind: 'tick', now: clock.now()});
 				await clock.sleep(as<Milliseconds>(probeIntervalMs), signal);
--- a/tests/failures.test.ts
+++ b/tests/failures.test.ts
@@ -107,6 +107,15 @@
 		assert.ok(executionsOf('frozen') <= 1);
 	});
 
+	test('a call forwarded to an owner that freezes goes on at the successor', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		const {owner, other} = others(program);
+		owner.freeze();
+		const event = await within(world, finish(other, reservation(program, 'forwarded')), 20_000);
+		assert.equal(conclusion(event), 'completed');
+		assert.equal(executionsOf('forwarded'), 1);
+	});
+
 	test('a retry of a key gets the recorded outcome, and a new request under it is refused', async () => {
 		const program = await within(world, openProgram(world.node(0)), 2000);
 		const answers = await within(world, Promise.all(world.nodes.map(async node => finish(node, reservation(program, 'same')))), 5000);
