Pack records that leave the ring into segments, and let commits share writes

Ruled out: a ring of thousands of slots, because a takeover would read each of them. Records that are not urgent may wait for a commit window while a peer holds them; an intent that may not be repeated is written at once. A fault found on the way: reading the head before the slots let a slow claimer overwrite a committed batch after the ring had wrapped.

--- a/src/contracts/ledger.ts
+++ b/src/contracts/ledger.ts
@@ -10,7 +10,7 @@
 import {
 	as, type FencingNumber, type Incarnation, type InstanceId, type Milliseconds, type Nonce, type ObjectVersion,
 } from './id.js';
-import {type StoredObject, type Update} from './platform.js';
+import {type Update} from './platform.js';
 import {type Batch, type JournalRecord} from './record.js';
 
 /** Slots of one shard's ring. */
@@ -25,10 +25,10 @@
 const firstRetryMs = 50;
 const longestRetryMs = 2000;
 
-/** First batch to replay and the programs whose snapshots precede it. */
+/** First batch of the ring that a reader has to replay, and the segments that hold everything before it. */
 export type Head = {
 	readonly base: number;
-	readonly programs: readonly string[];
+	readonly segments: readonly string[];
 };
 
 export type Slot = {readonly version: ObjectVersion; readonly batch: Batch | undefined};
@@ -36,9 +36,11 @@
 export type LedgerEvent
 	/** Take or take back ownership. */
 	= | {readonly kind: 'claim'}
-		| {readonly kind: 'ring'; readonly head: Head; readonly slots: readonly Slot[]}
+		| {readonly kind: 'ring'; readonly base: number; readonly slots: readonly Slot[]}
 		| {readonly kind: 'ring-unavailable'}
-		| {readonly kind: 'append'; readonly ticket: number; readonly records: readonly JournalRecord[]; readonly bytes: number}
+		/** Urgent records are written at once, others with the next write or after the commit window. */
+		| {readonly kind: 'append'; readonly ticket: number; readonly records: readonly JournalRecord[]; readonly bytes: number; readonly isUrgent: boolean}
+		| {readonly kind: 'window-over'}
 		| {readonly kind: 'updated'; readonly update: Update}
 		| {readonly kind: 'slot-read'; readonly slot: Slot}
 		| {readonly kind: 'slot-unavailable'}
@@ -49,24 +51,25 @@
 
 export type LedgerEffect
 	= | {readonly kind: 'read-ring'}
-		| {readonly kind: 'replay'; readonly head: Head; readonly batches: readonly Batch[]}
 		| {readonly kind: 'write'; readonly slot: number; readonly expected: ObjectVersion; readonly batch: Batch}
 		| {readonly kind: 'read-slot'; readonly slot: number}
-		| {readonly kind: 'opened'; readonly epoch: FencingNumber}
+		/** The shard is owned; the batches of the ring have to be replayed behind the segments. */
+		| {readonly kind: 'opened'; readonly epoch: FencingNumber; readonly batches: readonly Batch[]}
 		| {readonly kind: 'committed'; readonly tickets: readonly number[]; readonly sequence: number}
+		| {readonly kind: 'wait-for-window'; readonly delay: Milliseconds}
 		| {readonly kind: 'stalled'}
 		| {readonly kind: 'checkpoint'; readonly sequence: number}
 		| {readonly kind: 'deposed'}
 		| {readonly kind: 'retry-later'; readonly delay: Milliseconds};
 
-type Pending = {readonly ticket: number; readonly records: readonly JournalRecord[]; readonly bytes: number};
+type Pending = {readonly ticket: number; readonly records: readonly JournalRecord[]; readonly bytes: number; readonly isUrgent: boolean};
 
 type Flight = {readonly batch: Batch; readonly tickets: readonly number[]};
 
 type Phase
 	= | {readonly kind: 'closed'}
 		| {readonly kind: 'reading'}
-		| {readonly kind: 'claiming'; readonly claim: Batch}
+		| {readonly kind: 'claiming'; readonly claim: Batch; readonly batches: readonly Batch[]}
 		| {readonly kind: 'open'}
 		| {readonly kind: 'deposed'};
 
@@ -93,6 +96,8 @@
 	readonly incarnation: Incarnation;
 	/** Unique for every batch that is written. */
 	readonly nextNonce: () => Nonce;
+	/** Longest time that records which are not urgent wait to share a write. */
+	readonly commitWindow: Milliseconds;
 };
 
 /** Creates the decision state of one shard's ledger. It starts closed; nothing can be appended before it opens. */
@@ -104,6 +109,7 @@
 	let next = 0;
 	let flight: Flight | undefined;
 	let pending: Pending[] = [];
+	let isWaiting = false;
 	let retryMs = firstRetryMs;
 
 	function createBatch(records: readonly JournalRecord[]): Batch {
@@ -158,6 +164,19 @@
 		return [write(batch)];
 	}
 
+	function hasUrgent(): boolean {
+		return pending.some(entry => entry.isUrgent);
+	}
+
+	function waitForWindow(): LedgerEffect[] {
+		if (isWaiting) {
+			return [];
+		}
+
+		isWaiting = true;
+		return [{kind: 'wait-for-window', delay: options.commitWindow}];
+	}
+
 	function depose(): LedgerEffect[] {
 		phase = {kind: 'deposed'};
 		flight = undefined;
@@ -175,9 +194,10 @@
 		next = batch.sequence + 1;
 		retryMs = firstRetryMs;
 		const effects: LedgerEffect[] = [];
+		const mayFlush = phase.kind === 'claiming' || options.commitWindow === 0 || hasUrgent();
 		if (phase.kind === 'claiming') {
+			effects.push({kind: 'opened', epoch, batches: phase.batches});
 			phase = {kind: 'open'};
-			effects.push({kind: 'opened', epoch});
 		} else if (flight) {
 			effects.push({kind: 'committed', tickets: flight.tickets, sequence: batch.sequence});
 			flight = undefined;
@@ -187,7 +207,8 @@
 			effects.push({kind: 'checkpoint', sequence: batch.sequence});
 		}
 
-		return [...effects, ...flush()];
+		// What came in during this write waits for its window.
+		return mayFlush ? [...effects, ...flush()] : effects;
 	}
 
 	function lose(): LedgerEffect[] {
@@ -206,7 +227,7 @@
 		}
 
 		versions = event.slots.map(slot => slot.version);
-		base = event.head.base;
+		base = event.base;
 		next = base;
 		const batches: Batch[] = [];
 		for (;;) {
@@ -221,8 +242,8 @@
 
 		epoch = as<FencingNumber>(highestEpoch(event.slots) + 1);
 		const claim = createBatch([]);
-		phase = {kind: 'claiming', claim};
-		return [{kind: 'replay', head: event.head, batches}, write(claim)];
+		phase = {kind: 'claiming', claim, batches};
+		return [write(claim)];
 	}
 
 	function updated(update: Update): LedgerEffect[] {
@@ -298,7 +319,12 @@
 					return [{kind: 'deposed'}];
 				}
 
-				pending.push({ticket: event.ticket, records: event.records, bytes: event.bytes});
+				pending.push(event);
+				return event.isUrgent || options.commitWindow === 0 ? flush() : waitForWindow();
+			}
+
+			case 'window-over': {
+				isWaiting = false;
 				return flush();
 			}
 
--- a/src/contracts/platform.ts
+++ b/src/contracts/platform.ts
@@ -36,6 +36,8 @@
 	/** An absent object is returned with version zero and an undefined value. */
 	readonly read: (name: ObjectName) => Promise<Result<StoredObject, Failure>>;
 	readonly update: (name: ObjectName, expected: ObjectVersion, value: unknown) => Promise<Update>;
+	/** Deletes an object that is at the expected version. */
+	readonly remove: (name: ObjectName, expected: ObjectVersion) => Promise<Update>;
 	/** Waits until one of the objects under the prefix has changed since the revision, at most for the time given. */
 	readonly watch: (prefix: string, since: number, wait: Milliseconds, signal: AbortSignal) => Promise<Result<{readonly revision: number}, Failure>>;
 	readonly instances: () => Promise<Result<readonly Listing[], Failure>>;
--- a/src/links/caller.ts
+++ b/src/links/caller.ts
@@ -12,7 +12,7 @@
 import {z} from 'zod';
 import {type Budget} from '../contracts/budget.js';
 import {
-	type Call, type CallEvent, type Message, type Position, type Request, start,
+	type Call, type CallEvent, type Position, start,
 } from '../contracts/call.js';
 import {type Random} from '../contracts/clock.js';
 import {describeError, type Failure, failure} from '../contracts/failure.js';
--- a/src/links/platform.ts
+++ b/src/links/platform.ts
@@ -46,7 +46,7 @@
 	}, {once: true});
 	const origin = `http://${options.address}`;
 
-	async function request(method: 'GET' | 'PUT', path: string, extra: Partial<Dispatcher.RequestOptions> = {}): Promise<Dispatcher.ResponseData> {
+	async function request(method: 'GET' | 'PUT' | 'DELETE', path: string, extra: Partial<Dispatcher.RequestOptions> = {}): Promise<Dispatcher.ResponseData> {
 		return agent.request({
 			origin, path, method, signal: AbortSignal.timeout(requestTimeoutMs), ...extra,
 		});
@@ -80,33 +80,35 @@
 			case 413:
 			case 429:
 			case 503: {
-				return {kind: 'unavailable', failure: unavailable(`PUT ${path} answered ${response.statusCode}`)};
+				return {kind: 'unavailable', failure: unavailable(`${path} answered ${response.statusCode}`)};
 			}
 
 			default: {
-				return {kind: 'doubtful', failure: unavailable(`PUT ${path} answered ${response.statusCode}`)};
+				return {kind: 'doubtful', failure: unavailable(`${path} answered ${response.statusCode}`)};
 			}
 		}
 	}
 
+	async function change(method: 'PUT' | 'DELETE', name: ObjectName, expected: ObjectVersion, body?: string): Promise<Update> {
+		const path = `/v1/objects/${encodeURI(name)}`;
+		try {
+			const response = await request(method, path, {
+				headers: {'content-type': 'application/json', 'if-match': String(expected)}, ...(body !== undefined && {body}),
+			});
+			return await readUpdate(response, `${method} ${path}`);
+		} catch (error) {
+			const reason = unavailable(`${method} ${path}: ${describeError(error)}`);
+			return isNotSent(error) ? {kind: 'unavailable', failure: reason} : {kind: 'doubtful', failure: reason};
+		}
+	}
+
 	return {
-		async read(name: ObjectName) {
+		async read(name) {
 			const body = await get(`/v1/objects/${encodeURI(name)}`, objectBody);
 			return body.map(({version, value}) => ({version: as<ObjectVersion>(version), value}));
 		},
-		async update(name, expected, value) {
-			const path = `/v1/objects/${encodeURI(name)}`;
-			try {
-				const response = await request('PUT', path, {
-					headers: {'content-type': 'application/json', 'if-match': String(expected)},
-					body: JSON.stringify(value),
-				});
-				return await readUpdate(response, path);
-			} catch (error) {
-				const reason = unavailable(`PUT ${path}: ${describeError(error)}`);
-				return isNotSent(error) ? {kind: 'unavailable', failure: reason} : {kind: 'doubtful', failure: reason};
-			}
-		},
+		update: async (name, expected, value) => change('PUT', name, expected, JSON.stringify(value)),
+		remove: async (name, expected) => change('DELETE', name, expected),
 		async watch(prefix, since, wait, signal) {
 			const query = new URLSearchParams({prefix, since: String(since), wait: String(wait)});
 			const timeout = wait + requestTimeoutMs;
--- a/src/machines/instance.ts
+++ b/src/machines/instance.ts
@@ -92,6 +92,8 @@
 	readonly address: Address;
 	readonly incarnation: Incarnation;
 	readonly seeds: readonly Address[];
+	/** Longest time that records which are not urgent wait to share a write; none unless given. */
+	readonly commitWindow?: Milliseconds;
 	readonly platform: Platform;
 	readonly peers: Peers;
 	readonly dispatch: Dispatch;
@@ -238,6 +240,7 @@
 		executor,
 		clock,
 		random,
+		commitWindow: options.commitWindow ?? as<Milliseconds>(0),
 		release: memory.release,
 		onShard(change) {
 			options.onEvent({
--- a/src/zones/data-centre.ts
+++ b/src/zones/data-centre.ts
@@ -61,6 +61,7 @@
 	readonly executor: Executor;
 	readonly clock: Clock;
 	readonly random: Random;
+	readonly commitWindow: Milliseconds;
 	readonly release: (program: ProgramId, holders: readonly EndpointId[]) => void;
 	readonly onShard: (event: {readonly kind: 'opened' | 'lost' | 'relinquished'; readonly home: Home; readonly programs: number}) => void;
 };
@@ -132,6 +133,7 @@
 			holder,
 			clock,
 			nextNonce: () => as<Nonce>(random.unique()),
+			commitWindow: options.commitWindow,
 			signal: controller.signal,
 		});
 		const programs = await journal.open();
--- a/src/zones/execution.ts
+++ b/src/zones/execution.ts
@@ -162,9 +162,9 @@
 	}
 
 	/** Applies a record here and sends it to the journal. */
-	function append(execution: Execution, record: JournalRecord) {
+	function append(execution: Execution, record: JournalRecord, isUrgent = false) {
 		applyRecord(execution.programs, record);
-		return execution.journal.append([record]);
+		return execution.journal.append([record], isUrgent);
 	}
 
 	async function run(execution: Execution, call: Call, digest: string): Promise<void> {
@@ -330,7 +330,7 @@
 			endpoint: backEnd.endpoint.id,
 			repeatable: isRepeatable(job.route),
 			reservation: job.reservation,
-		});
+		}, !isRepeatable(job.route));
 		if (isRepeatable(job.route)) {
 			void appended.durable.then(() => {
 				execution.transcript.name(job.stream ?? attempt.id);
--- a/src/zones/journal.ts
+++ b/src/zones/journal.ts
@@ -8,16 +8,17 @@
 import {describeError, type Failure, failure} from '../contracts/failure.js';
 import {
 	as, type FencingNumber, type Home, type Incarnation, type InstanceId, type Milliseconds, type Nonce,
-	type ObjectName, type ObjectVersion, type ProgramId,
+	type ObjectName,
 } from '../contracts/id.js';
 import {
-	createLedger, type Head, type LedgerEffect, type LedgerEvent, type LedgerState, type Slot, slotsPerShard,
+	createLedger, type LedgerEffect, type LedgerEvent, type LedgerState, type Slot, slotsPerShard,
 } from '../contracts/ledger.js';
 import {type Platform, type StoredObject} from '../contracts/platform.js';
 import {
-	isKnown, type Program, type Programs, replayRecord,
+	isKnown, type Programs, replayRecord,
 } from '../contracts/program.js';
 import {type Batch, type JournalRecord} from '../contracts/record.js';
+import {createSegments} from './segments.js';
 
 /** Where an appended record can be found after the loss of this instance. */
 export type Durability = 'platform' | 'peer';
@@ -43,7 +44,8 @@
 export type Journal = {
 	/** Claims the shard and replays it. Waits through outages until the signal aborts. */
 	readonly open: () => Promise<Result<Programs, Failure>>;
-	readonly append: (records: readonly JournalRecord[]) => Append;
+	/** Urgent records do not wait for the commit window. */
+	readonly append: (records: readonly JournalRecord[], isUrgent?: boolean) => Append;
 	readonly state: () => LedgerState;
 	/** Finds out whether the shard is still owned. `deposed` resolves if it is not. */
 	readonly verify: () => void;
@@ -59,6 +61,8 @@
 	readonly holder: Holder;
 	readonly clock: Clock;
 	readonly nextNonce: () => Nonce;
+	/** Longest time that records which are not urgent wait to share a write; peers hold them meanwhile. */
+	readonly commitWindow: Milliseconds;
 	readonly signal: AbortSignal;
 };
 
@@ -69,8 +73,6 @@
 	isHeld: boolean;
 };
 
-type Snapshot = {readonly upTo: number; readonly records: readonly JournalRecord[]};
-
 function isObject(value: unknown): value is Record<string, unknown> {
 	return typeof value === 'object' && value !== null;
 }
@@ -79,14 +81,6 @@
 	return isObject(value) && typeof value.sequence === 'number' && Array.isArray(value.records);
 }
 
-function isHead(value: unknown): value is Head {
-	return isObject(value) && typeof value.base === 'number' && Array.isArray(value.programs);
-}
-
-function isSnapshot(value: unknown): value is Snapshot {
-	return isObject(value) && typeof value.upTo === 'number' && Array.isArray(value.records);
-}
-
 /** A request that may not be repeated is sent only after the platform has its intent, so a copy elsewhere proves nothing. */
 function isWorthHolding(record: JournalRecord): boolean {
 	return record.kind !== 'intent' || record.repeatable;
@@ -102,15 +96,16 @@
 	const ledger = createLedger(options);
 	const folder = `shard/${home.dataCentre}/${home.shard}`;
 	const tickets = new Map<number, Ticket>();
-	const snapshotVersions = new Map<string, ObjectVersion>();
-	const dirty = new Map<ProgramId, number>();
+	const segments = createSegments({
+		folder, platform, clock, signal,
+	});
 	const opening = createDeferred<Result<Programs, Failure>>();
 	const deposing = createDeferred<void>();
 	const programs: Programs = new Map();
-	let headVersion = as<ObjectVersion>(0);
+	/** Committed records that no segment holds yet. */
+	let fresh: Array<{readonly sequence: number; readonly record: JournalRecord}> = [];
 	let nextTicket = 1;
 	let isCheckpointing = false;
-	let replaying = Promise.resolve();
 	let hasHeldRecords = false;
 
 	const name = (suffix: string) => as<ObjectName>(`${folder}/${suffix}`);
@@ -147,12 +142,6 @@
 				return;
 			}
 
-			case 'replay': {
-				replaying = replay(effect.head, effect.batches);
-				await replaying;
-				return;
-			}
-
 			case 'write': {
 				const update = await platform.update(name(`slot/${effect.slot}`), effect.expected, effect.batch);
 				handle({kind: 'updated', update});
@@ -166,7 +155,7 @@
 			}
 
 			case 'opened': {
-				await replaying;
+				await replay(effect.epoch, effect.batches);
 				await adoptHeldRecords();
 				opening.resolve(ok(programs));
 				return;
@@ -177,6 +166,12 @@
 				return;
 			}
 
+			case 'wait-for-window': {
+				await clock.sleep(effect.delay, signal);
+				handle({kind: 'window-over'});
+				return;
+			}
+
 			case 'stalled': {
 				await holdPending();
 				return;
@@ -199,102 +194,50 @@
 		}
 	}
 
+	/** Reads the slots before the head: a head that is newer than the slots is found out by the claim, an older one is not. */
 	async function readRing(): Promise<void> {
-		const head = await platform.read(name('head'));
-		const slots = await readSlots(head);
-		if (head.isErr() || !slots) {
-			handle({kind: 'ring-unavailable'});
-			return;
-		}
-
-		headVersion = head.value.version;
-		handle({kind: 'ring', head: isHead(head.value.value) ? head.value.value : {base: 0, programs: []}, slots});
-	}
-
-	async function readSlots(head: Result<StoredObject, Failure>): Promise<Slot[] | undefined> {
-		if (head.isErr()) {
-			return undefined;
-		}
-
-		if (head.value.version === 0 && !await createHead()) {
-			return undefined;
-		}
-
 		const indexes = Array.from({length: slotsPerShard}, (_, index) => index);
 		const objects = await Promise.all(indexes.map(async index => platform.read(name(`slot/${index}`))));
+		const base = await segments.base();
 		const slots: Slot[] = [];
 		for (const object of objects) {
-			if (object.isErr()) {
-				return undefined;
+			if (object.isOk()) {
+				slots.push(slotOf(object.value));
 			}
-
-			slots.push(slotOf(object.value));
 		}
 
-		return slots;
-	}
-
-	/** The first owner creates the head; whoever loses that race reads the winner's. */
-	async function createHead(): Promise<boolean> {
-		const update = await platform.update(name('head'), as<ObjectVersion>(0), {base: 0, programs: []});
-		return update.kind === 'written';
+		const isWhole = slots.length === slotsPerShard && base !== undefined;
+		handle(isWhole ? {kind: 'ring', base, slots} : {kind: 'ring-unavailable'});
 	}
 
-	async function replay(head: Head, batches: readonly Batch[]): Promise<void> {
-		const upTo = new Map<string, number>();
-		programs.clear();
-		for (const id of head.programs) {
-			await loadSnapshot(id, upTo);
+	async function replay(epoch: FencingNumber, batches: readonly Batch[]): Promise<void> {
+		for (const record of await segments.adopt(epoch)) {
+			replayOnce(record);
 		}
 
 		for (const batch of batches) {
 			for (const record of batch.records) {
-				if (batch.sequence > (upTo.get(record.program) ?? -1)) {
-					replayRecord(programs, record);
-					dirty.set(record.program, batch.sequence);
-				}
-			}
-		}
-	}
-
-	async function loadSnapshot(id: string, upTo: Map<string, number>): Promise<void> {
-		for (;;) {
-			const object = await platform.read(name(`program/${id}`));
-			if (object.isOk()) {
-				snapshotVersions.set(id, object.value.version);
-				if (isSnapshot(object.value.value)) {
-					const snapshot = object.value.value;
-					upTo.set(id, snapshot.upTo);
-					restoreSnapshot(as<ProgramId>(id), snapshot);
-				}
-
-				return;
-			}
-
-			if (signal.aborted) {
-				return;
+				replayOnce(record);
+				fresh.push({sequence: batch.sequence, record});
 			}
-
-			await clock.sleep(as<Milliseconds>(100), signal);
 		}
 	}
 
-	function restoreSnapshot(id: ProgramId, snapshot: Snapshot): void {
-		if (programs.has(id)) {
-			return;
-		}
-
-		for (const record of snapshot.records) {
+	/** A record can stand in a segment and in the ring when an owner was lost between two steps of a checkpoint. */
+	function replayOnce(record: JournalRecord): boolean {
+		const isNew = !isKnown(programs, record);
+		if (isNew) {
 			replayRecord(programs, record);
 		}
+
+		return isNew;
 	}
 
 	async function adoptHeldRecords(): Promise<void> {
 		const held = await holder.collect(home);
 		const missing: JournalRecord[] = [];
 		for (const record of held) {
-			if (!isKnown(programs, record)) {
-				replayRecord(programs, record);
+			if (replayOnce(record)) {
 				missing.push(record);
 			}
 		}
@@ -309,7 +252,7 @@
 			const ticket = tickets.get(number);
 			tickets.delete(number);
 			for (const record of ticket?.records ?? []) {
-				dirty.set(record.program, sequence);
+				fresh.push({sequence, record});
 			}
 
 			ticket?.durable.resolve(ok('platform'));
@@ -343,76 +286,42 @@
 		}
 	}
 
-	/** Writes the programs that changed as snapshots, then moves the head past the batches they cover. */
+	/** Moves what the ring holds up to a batch into segments, so that its slots can be used again. */
 	async function checkpoint(sequence: number): Promise<void> {
 		if (isCheckpointing) {
 			return;
 		}
 
 		isCheckpointing = true;
-		const changed = [...dirty].filter(([id, last]) => last <= sequence && programs.has(id));
-		const written = await Promise.all(changed.map(async ([id]) => writeSnapshot(id, sequence)));
-		if (written.every(Boolean) && await writeHead(sequence + 1)) {
-			for (const [id, last] of changed) {
-				if (dirty.get(id) === last) {
-					dirty.delete(id);
-				}
-			}
-
+		const covered = fresh.filter(entry => entry.sequence <= sequence);
+		const kept = covered.map(entry => entry.record).filter(record => programs.has(record.program));
+		if (await segments.checkpoint(sequence, kept, committedRecords)) {
+			fresh = fresh.filter(entry => entry.sequence > sequence);
 			handle({kind: 'checkpointed', base: sequence + 1});
 		}
 
 		isCheckpointing = false;
 	}
 
-	async function writeSnapshot(id: ProgramId, sequence: number): Promise<boolean> {
-		const records = committedRecords(programs.get(id));
-		const version = snapshotVersions.get(id) ?? as<ObjectVersion>(0);
-		const update = await platform.update(name(`program/${id}`), version, {upTo: sequence, records});
-		if (update.kind === 'written') {
-			snapshotVersions.set(id, update.version);
-			return true;
-		}
-
-		// The answer to an earlier write was lost, or another owner wrote: learn the version for the next try.
-		const object = await platform.read(name(`program/${id}`));
-		if (object.isOk()) {
-			snapshotVersions.set(id, object.value.version);
-		}
-
-		return false;
-	}
-
 	/** Records that are still on their way are left to the batch that carries them. */
-	function committedRecords(program: Program | undefined): JournalRecord[] {
+	function committedRecords(): readonly JournalRecord[] {
 		const pending = new Set([...tickets.values()].flatMap(ticket => ticket.records));
-		return (program?.records ?? []).filter(record => !pending.has(record));
-	}
-
-	async function writeHead(base: number): Promise<boolean> {
-		const update = await platform.update(name('head'), headVersion, {base, programs: [...programs.keys()]});
-		if (update.kind === 'written') {
-			headVersion = update.version;
-			return true;
-		}
-
-		const head = await platform.read(name('head'));
-		if (head.isOk()) {
-			headVersion = head.value.version;
-		}
-
-		return false;
+		return [...programs.values()].flatMap(program => program.records).filter(record => !pending.has(record));
 	}
 
-	function append(records: readonly JournalRecord[]): Append {
+	function append(records: readonly JournalRecord[], isUrgent = false): Append {
 		const ticket: Ticket = {
 			records, durable: createDeferred(), committed: createDeferred(), isHeld: false,
 		};
 		const number = nextTicket++;
 		tickets.set(number, ticket);
 		handle({
-			kind: 'append', ticket: number, records, bytes: JSON.stringify(records).length,
+			kind: 'append', ticket: number, records, bytes: JSON.stringify(records).length, isUrgent,
 		});
+		if (options.commitWindow > 0 && !isUrgent) {
+			void holdPending();
+		}
+
 		return {durable: ticket.durable.promise, committed: ticket.committed.promise};
 	}
 
--- /dev/null
+++ b/src/zones/segments.ts
@@ -0,0 +1,223 @@
+/**
+Segments of a shard: the records that have left the ring of slots, packed into objects of nearly the
+largest size. The head names them and the first batch that the ring still holds.
+
+A segment's name carries the epoch of its writer, so that no two owners ever write the same object.
+A new owner rewrites the head first; from then on an earlier owner can neither move it nor remove
+anything that it names.
+*/
+import {type Clock} from '../contracts/clock.js';
+import {
+	as, type FencingNumber, type Milliseconds, type ObjectName, type ObjectVersion,
+} from '../contracts/id.js';
+import {type Head, maximumBatchBytes} from '../contracts/ledger.js';
+import {type Platform} from '../contracts/platform.js';
+import {type JournalRecord} from '../contracts/record.js';
+
+const retryMs = 100;
+
+/** Segments that a shard may have before its first compaction. */
+const segmentsBeforeCompaction = 16;
+
+export type Segments = {
+	/** First batch that the ring holds; undefined when the platform does not answer. */
+	readonly base: () => Promise<number | undefined>;
+	/** Fences the head and reads all that the segments hold. Waits through outages until the signal aborts. */
+	readonly adopt: (epoch: FencingNumber) => Promise<readonly JournalRecord[]>;
+	/** Stores records that the ring holds up to a batch and moves the head behind it. Returns whether that was done. */
+	readonly checkpoint: (sequence: number, fresh: readonly JournalRecord[], live: () => readonly JournalRecord[]) => Promise<boolean>;
+	readonly count: () => number;
+};
+
+export type SegmentsOptions = {
+	readonly folder: string;
+	readonly platform: Platform;
+	readonly clock: Clock;
+	readonly signal: AbortSignal;
+};
+
+type OpenSegment = {readonly name: string; version: ObjectVersion; bytes: number; readonly records: JournalRecord[]};
+
+type Chunk = {readonly records: JournalRecord[]; bytes: number};
+
+/** Head of a shard that has no batch yet. */
+export const firstHead: Head = {base: 0, segments: []};
+
+function isHead(value: unknown): value is Head {
+	return typeof value === 'object' && value !== null && 'base' in value && 'segments' in value;
+}
+
+function recordsIn(value: unknown): readonly JournalRecord[] {
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Only owners of the shard write its objects.
+	return Array.isArray(value) ? value as JournalRecord[] : [];
+}
+
+function pack(records: readonly JournalRecord[]): Chunk[] {
+	const chunks: Chunk[] = [];
+	for (const record of records) {
+		const bytes = JSON.stringify(record).length;
+		const last = chunks.at(-1);
+		if (last && last.bytes + bytes <= maximumBatchBytes) {
+			last.records.push(record);
+			last.bytes += bytes;
+		} else {
+			chunks.push({records: [record], bytes});
+		}
+	}
+
+	return chunks;
+}
+
+/** Creates the segments of one shard. Nothing is read before `adopt`. */
+export function createSegments(options: SegmentsOptions): Segments {
+	const {platform, clock, signal, folder} = options;
+	let epoch = as<FencingNumber>(0);
+	let head = firstHead;
+	let headVersion = as<ObjectVersion>(0);
+	let open: OpenSegment | undefined;
+	let created = 0;
+	let compactAt = segmentsBeforeCompaction;
+
+	const nameOf = (suffix: string) => as<ObjectName>(`${folder}/${suffix}`);
+
+	async function writeHead(next: Head): Promise<boolean> {
+		const update = await platform.update(nameOf('head'), headVersion, next);
+		if (update.kind !== 'written') {
+			return false;
+		}
+
+		head = next;
+		headVersion = update.version;
+		return true;
+	}
+
+	async function readHead(): Promise<boolean> {
+		const object = await platform.read(nameOf('head'));
+		if (object.isErr()) {
+			return false;
+		}
+
+		headVersion = object.value.version;
+		head = isHead(object.value.value) ? object.value.value : firstHead;
+		return true;
+	}
+
+	async function fence(): Promise<void> {
+		while (!signal.aborted) {
+			if (await readHead() && await writeHead({...head})) {
+				return;
+			}
+
+			await clock.sleep(as<Milliseconds>(retryMs), signal);
+		}
+	}
+
+	async function load(segment: string): Promise<readonly JournalRecord[]> {
+		while (!signal.aborted) {
+			const object = await platform.read(nameOf(`segment/${segment}`));
+			if (object.isOk()) {
+				return recordsIn(object.value.value);
+			}
+
+			await clock.sleep(as<Milliseconds>(retryMs), signal);
+		}
+
+		return [];
+	}
+
+	/** Writes a chunk as a new segment. Returns undefined when the platform did not take it. */
+	async function create(chunk: Chunk): Promise<OpenSegment | undefined> {
+		created++;
+		const name = `${epoch}-${created}`;
+		const update = await platform.update(nameOf(`segment/${name}`), as<ObjectVersion>(0), chunk.records);
+		return update.kind === 'written'
+			? {
+				name, version: update.version, bytes: chunk.bytes, records: [...chunk.records],
+			}
+			: undefined;
+	}
+
+	/** Adds a chunk to the segment written last, if there is room. */
+	async function extend(chunk: Chunk): Promise<boolean> {
+		if (!open || open.bytes + chunk.bytes > maximumBatchBytes) {
+			return false;
+		}
+
+		const update = await platform.update(nameOf(`segment/${open.name}`), open.version, [...open.records, ...chunk.records]);
+		if (update.kind !== 'written') {
+			// Whether it was extended is not known, so it is not written again.
+			open = undefined;
+			return false;
+		}
+
+		open.version = update.version;
+		open.bytes += chunk.bytes;
+		open.records.push(...chunk.records);
+		return true;
+	}
+
+	/** Stores chunks. Returns the names of new segments, or undefined when one could not be written. */
+	async function store(chunks: readonly Chunk[]): Promise<readonly string[] | undefined> {
+		const names: string[] = [];
+		for (const chunk of chunks) {
+			if (await extend(chunk)) {
+				continue;
+			}
+
+			open = await create(chunk);
+			if (!open) {
+				return undefined;
+			}
+
+			names.push(open.name);
+		}
+
+		return names;
+	}
+
+	async function remove(names: readonly string[]): Promise<void> {
+		await Promise.all(names.map(async name => {
+			const object = await platform.read(nameOf(`segment/${name}`));
+			if (object.isOk() && object.value.version > 0) {
+				await platform.remove(nameOf(`segment/${name}`), object.value.version);
+			}
+		}));
+	}
+
+	/** Writes all live records anew, so that those of forgotten programs take no room. */
+	async function compact(sequence: number, live: readonly JournalRecord[]): Promise<boolean> {
+		const old = head.segments;
+		open = undefined;
+		const names = await store(pack(live));
+		if (!names || !await writeHead({base: sequence + 1, segments: names})) {
+			return false;
+		}
+
+		compactAt = Math.max(segmentsBeforeCompaction, names.length * 2);
+		await remove(old);
+		return true;
+	}
+
+	return {
+		base: async () => await readHead() ? head.base : undefined,
+		async adopt(newEpoch) {
+			epoch = newEpoch;
+			await fence();
+			const records: JournalRecord[] = [];
+			for (const segment of head.segments) {
+				records.push(...await load(segment));
+			}
+
+			return records;
+		},
+		async checkpoint(sequence, fresh, live) {
+			if (head.segments.length >= compactAt) {
+				return compact(sequence, live());
+			}
+
+			const names = await store(pack(fresh));
+			return names !== undefined && writeHead({base: sequence + 1, segments: [...head.segments, ...names]});
+		},
+		count: () => head.segments.length,
+	};
+}
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -49,6 +49,7 @@
 /** Starts a platform with no objects. */
 export async function startPlatform(options: PlatformStandInOptions = {}): Promise<PlatformStandIn> {
 	const objects = new Map<string, Stored>();
+	const lowest = new Map<string, number>();
 	const listing = new Map<string, z.output<typeof listingBody>>();
 	const counts: PlatformCounts = {
 		reads: 0, writes: 0, conflicts: 0, watches: 0, listings: 0,
@@ -59,7 +60,7 @@
 
 	function put(name: string, value: unknown): number {
 		revision++;
-		const version = (objects.get(name)?.version ?? 0) + 1;
+		const version = (objects.get(name)?.version ?? lowest.get(name) ?? 0) + 1;
 		objects.set(name, {version, value, revision});
 		for (const wake of waiting.splice(0)) {
 			wake();
@@ -154,6 +155,26 @@
 
 			answer(response, 200, {version});
 		}));
+		app.delete(`${objectsPath}*`, handle(async (request, response) => {
+			const name = decodeURI(request.path.slice(objectsPath.length));
+			counts.writes++;
+			if (!await admit(name)) {
+				answer(response, 503, {message: 'outage'});
+				return;
+			}
+
+			const version = objects.get(name)?.version ?? 0;
+			if (Number(request.headers['if-match']) !== version) {
+				counts.conflicts++;
+				answer(response, 412, {message: 'version conflict'});
+				return;
+			}
+
+			// A name that comes back must not repeat a version.
+			lowest.set(name, version);
+			objects.delete(name);
+			answer(response, 200, {version});
+		}));
 		app.get('/v1/watch', handle(async (request, response) => {
 			const query = new URLSearchParams(request.search ?? '');
 			const prefix = query.get('prefix') ?? '';
--- a/tests/ledger-exploration.test.ts
+++ b/tests/ledger-exploration.test.ts
@@ -6,7 +6,7 @@
 import process from 'node:process';
 import {test} from 'node:test';
 import {
-	as, type AttemptId, type CallId, type EndpointId, type IdempotencyKey, type Incarnation, type InstanceId, type Nonce,
+	as, type AttemptId, type CallId, type EndpointId, type IdempotencyKey, type Incarnation, type InstanceId, type Milliseconds, type Nonce,
 	type ObjectVersion, type ProgramId, type RouteName, type Tokens,
 } from '../src/contracts/id.js';
 import {
@@ -82,6 +82,7 @@
 
 function launch(model: Model, name: string): Ledger {
 	return createLedger({
+		commitWindow: as<Milliseconds>(0),
 		instance: as<InstanceId>(name),
 		incarnation: as<Incarnation>(1),
 		nextNonce() {
@@ -108,15 +109,11 @@
 			return;
 		}
 
-		case 'replay': {
-			owner.knowsIntent = effect.batches.some(batch => batch.records.length > 0);
-			return;
-		}
-
 		case 'opened': {
+			owner.knowsIntent = effect.batches.some(batch => batch.records.length > 0);
 			if (!owner.knowsIntent) {
 				deliver(model, owner, {
-					kind: 'append', ticket: 1, records: [intent], bytes: 1,
+					kind: 'append', ticket: 1, records: [intent], bytes: 1, isUrgent: true,
 				});
 			}
 
@@ -133,6 +130,7 @@
 		}
 
 		case 'stalled':
+		case 'wait-for-window':
 		case 'checkpoint':
 		case 'deposed': {
 			break;
@@ -212,7 +210,7 @@
 
 	switch (request.kind) {
 		case 'read-ring': {
-			return [answer('is answered', () => ({kind: 'ring', head: {base: 0, programs: []}, slots: structuredClone(model.slots)}))];
+			return [answer('is answered', () => ({kind: 'ring', base: 0, slots: structuredClone(model.slots)}))];
 		}
 
 		case 'read-slot': {
