--- a/src/machines/fleet.ts
+++ b/src/machines/fleet.ts
@@ -12,7 +12,8 @@
 import {type Pool} from '../contracts/pool.js';
 import {type Route} from '../contracts/route.js';
 import {type BackEnd, createBackEnd} from './back-end.js';
-import {choose, costOf, type PlacementQuery} from './placement.js';
+import {type PlacementQuery} from './placement.js';
+import {type Scheduler} from './policy.js';
 import {createRetryBudget, type RetryBudget} from './retry-budget.js';
 
 /** A place on a back end; the holder must release it. */
@@ -45,6 +46,7 @@
 export type FleetOptions = {
 	readonly dataCentre: DataCentreId;
 	readonly clock: Clock;
+	readonly scheduler: Scheduler;
 };
 
 type Group = {readonly pool: Pool; readonly backEnds: readonly BackEnd[]; readonly budget: RetryBudget};
@@ -121,17 +123,16 @@
 		const group = groups.get(name);
 		while (!acquisition.signal.aborted) {
 			const query = {...partial, dataCentre, now: clock.now()};
-			const backEnd = group && choose(group.backEnds, query);
-			if (!backEnd) {
+			const choice = options.scheduler.choose(group?.backEnds ?? [], query, acquisition.patience);
+			if (choice.kind === 'none') {
 				return refuse('no-endpoint', `No endpoint of pool "${name}" can take the call`, name);
 			}
 
-			const cost = costOf(backEnd, query);
-			if (cost > acquisition.patience) {
-				return refuse('overloaded', `Expected wait of ${Math.round(cost)} ms exceeds the ${acquisition.patience} ms left`, name);
+			if (choice.kind === 'too-late') {
+				return refuse('overloaded', `Expected wait of ${Math.round(choice.cost)} ms exceeds the ${Math.round(acquisition.patience)} ms left`, name);
 			}
 
-			const place = await wait(backEnd, acquisition);
+			const place = await wait(choice.backEnd, acquisition);
 			if (place) {
 				return ok(place);
 			}
--- a/src/machines/instance.ts
+++ b/src/machines/instance.ts
@@ -29,6 +29,7 @@
 import {createEventLog, type LoggedEvent} from './event-log.js';
 import {createFleet} from './fleet.js';
 import {createMemoryKeeper} from './memory-keeper.js';
+import {createScheduler, type Policy} from './policy.js';
 import {createQuarantine} from './quarantine.js';
 
 /** How long a request about a program looks for its home. */
@@ -94,6 +95,8 @@
 	readonly seeds: readonly Address[];
 	/** Longest time that records which are not urgent wait to share a write; none unless given. */
 	readonly commitWindow?: Milliseconds;
+	/** How calls are placed and ordered; adaptive unless given. */
+	readonly policy?: Policy;
 	readonly platform: Platform;
 	readonly peers: Peers;
 	readonly dispatch: Dispatch;
@@ -146,7 +149,8 @@
 export function createInstance(options: InstanceOptions): Instance {
 	const {clock, random, platform, peers, dispatch} = options;
 	const events = createEventLog(clock);
-	const fleet = createFleet({dataCentre: options.dataCentre, clock});
+	const scheduler = createScheduler(options.policy ?? {kind: 'adaptive'});
+	const fleet = createFleet({dataCentre: options.dataCentre, clock, scheduler});
 	const quarantine = createQuarantine();
 	const {id, address, incarnation} = options;
 	const membership = createMembership({
@@ -202,6 +206,7 @@
 
 	const executor = createExecutor({
 		fleet,
+		scheduler,
 		dispatch,
 		quarantine,
 		clock,
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -56,6 +56,8 @@
 		address: as<Address>(`${settings.peers.host}:${settings.peers.port}`),
 		incarnation: as<Incarnation>(systemClock.wall()),
 		seeds: settings.peers.seeds,
+		policy: settings.policy,
+		commitWindow: settings.commitWindow,
 		platform: createPlatform({address: settings.platform, signal}),
 		peers: createPeers({token: settings.peers.token, signal}),
 		dispatch: createDispatch(signal),
--- a/src/programs/settings.ts
+++ b/src/programs/settings.ts
@@ -9,6 +9,7 @@
 import {
 	as, type Address, type CustomerId, type DataCentreId, type InstanceId, type Milliseconds,
 } from '../contracts/id.js';
+import {type Policy} from '../machines/policy.js';
 
 const defaultStopDeadlineMs = 30_000;
 
@@ -26,6 +27,10 @@
 	operators: z.strictObject({host, port}),
 	platform: z.strictObject({address}),
 	customers: z.array(z.strictObject({name, keySha256: z.string().regex(/^[\da-f]{64}$/v, 'must be a SHA-256 digest in hexadecimal')})).min(1),
+	scheduling: z.strictObject({
+		policy: z.enum(['adaptive', 'naive']).default('adaptive'),
+		commitWindowMs: z.number().int().min(0).max(10_000).default(0),
+	}).prefault({}),
 	log: z.strictObject({level: z.enum(['trace', 'debug', 'info', 'warn', 'error']).default('info')}).prefault({}),
 	stop: z.strictObject({deadlineMs: z.number().int().positive().max(600_000).default(defaultStopDeadlineMs)}).prefault({}),
 });
@@ -40,6 +45,8 @@
 	readonly operators: Parsed['operators'];
 	readonly platform: Address;
 	readonly customers: ReadonlyMap<string, CustomerId>;
+	readonly policy: Policy;
+	readonly commitWindow: Milliseconds;
 	readonly logLevel: Parsed['log']['level'];
 	readonly stopDeadline: Milliseconds;
 };
@@ -57,6 +64,8 @@
 		operators: parsed.operators,
 		platform: as<Address>(parsed.platform.address),
 		customers: new Map(parsed.customers.map(customer => [customer.keySha256, as<CustomerId>(customer.name)])),
+		policy: {kind: parsed.scheduling.policy},
+		commitWindow: as<Milliseconds>(parsed.scheduling.commitWindowMs),
 		logLevel: parsed.log.level,
 		stopDeadline: as<Milliseconds>(parsed.stop.deadlineMs),
 	};
--- a/src/zones/execution.ts
+++ b/src/zones/execution.ts
@@ -26,6 +26,7 @@
 import {isRepeatable, type Route} from '../contracts/route.js';
 import {type BackEnd} from '../machines/back-end.js';
 import {type Fleet, type Place} from '../machines/fleet.js';
+import {type Scheduler} from '../machines/policy.js';
 import {type Quarantine} from '../machines/quarantine.js';
 import {type Journal} from './journal.js';
 import {type Transcript} from './transcript.js';
@@ -39,9 +40,6 @@
 /** Characters that one prompt token stands for on average. */
 const charactersPerToken = 4;
 
-/** Delay in the queue that a program accepts for every token it has already used. */
-const queueMsPerToken = 2;
-
 /** What a call works on. */
 export type Execution = {
 	readonly program: Program;
@@ -72,6 +70,7 @@
 
 export type ExecutorOptions = {
 	readonly fleet: Fleet;
+	readonly scheduler: Scheduler;
 	readonly dispatch: Dispatch;
 	readonly quarantine: Quarantine;
 	readonly clock: Clock;
@@ -144,7 +143,7 @@
 
 /** Creates the executor of an instance. */
 export function createExecutor(options: ExecutorOptions): Executor {
-	const {fleet, dispatch, quarantine, clock, random} = options;
+	const {fleet, dispatch, quarantine, clock, random, scheduler} = options;
 
 	function stop(step: Step, reason: unknown, certainty: Certainty): Failure {
 		const code: FailureCode = describeError(reason).includes('deadline') ? 'deadline-exceeded' : 'cancelled';
@@ -272,7 +271,7 @@
 			prompt: countTokens(job.prompt),
 			excluded: job.excluded,
 		}, {
-			priority: -(clock.now() + (attained * queueMsPerToken)),
+			priority: -scheduler.urgency(clock.now(), attained),
 			patience,
 			signal: AbortSignal.any([job.signal, expiring.signal]),
 		});
@@ -306,7 +305,7 @@
 			key: job.call.key,
 			request: job.call.request,
 			prompt: job.prompt,
-			priority: Math.round(clock.wall() + (job.execution.program.account.spent().tokens * queueMsPerToken)),
+			priority: Math.round(scheduler.urgency(clock.wall(), job.execution.program.account.spent().tokens)),
 			prefix: [...job.execution.transcript.tokens()],
 		};
 		job.stream ??= attempt.id;
--- a/standins/cluster.ts
+++ b/standins/cluster.ts
@@ -49,6 +49,11 @@
 	readonly batch?: number;
 	readonly cacheTokens?: number;
 	readonly logLevel?: string;
+	readonly policy?: 'adaptive' | 'naive';
+	readonly commitWindowMs?: number;
+	/** Numbers of engines and services in all, in place of those a data centre. */
+	readonly engines?: number;
+	readonly services?: number;
 };
 
 export type Cluster = {
@@ -138,16 +143,20 @@
 		};
 	}
 
-	async function startMany(kind: 'engine' | 'service', count: number, extra: readonly string[]): Promise<Machine[]> {
-		const names = dataCentres.flatMap(dataCentre => Array.from({length: count}, (_, index) => ({id: `${kind}-${dataCentre}-${index + 1}`, dataCentre})));
+	/** Starts stand-ins, dealt out to the data centres in turn. */
+	async function startMany(kind: 'engine' | 'service', total: number, extra: readonly string[]): Promise<Machine[]> {
+		const names = Array.from({length: total}, (_, index) => {
+			const dataCentre = dataCentres[index % dataCentres.length] ?? 'none';
+			return {id: `${kind}-${dataCentre}-${Math.floor(index / dataCentres.length) + 1}`, dataCentre};
+		});
 		return Promise.all(names.map(async ({id, dataCentre}) => startStandIn(kind, id, dataCentre, extra)));
 	}
 
 	const platform = await startStandIn('platform', 'platform', 'none');
-	const engines = await startMany('engine', options.enginesPerDataCentre, [
+	const engines = await startMany('engine', options.engines ?? options.enginesPerDataCentre * dataCentres.length, [
 		'--step-ms', String(options.stepMs ?? 5), '--batch', String(options.batch ?? 8), '--cache-tokens', String(options.cacheTokens ?? 200_000),
 	]);
-	const services = await startMany('service', options.servicesPerDataCentre, []);
+	const services = await startMany('service', options.services ?? options.servicesPerDataCentre * dataCentres.length, []);
 
 	function launchEntry(entry: Omit<Entry, 'child'>): Entry {
 		const child = launch(entryBinary, ['--settings', path.join(folder, `${entry.id}.toml`)], openSync(entry.log, 'a'));
@@ -166,6 +175,7 @@
 				{name: 'brenta', keySha256: createHash('sha256').update(callerKey).digest('hex')},
 				{name: 'trentside', keySha256: createHash('sha256').update(`${callerKey}-other`).digest('hex')},
 			],
+			scheduling: {policy: options.policy ?? 'adaptive', commitWindowMs: options.commitWindowMs ?? 0},
 			log: {level: options.logLevel ?? 'info'},
 		};
 		writeFileSync(path.join(folder, `${id}.toml`), stringify(settings));
