Move a model call whose engine falls silent to another engine

Change: time to the first token and between tokens are smoothed for each endpoint; a call that hears nothing for 5 times the usual is cancelled, paid for from the retry budget, and continued elsewhere behind the tokens it already has. Found on the way: tokens of a continued attempt were dropped, because their indexes were compared without the prefix; two tests cover that now. A retry with every endpoint tried no longer fails at once. Test clusters took ports that outgoing connections use.

--- a/src/contracts/attempt.ts
+++ b/src/contracts/attempt.ts
@@ -31,6 +31,8 @@
 		| {readonly kind: 'not-started'; readonly failure: Failure; readonly isLeaving: boolean}
 	/** The endpoint ran the request and reported a failure of its own. */
 		| {readonly kind: 'rejected'; readonly failure: Failure}
+	/** Nothing came for much longer than usual, so the attempt was cancelled and paid for another. */
+		| {readonly kind: 'stalled'; readonly failure: Failure}
 	/** The connection broke after the request had left; it may have run. */
 		| {readonly kind: 'broken'; readonly failure: Failure};
 
@@ -83,6 +85,10 @@
 			return {kind: 'settle', outcome: outcomeOf({...result.failure, execution: context.mayHaveRun ? 'failed' : 'not-run'})};
 		}
 
+		case 'stalled': {
+			return {kind: 'retry', failure: result.failure};
+		}
+
 		case 'rejected': {
 			return {kind: 'settle', outcome: outcomeOf({...result.failure, execution: 'failed'})};
 		}
--- a/src/machines/back-end.ts
+++ b/src/machines/back-end.ts
@@ -16,6 +16,13 @@
 
 const paceWeight = 0.3;
 
+/** Times of calls, in ms. Services have no tokens; theirs stay zero. */
+export type Pace = {
+	readonly call: number;
+	readonly firstToken: number;
+	readonly token: number;
+};
+
 export type BackEnd = {
 	readonly endpoint: Endpoint;
 	readonly kind: Pool['kind'];
@@ -31,9 +38,9 @@
 	/** Calls of other instances, as the endpoint last said, fading as the report ages. */
 	readonly foreignLoad: (now: Milliseconds) => number;
 	readonly reportLoad: (total: number, now: Milliseconds) => void;
-	/** Smoothed time a unit of work, in ms; zero before the first observation. */
-	readonly pace: () => number;
-	readonly observePace: (pace: number) => void;
+	/** Smoothed times of calls, in ms; zero before the first observation. */
+	readonly pace: () => Pace;
+	readonly observe: (pace: Pace) => void;
 	/** Tokens of the program's prompt that are probably in the endpoint's memory. */
 	readonly cached: (program: ProgramId) => Tokens;
 	readonly remember: (program: ProgramId, tokens: Tokens) => void;
@@ -42,12 +49,16 @@
 
 const loadReportLifeMs = 2000;
 
+function smooth(known: number, observed: number): number {
+	return known === 0 ? observed : (known * (1 - paceWeight)) + (observed * paceWeight);
+}
+
 /** Creates the view of one endpoint with nothing in flight. */
 export function createBackEnd(endpoint: Endpoint, pool: Pick<Pool, 'kind' | 'concurrency'>): BackEnd {
 	const queue = new PQueue({concurrency: pool.concurrency});
 	const cache = new Map<ProgramId, Tokens>();
 	let health: Health = {kind: 'healthy'};
-	let pace = 0;
+	let pace: Pace = {call: 0, firstToken: 0, token: 0};
 	let displacing = new AbortController();
 	let reported = {foreign: 0, at: as<Milliseconds>(0)};
 
@@ -77,8 +88,12 @@
 			reported = {foreign: Math.max(0, total - queue.pending), at: now};
 		},
 		pace: () => pace,
-		observePace(observed) {
-			pace = pace === 0 ? observed : (pace * (1 - paceWeight)) + (observed * paceWeight);
+		observe(observed) {
+			pace = {
+				call: smooth(pace.call, observed.call),
+				firstToken: smooth(pace.firstToken, observed.firstToken),
+				token: smooth(pace.token, observed.token),
+			};
 		},
 		cached: program => cache.get(program) ?? as<Tokens>(0),
 		remember(program, tokens) {
--- a/src/machines/fleet.ts
+++ b/src/machines/fleet.ts
@@ -11,7 +11,7 @@
 } from '../contracts/id.js';
 import {type Pool} from '../contracts/pool.js';
 import {type Route} from '../contracts/route.js';
-import {type BackEnd, createBackEnd} from './back-end.js';
+import {type BackEnd, createBackEnd, type Pace} from './back-end.js';
 import {type PlacementQuery} from './placement.js';
 import {type Scheduler} from './policy.js';
 import {createRetryBudget, type RetryBudget} from './retry-budget.js';
@@ -36,11 +36,13 @@
 	readonly route: (name: RouteName) => Route | undefined;
 	/** Waits for a place in the pool. Fails with `no-endpoint`, `overloaded` or `cancelled`; nothing ran then. */
 	readonly acquire: (pool: PoolName, query: Omit<PlacementQuery, 'now' | 'dataCentre'>, options: AcquireOptions) => Promise<Result<Place, Failure>>;
+	/** Whether a healthy endpoint of the pool is left besides those excluded. */
+	readonly hasAlternative: (pool: PoolName, excluded: ReadonlySet<EndpointId>) => boolean;
 	readonly retryBudget: (pool: PoolName) => RetryBudget;
 	readonly backEnd: (endpoint: EndpointId) => BackEnd | undefined;
 	readonly backEnds: () => readonly BackEnd[];
-	/** Median smoothed pace of the pool that an endpoint belongs to, in ms a unit of work. */
-	readonly typicalPace: (endpoint: EndpointId) => number;
+	/** Medians of the smoothed times in the pool that an endpoint belongs to. */
+	readonly typicalPace: (endpoint: EndpointId) => Pace;
 };
 
 export type FleetOptions = {
@@ -146,12 +148,16 @@
 		configuration: () => configuration,
 		route: name => routes.get(name),
 		acquire,
+		hasAlternative: (pool, excluded) => (groups.get(pool)?.backEnds ?? [])
+			.some(backEnd => !excluded.has(backEnd.endpoint.id) && backEnd.health().kind === 'healthy'),
 		retryBudget: pool => groups.get(pool)?.budget ?? createRetryBudget(),
 		backEnd: endpoint => byEndpoint.get(endpoint)?.backEnd,
 		backEnds: () => [...byEndpoint.values()].map(entry => entry.backEnd),
 		typicalPace(endpoint) {
 			const group = byEndpoint.get(endpoint)?.group;
-			return median((group?.backEnds ?? []).map(backEnd => backEnd.pace()).filter(pace => pace > 0));
+			const paces = (group?.backEnds ?? []).map(backEnd => backEnd.pace());
+			const typical = (value: (pace: Pace) => number) => median(paces.map(pace => value(pace)).filter(time => time > 0));
+			return {call: typical(pace => pace.call), firstToken: typical(pace => pace.firstToken), token: typical(pace => pace.token)};
 		},
 	};
 }
--- a/src/machines/health.ts
+++ b/src/machines/health.ts
@@ -17,6 +17,8 @@
 	/** `pace` is the observed time a unit of work, `typical` the median pace of the pool, both in ms. */
 	= | {readonly kind: 'succeeded'; readonly pace: number; readonly typical: number}
 		| {readonly kind: 'failed'}
+	/** A call was taken away because nothing came of it. */
+		| {readonly kind: 'stalled'}
 		| {readonly kind: 'reported-leaving'}
 		| {readonly kind: 'reported-live'};
 
@@ -49,6 +51,10 @@
 			return {kind: 'down', retryAt: as<Milliseconds>(now + delay), failures};
 		}
 
+		case 'stalled': {
+			return health.kind === 'leaving' ? health : {kind: 'slow', retryAt: as<Milliseconds>(now + slowTrialMs)};
+		}
+
 		case 'reported-leaving': {
 			return {kind: 'leaving'};
 		}
--- a/src/machines/instance.ts
+++ b/src/machines/instance.ts
@@ -443,7 +443,7 @@
 			id: backEnd.endpoint.id,
 			health: backEnd.health(),
 			load: backEnd.load(),
-			paceMs: Math.round(backEnd.pace()),
+			paceMs: Math.round(backEnd.pace().call),
 		}));
 	}
 
--- a/src/machines/placement.ts
+++ b/src/machines/placement.ts
@@ -36,7 +36,8 @@
 export function costOf(backEnd: BackEnd, query: PlacementQuery): number {
 	const places = Math.max(1, backEnd.queue.concurrency);
 	const load = backEnd.load() + backEnd.foreignLoad(query.now);
-	const callMs = backEnd.pace() === 0 ? assumedCallMs : backEnd.pace();
+	const {call} = backEnd.pace();
+	const callMs = call === 0 ? assumedCallMs : call;
 	const waiting = Math.max(0, load - places + 1) * (callMs / places);
 	const sharing = callMs * 0.5 * Math.min(1, load / places);
 	const missing = Math.max(0, query.prompt - backEnd.cached(query.program));
@@ -44,11 +45,17 @@
 	return waiting + sharing + (missing * prefillMsPerToken) + distance;
 }
 
-/** The cheapest usable back end. Falls back to any that is not leaving when none is known to be healthy. */
+/** Endpoints to try when none is known to be healthy: those not tried yet, or else any that stays. */
+function lastResorts(backEnds: readonly BackEnd[], untried: readonly BackEnd[]): readonly BackEnd[] {
+	const staying = untried.filter(backEnd => backEnd.health().kind !== 'leaving');
+	return staying.length > 0 ? staying : backEnds.filter(backEnd => backEnd.health().kind !== 'leaving');
+}
+
+/** The cheapest usable back end, or a last resort when there is none. */
 export function choose(backEnds: readonly BackEnd[], query: PlacementQuery): BackEnd | undefined {
 	const untried = backEnds.filter(backEnd => !query.excluded.has(backEnd.endpoint.id));
 	const usable = untried.filter(backEnd => backEnd.isUsable(query.now));
-	const remaining = usable.length > 0 ? usable : untried.filter(backEnd => backEnd.health().kind !== 'leaving');
+	const remaining = usable.length > 0 ? usable : lastResorts(backEnds, untried);
 	let best: Candidate | undefined;
 	for (const backEnd of remaining) {
 		const cost = costOf(backEnd, query);
--- a/src/zones/execution.ts
+++ b/src/zones/execution.ts
@@ -24,12 +24,13 @@
 } from '../contracts/program.js';
 import {type JournalRecord} from '../contracts/record.js';
 import {isRepeatable, type Route} from '../contracts/route.js';
-import {type BackEnd} from '../machines/back-end.js';
+import {type BackEnd, type Pace} from '../machines/back-end.js';
 import {type Fleet, type Place} from '../machines/fleet.js';
 import {type Scheduler} from '../machines/policy.js';
 import {type Quarantine} from '../machines/quarantine.js';
 import {type Journal} from './journal.js';
 import {type Transcript} from './transcript.js';
+import {startWatchdog} from './watchdog.js';
 
 /** Attempts that one call may take. */
 const maximumAttempts = 3;
@@ -37,6 +38,15 @@
 /** Time that a call which may not be repeated waits for its intent to be recorded. */
 export const commitTimeoutMs = 2000;
 
+/** Times the usual silence after which a model call is moved to another engine. */
+const silenceFactor = 5;
+
+const shortestTokenSilenceMs = 100;
+const shortestFirstSilenceMs = 300;
+
+/** Silence that is borne before anything is known about the pool. */
+const unknownSilenceMs = 10_000;
+
 /** Characters that one prompt token stands for on average. */
 const charactersPerToken = 4;
 
@@ -243,13 +253,13 @@
 
 			const result = await attemptOn(job, place);
 			const pool = fleet.retryBudget(job.route.pool);
-			const mayRetry = canTryAgain(job) && pool.withdraw();
+			const mayRetry = result.kind !== 'stalled' && canTryAgain(job) && pool.withdraw();
 			const step = nextStep(result, {isRepeatable: isRepeatable(job.route), mayRetry, mayHaveRun: job.mayHaveRun});
 			if (step.kind === 'settle') {
 				return step.outcome;
 			}
 
-			job.mayHaveRun ||= result.kind === 'broken';
+			job.mayHaveRun ||= result.kind === 'broken' || result.kind === 'stalled';
 			emit(job, 'retried', step.failure.message, place.backEnd.endpoint.id);
 		}
 	}
@@ -357,28 +367,96 @@
 	}
 
 	async function send(job: Job, attempt: Attempt, backEnd: BackEnd): Promise<AttemptResult> {
+		switch (attempt.request.kind) {
+			case 'model': {
+				return sendToEngine(job, attempt, backEnd);
+			}
+
+			case 'service': {
+				const startedAt = clock.now();
+				const result = await dispatch.send(backEnd.endpoint, attempt, dispatchOptions(job, attempt, backEnd));
+				if (result.kind === 'answered') {
+					observe(backEnd, {call: clock.now() - startedAt, firstToken: 0, token: 0});
+				}
+
+				return result;
+			}
+		}
+	}
+
+	async function sendToEngine(job: Job, attempt: Attempt, backEnd: BackEnd): Promise<AttemptResult> {
 		const startedAt = clock.now();
-		const result = await dispatch.send(backEnd.endpoint, attempt, dispatchOptions(job, backEnd));
+		const stalling = new AbortController();
+		let firstTokenAt: number | undefined;
+		const watchdog = startWatchdog({
+			clock,
+			limit: () => longestSilence(backEnd, firstTokenAt !== undefined),
+			onSilence() {
+				const mayMove = canTryAgain(job) && fleet.hasAlternative(job.route.pool, job.excluded) && fleet.retryBudget(job.route.pool).withdraw();
+				if (mayMove) {
+					stalling.abort(new Error('stalled'));
+				}
+
+				return mayMove;
+			},
+		});
+		const own = dispatchOptions(job, attempt, backEnd);
+		const result = await dispatch.send(backEnd.endpoint, attempt, {
+			...own,
+			signal: AbortSignal.any([own.signal, stalling.signal]),
+			onToken(text, index) {
+				firstTokenAt ??= clock.now();
+				watchdog.touch();
+				if (!stalling.signal.aborted) {
+					own.onToken(text, index);
+				}
+			},
+		});
+		watchdog.stop();
 		if (result.kind === 'answered') {
-			observe(backEnd, startedAt);
+			observe(backEnd, paceOf(startedAt, firstTokenAt, result));
+			return result;
 		}
 
-		if (result.kind !== 'broken' || job.call.request.kind !== 'model' || job.signal.aborted) {
-			return result;
+		if (stalling.signal.aborted) {
+			const message = `${backEnd.endpoint.id} was silent for longer than usual`;
+			return {kind: 'stalled', failure: failure('endpoint-failed', message, {step: 'stream', peer: backEnd.endpoint.id, execution: 'unknown'})};
+		}
+
+		return result.kind === 'broken' && !job.signal.aborted ? resumeOr(result, job, attempt, backEnd) : result;
+	}
+
+	/** The engine may still be generating although the connection broke. */
+	async function resumeOr(broken: AttemptResult, job: Job, attempt: Attempt, backEnd: BackEnd): Promise<AttemptResult> {
+		const resumed = await dispatch.resume(backEnd.endpoint, attempt.id, dispatchOptions(job, attempt, backEnd));
+		if (resumed.kind !== 'answered' || resumed.answer.kind !== 'message') {
+			return broken;
 		}
 
-		// The engine may still be generating although the connection broke.
-		const resumed = await dispatch.resume(backEnd.endpoint, attempt.id, dispatchOptions(job, backEnd, attempt.prefix.length));
-		return resumed.kind === 'answered' ? resumed : result;
+		return {kind: 'answered', answer: {...resumed.answer, tokens: [...attempt.prefix, ...resumed.answer.tokens]}};
 	}
 
-	function dispatchOptions(job: Job, backEnd: BackEnd, from = 0) {
+	/** Silence, in ms, after which a call is better off elsewhere. */
+	function longestSilence(backEnd: BackEnd, hasBegun: boolean): number {
+		const typical = fleet.typicalPace(backEnd.endpoint.id);
+		const [usual, shortest] = hasBegun ? [typical.token, shortestTokenSilenceMs] : [typical.firstToken, shortestFirstSilenceMs];
+		return usual === 0 ? unknownSilenceMs : Math.max(shortest, usual * silenceFactor);
+	}
+
+	function paceOf(startedAt: number, firstTokenAt: number | undefined, result: AttemptResult): Pace {
+		const now = clock.now();
+		const tokens = result.kind === 'answered' && result.answer.kind === 'message' ? result.answer.usage.completion : 0;
+		const first = firstTokenAt ?? now;
+		return {call: now - startedAt, firstToken: first - startedAt, token: (now - first) / Math.max(1, tokens - 1)};
+	}
+
+	function dispatchOptions(job: Job, attempt: Attempt, backEnd: BackEnd) {
 		const {transcript} = job.execution;
 		return {
 			timeout: as<Milliseconds>(Math.max(1, Math.ceil(job.deadline - clock.now()))),
 			signal: job.signal,
 			onToken(text: string, index: number) {
-				if (index + from === transcript.tokens().length) {
+				if (index + attempt.prefix.length === transcript.tokens().length) {
 					transcript.push(text);
 				}
 			},
@@ -388,10 +466,12 @@
 		};
 	}
 
-	function observe(backEnd: BackEnd, startedAt: Milliseconds): void {
-		const pace = clock.now() - startedAt;
-		backEnd.observePace(pace);
-		backEnd.report({kind: 'succeeded', pace: backEnd.pace(), typical: fleet.typicalPace(backEnd.endpoint.id)}, clock.now());
+	function observe(backEnd: BackEnd, pace: Pace): void {
+		backEnd.observe(pace);
+		const typical = fleet.typicalPace(backEnd.endpoint.id);
+		const own = backEnd.pace();
+		const isEngine = backEnd.kind === 'engine';
+		backEnd.report({kind: 'succeeded', pace: isEngine ? own.token : own.call, typical: isEngine ? typical.token : typical.call}, clock.now());
 	}
 
 	function learn(job: Job, result: AttemptResult, backEnd: BackEnd): void {
@@ -411,6 +491,11 @@
 				return;
 			}
 
+			case 'stalled': {
+				backEnd.report({kind: 'stalled'}, clock.now());
+				return;
+			}
+
 			case 'broken': {
 				if (job.signal.aborted) {
 					return;
--- a/standins/cluster.ts
+++ b/standins/cluster.ts
@@ -22,6 +22,11 @@
 const standInBinary = path.join(binaries, 'standins/main.js');
 const startTimeoutMs = 20_000;
 const pollMs = 25;
+const firstPort = 10_000;
+const portCount = 20_000;
+
+/** Clusters of different processes start at different ports. */
+let nextPort = (process.pid * 97) % portCount;
 
 export const callerKey = 'demo-key-of-brenta';
 const peerToken = 'token-between-instances';
@@ -70,15 +75,28 @@
 	readonly stop: () => Promise<void>;
 };
 
-async function freePort(): Promise<number> {
+async function canListen(port: number): Promise<boolean> {
 	const server = createServer();
-	server.listen(0, loopback);
-	await once(server, 'listening');
-	const address = server.address();
-	const port = typeof address === 'object' && address ? address.port : 0;
-	server.close();
-	await once(server, 'close');
-	return port;
+	return new Promise(resolve => {
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, loopback, () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
+}
+
+/** A port below the range from which the system takes ports for outgoing connections. */
+async function freePort(): Promise<number> {
+	for (;;) {
+		const port = firstPort + (nextPort++ % portCount);
+		if (await canListen(port)) {
+			return port;
+		}
+	}
 }
 
 /** Polls until the check holds. Throws after 20 s with what was waited for. */
--- a/tests/failures.test.ts
+++ b/tests/failures.test.ts
@@ -298,6 +298,28 @@
 		assert.deepEqual(tokens, [' stream:0', ' stream:1', ' stream:2', ' stream:3']);
 	});
 
+	async function continueElsewhere(fault: 'breaks-midway' | 'stalls-midway'): Promise<void> {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		world.backEnds.faults.set('engine-0', fault);
+		world.backEnds.faults.set('engine-1', fault);
+		const answered = finish(world.node(0), question(program, 'half'));
+		await world.clock.settle();
+		const first = world.backEnds.executions.at(-1)?.endpoint;
+		world.backEnds.faults.delete(first === 'engine-0' ? 'engine-1' : 'engine-0');
+		const event = await within(world, answered, 20_000);
+		assert.ok(event?.kind === 'settled' && event.outcome.kind === 'completed' && event.outcome.answer.kind === 'message');
+		assert.deepEqual(event.outcome.answer.tokens, [' half:0', ' half:1', ' half:2', ' half:3']);
+		assert.equal(world.backEnds.executions.length, 2);
+	}
+
+	test('an answer whose engine forgets it midway is continued by another engine, whole and in order', async () => {
+		await continueElsewhere('breaks-midway');
+	});
+
+	test('an answer whose engine falls silent midway is continued by another engine, whole and in order', async () => {
+		await continueElsewhere('stalls-midway');
+	});
+
 	test('a model answer whose home dies while it is generated is resumed from the engine', async () => {
 		const program = await within(world, openProgram(world.node(0)), 2000);
 		const {owner, other} = others(program);
