Share slow endpoints by gossip and double the time between trials

Cause: every entry tried both slowed engines every 3 s (16 entries), so about one call in seven still met one.

--- a/src/machines/back-end.ts
+++ b/src/machines/back-end.ts
@@ -16,6 +16,8 @@
 
 const paceWeight = 0.3;
 
+const noPace: Pace = {call: 0, firstToken: 0, token: 0};
+
 /** Times of calls, in ms. Services have no tokens; theirs stay zero. */
 export type Pace = {
 	readonly call: number;
@@ -41,6 +43,7 @@
 	/** Smoothed times of calls, in ms; zero before the first observation. */
 	readonly pace: () => Pace;
 	readonly observe: (pace: Pace) => void;
+	readonly forgetPace: () => void;
 	/** Tokens of the program's prompt that are probably in the endpoint's memory. */
 	readonly cached: (program: ProgramId) => Tokens;
 	readonly remember: (program: ProgramId, tokens: Tokens) => void;
@@ -58,7 +61,7 @@
 	const queue = new PQueue({concurrency: pool.concurrency});
 	const cache = new Map<ProgramId, Tokens>();
 	let health: Health = {kind: 'healthy'};
-	let pace: Pace = {call: 0, firstToken: 0, token: 0};
+	let pace = noPace;
 	let displacing = new AbortController();
 	let reported = {foreign: 0, at: as<Milliseconds>(0)};
 
@@ -95,6 +98,9 @@
 				token: smooth(pace.token, observed.token),
 			};
 		},
+		forgetPace() {
+			pace = noPace;
+		},
 		cached: program => cache.get(program) ?? as<Tokens>(0),
 		remember(program, tokens) {
 			cache.delete(program);
--- a/src/machines/health.ts
+++ b/src/machines/health.ts
@@ -7,7 +7,7 @@
 export type Health
 	= | {readonly kind: 'healthy'}
 	/** Answers much later than its peers; gets one trial call at a time. */
-		| {readonly kind: 'slow'; readonly retryAt: Milliseconds}
+		| {readonly kind: 'slow'; readonly retryAt: Milliseconds; readonly strikes: number}
 	/** Cannot be reached or crashed; not used before the time given. */
 		| {readonly kind: 'down'; readonly retryAt: Milliseconds; readonly failures: number}
 	/** About to stop; gets no new work. */
@@ -19,16 +19,26 @@
 		| {readonly kind: 'failed'}
 	/** A call was taken away because nothing came of it. */
 		| {readonly kind: 'stalled'}
+	/** A peer took a call away from it. */
+		| {readonly kind: 'reported-slow'}
 		| {readonly kind: 'reported-leaving'}
 		| {readonly kind: 'reported-live'};
 
 /** Times the typical pace of the pool above which an endpoint counts as slow. */
 const slowFactor = 3;
 
-const slowTrialMs = 3000;
+const firstSlowMs = 5000;
+const longestSlowMs = 60_000;
 const firstDownMs = 500;
 const longestDownMs = 10_000;
 
+/** Each slow trial in a row doubles the time to the next. */
+function slow(health: Health, now: Milliseconds): Health {
+	const strikes = health.kind === 'slow' ? health.strikes + 1 : 1;
+	const delay = Math.min(firstSlowMs * (2 ** (strikes - 1)), longestSlowMs);
+	return {kind: 'slow', retryAt: as<Milliseconds>(now + delay), strikes};
+}
+
 /** Decides the next health of an endpoint. */
 export function nextHealth(health: Health, event: HealthEvent, now: Milliseconds): Health {
 	switch (event.kind) {
@@ -38,7 +48,7 @@
 			}
 
 			const isSlow = event.typical > 0 && event.pace > event.typical * slowFactor;
-			return isSlow ? {kind: 'slow', retryAt: as<Milliseconds>(now + slowTrialMs)} : {kind: 'healthy'};
+			return isSlow ? slow(health, now) : {kind: 'healthy'};
 		}
 
 		case 'failed': {
@@ -52,7 +62,12 @@
 		}
 
 		case 'stalled': {
-			return health.kind === 'leaving' ? health : {kind: 'slow', retryAt: as<Milliseconds>(now + slowTrialMs)};
+			return health.kind === 'leaving' ? health : slow(health, now);
+		}
+
+		case 'reported-slow': {
+			// A peer's report counts only for an endpoint that looked healthy from here.
+			return health.kind === 'healthy' ? slow(health, now) : health;
 		}
 
 		case 'reported-leaving': {
--- a/src/machines/instance.ts
+++ b/src/machines/instance.ts
@@ -19,7 +19,7 @@
 import {createNeighbourhood} from '../zones/neighbourhood.js';
 import {candidatesIn, ownerOf, shardKey} from '../zones/ownership.js';
 import {
-	type Gossip, type Peers, type ProgramReply, type ProgramRequest, type ShardReply, type ShardRequest,
+	type EndpointNews, type Gossip, type Peers, type ProgramReply, type ProgramRequest, type ShardReply, type ShardRequest,
 	type StreamRequest,
 } from '../zones/peers.js';
 import {type Opening, type Shard} from '../zones/shard.js';
@@ -27,6 +27,7 @@
 import {type BackEnd} from './back-end.js';
 import {createEndpointProbe} from './endpoint-probe.js';
 import {createEventLog, type LoggedEvent} from './event-log.js';
+import {type HealthEvent} from './health.js';
 import {createFleet} from './fleet.js';
 import {createMemoryKeeper} from './memory-keeper.js';
 import {createScheduler, type Policy} from './policy.js';
@@ -51,7 +52,7 @@
 		| {readonly kind: 'shard'; readonly change: 'opened' | 'lost' | 'relinquished'; readonly home: Home; readonly programs: number}
 		| {readonly kind: 'configuration'; readonly configuration: Configuration}
 		| {readonly kind: 'configuration-refused'; readonly failure: Failure}
-		| {readonly kind: 'endpoint'; readonly endpoint: string; readonly state: 'live' | 'leaving'};
+		| {readonly kind: 'endpoint'; readonly endpoint: string; readonly state: EndpointNews['state']};
 
 export type Instance = {
 	readonly id: InstanceId;
@@ -105,6 +106,22 @@
 	readonly onEvent: (event: InstanceEvent) => void;
 };
 
+function eventOf(state: EndpointNews['state']): HealthEvent {
+	switch (state) {
+		case 'live': {
+			return {kind: 'reported-live'};
+		}
+
+		case 'leaving': {
+			return {kind: 'reported-leaving'};
+		}
+
+		case 'slow': {
+			return {kind: 'reported-slow'};
+		}
+	}
+}
+
 function isMoving(reason: Failure): boolean {
 	return reason.code === 'not-owner' || reason.code === 'leaving' || reason.code === 'peer-unreachable';
 }
@@ -191,7 +208,7 @@
 			dataCentre.verify();
 		},
 		onEndpoint(news) {
-			fleet.backEnd(news.endpoint)?.report({kind: news.state === 'leaving' ? 'reported-leaving' : 'reported-live'}, clock.now());
+			fleet.backEnd(news.endpoint)?.report(eventOf(news.state), clock.now());
 			options.onEvent({kind: 'endpoint', endpoint: news.endpoint, state: news.state});
 		},
 		onCrash(crash) {
@@ -214,6 +231,10 @@
 		onEvent(execution) {
 			events.add(execution);
 			options.onEvent({kind: 'execution', execution});
+			if (execution.kind === 'stalled' && execution.endpoint !== undefined) {
+				neighbourhood.announceEndpoint({endpoint: execution.endpoint, state: 'slow', at: clock.wall()});
+			}
+
 			if (execution.kind === 'crashed' && execution.endpoint !== undefined) {
 				neighbourhood.announceCrash({fingerprint: execution.detail, endpoint: execution.endpoint});
 			}
--- a/src/zones/execution.ts
+++ b/src/zones/execution.ts
@@ -71,7 +71,7 @@
 
 /** What happened, for logs, metrics and `explain`. */
 export type ExecutionEvent = {
-	readonly kind: 'placed' | 'retried' | 'settled' | 'recovered' | 'crashed';
+	readonly kind: 'placed' | 'retried' | 'settled' | 'recovered' | 'crashed' | 'stalled';
 	readonly call: Call['id'];
 	readonly program: Program['id'];
 	readonly endpoint?: EndpointId;
@@ -467,6 +467,11 @@
 	}
 
 	function observe(backEnd: BackEnd, pace: Pace): void {
+		if (backEnd.health().kind === 'slow') {
+			// The trial is judged by itself, not by what made the endpoint slow.
+			backEnd.forgetPace();
+		}
+
 		backEnd.observe(pace);
 		const typical = fleet.typicalPace(backEnd.endpoint.id);
 		const own = backEnd.pace();
@@ -493,6 +498,7 @@
 
 			case 'stalled': {
 				backEnd.report({kind: 'stalled'}, clock.now());
+				emit(job, 'stalled', result.failure.message, endpoint);
 				return;
 			}
 
--- a/src/zones/peers.ts
+++ b/src/zones/peers.ts
@@ -18,7 +18,7 @@
 /** State of an endpoint as some instance saw it. The newer observation wins. */
 export type EndpointNews = {
 	readonly endpoint: EndpointId;
-	readonly state: 'live' | 'leaving';
+	readonly state: 'live' | 'leaving' | 'slow';
 	/** Wall-clock time since the epoch. */
 	readonly at: Milliseconds;
 };
