Let one instance try a slow endpoint, and notice silence sooner

Cause, read off 'explain' of the slowest programs: all entries that heard of a slow engine tried it again at the same moment, and a gap of 200 ms between tokens stayed below 5 times a usual time that load had raised to 45 ms. Ruled out: an empty retry budget; no call lacked one. Change: the instance responsible for an endpoint tries it after 5 s and tells the others when it answers in its usual time; the others wait 20 to 40 s. Silence counts from 4 times the usual.

--- a/bench/driver.ts
+++ b/bench/driver.ts
@@ -24,8 +24,10 @@
 	readonly promptTokens: number;
 	readonly recomputedTokens: number;
 	readonly calls: number;
-	/** Time to the answer of each service call, in ms. */
+	/** Keys of the reservations that it made. */
 	readonly reservations: readonly string[];
+	/** The program's id, empty when it could not be opened. */
+	readonly id: string;
 };
 
 export type DriverOptions = {
@@ -168,6 +170,7 @@
 			recomputedTokens: run?.recomputedTokens ?? 0,
 			calls: run?.calls ?? 0,
 			reservations: run?.reservations ?? [],
+			id: run?.id ?? '',
 		};
 	}
 
--- a/src/machines/health.ts
+++ b/src/machines/health.ts
@@ -15,27 +15,26 @@
 
 export type HealthEvent
 	/** `pace` is the observed time a unit of work, `typical` the median pace of the pool, both in ms. */
-	= | {readonly kind: 'succeeded'; readonly pace: number; readonly typical: number}
+	= | {readonly kind: 'succeeded'; readonly pace: number; readonly typical: number; readonly trialAfter: Milliseconds}
 		| {readonly kind: 'failed'}
 	/** A call was taken away because nothing came of it. */
-		| {readonly kind: 'stalled'}
+		| {readonly kind: 'stalled'; readonly trialAfter: Milliseconds}
 	/** A peer took a call away from it. */
-		| {readonly kind: 'reported-slow'}
+		| {readonly kind: 'reported-slow'; readonly trialAfter: Milliseconds}
 		| {readonly kind: 'reported-leaving'}
 		| {readonly kind: 'reported-live'};
 
 /** Times the typical pace of the pool above which an endpoint counts as slow. */
 const slowFactor = 3;
 
-const firstSlowMs = 5000;
 const longestSlowMs = 60_000;
 const firstDownMs = 500;
 const longestDownMs = 10_000;
 
 /** Each slow trial in a row doubles the time to the next. */
-function slow(health: Health, now: Milliseconds): Health {
+function slow(health: Health, trialAfter: Milliseconds, now: Milliseconds): Health {
 	const strikes = health.kind === 'slow' ? health.strikes + 1 : 1;
-	const delay = Math.min(firstSlowMs * (2 ** (strikes - 1)), longestSlowMs);
+	const delay = Math.min(trialAfter * (2 ** (strikes - 1)), longestSlowMs);
 	return {kind: 'slow', retryAt: as<Milliseconds>(now + delay), strikes};
 }
 
@@ -48,7 +47,7 @@
 			}
 
 			const isSlow = event.typical > 0 && event.pace > event.typical * slowFactor;
-			return isSlow ? slow(health, now) : {kind: 'healthy'};
+			return isSlow ? slow(health, event.trialAfter, now) : {kind: 'healthy'};
 		}
 
 		case 'failed': {
@@ -62,12 +61,12 @@
 		}
 
 		case 'stalled': {
-			return health.kind === 'leaving' ? health : slow(health, now);
+			return health.kind === 'leaving' ? health : slow(health, event.trialAfter, now);
 		}
 
 		case 'reported-slow': {
 			// A peer's report counts only for an endpoint that looked healthy from here.
-			return health.kind === 'healthy' ? slow(health, now) : health;
+			return health.kind === 'healthy' ? slow(health, event.trialAfter, now) : health;
 		}
 
 		case 'reported-leaving': {
@@ -75,7 +74,7 @@
 		}
 
 		case 'reported-live': {
-			return health.kind === 'leaving' ? {kind: 'healthy'} : health;
+			return health.kind === 'leaving' || health.kind === 'slow' ? {kind: 'healthy'} : health;
 		}
 	}
 }
--- a/src/machines/instance.ts
+++ b/src/machines/instance.ts
@@ -8,7 +8,7 @@
 import {type Configuration} from '../contracts/configuration.js';
 import {type Failure, failure} from '../contracts/failure.js';
 import {
-	as, type Address, type DataCentreId, type Home, homeOf, type Incarnation, type InstanceId, type Milliseconds,
+	as, type Address, type DataCentreId, type EndpointId, type Home, homeOf, type Incarnation, type InstanceId, type Milliseconds,
 	type ObjectName, type ProgramId,
 } from '../contracts/id.js';
 import {type Listing, type Platform} from '../contracts/platform.js';
@@ -42,6 +42,11 @@
 const routingRetryMs = 100;
 const listingIntervalMs = 2000;
 const statusIntervalMs = 5000;
+
+/** Time until a slow endpoint is tried again, by the instance responsible for it and by others. */
+const ownTrialMs = 5000;
+const foreignTrialMs = 20_000;
+
 const livingTimeoutMs = 1000;
 
 /** Something worth a line in the log. */
@@ -106,7 +111,7 @@
 	readonly onEvent: (event: InstanceEvent) => void;
 };
 
-function eventOf(state: EndpointNews['state']): HealthEvent {
+function eventOf(state: EndpointNews['state'], trialAfter: Milliseconds): HealthEvent {
 	switch (state) {
 		case 'live': {
 			return {kind: 'reported-live'};
@@ -117,7 +122,7 @@
 		}
 
 		case 'slow': {
-			return {kind: 'reported-slow'};
+			return {kind: 'reported-slow', trialAfter};
 		}
 	}
 }
@@ -208,7 +213,7 @@
 			dataCentre.verify();
 		},
 		onEndpoint(news) {
-			fleet.backEnd(news.endpoint)?.report(eventOf(news.state), clock.now());
+			fleet.backEnd(news.endpoint)?.report(eventOf(news.state, trialDelay(news.endpoint)), clock.now());
 			options.onEvent({kind: 'endpoint', endpoint: news.endpoint, state: news.state});
 		},
 		onCrash(crash) {
@@ -224,6 +229,7 @@
 	const executor = createExecutor({
 		fleet,
 		scheduler,
+		trialDelay,
 		dispatch,
 		quarantine,
 		clock,
@@ -235,6 +241,10 @@
 				neighbourhood.announceEndpoint({endpoint: execution.endpoint, state: 'slow', at: clock.wall()});
 			}
 
+			if (execution.kind === 'restored' && execution.endpoint !== undefined) {
+				neighbourhood.announceEndpoint({endpoint: execution.endpoint, state: 'live', at: clock.wall()});
+			}
+
 			if (execution.kind === 'crashed' && execution.endpoint !== undefined) {
 				neighbourhood.announceCrash({fingerprint: execution.detail, endpoint: execution.endpoint});
 			}
@@ -280,6 +290,13 @@
 		return isJoined && ownerOf(work, candidatesIn(options.dataCentre, membership.members()))?.id === options.id;
 	}
 
+	/** One instance tries a slow endpoint early; the others wait to hear of it. */
+	function trialDelay(endpoint: EndpointId): Milliseconds {
+		const backEnd = fleet.backEnd(endpoint);
+		const delay = backEnd && isResponsible(backEnd) ? ownTrialMs : foreignTrialMs * (1 + random.fraction());
+		return as<Milliseconds>(delay);
+	}
+
 	function isResponsible(backEnd: BackEnd): boolean {
 		return backEnd.endpoint.dataCentre === options.dataCentre && isChosen(`endpoint/${backEnd.endpoint.id}`);
 	}
--- a/src/zones/execution.ts
+++ b/src/zones/execution.ts
@@ -39,7 +39,7 @@
 export const commitTimeoutMs = 2000;
 
 /** Times the usual silence after which a model call is moved to another engine. */
-const silenceFactor = 5;
+const silenceFactor = 4;
 
 const shortestTokenSilenceMs = 100;
 const shortestFirstSilenceMs = 300;
@@ -71,7 +71,7 @@
 
 /** What happened, for logs, metrics and `explain`. */
 export type ExecutionEvent = {
-	readonly kind: 'placed' | 'retried' | 'settled' | 'recovered' | 'crashed' | 'stalled';
+	readonly kind: 'placed' | 'retried' | 'settled' | 'recovered' | 'crashed' | 'stalled' | 'restored';
 	readonly call: Call['id'];
 	readonly program: Program['id'];
 	readonly endpoint?: EndpointId;
@@ -85,6 +85,8 @@
 	readonly quarantine: Quarantine;
 	readonly clock: Clock;
 	readonly random: Random;
+	/** Time until an endpoint that is found slow is tried again. */
+	readonly trialDelay: (endpoint: EndpointId) => Milliseconds;
 	readonly onEvent: (event: ExecutionEvent) => void;
 };
 
@@ -376,7 +378,7 @@
 				const startedAt = clock.now();
 				const result = await dispatch.send(backEnd.endpoint, attempt, dispatchOptions(job, attempt, backEnd));
 				if (result.kind === 'answered') {
-					observe(backEnd, {call: clock.now() - startedAt, firstToken: 0, token: 0});
+					observe(job, backEnd, {call: clock.now() - startedAt, firstToken: 0, token: 0});
 				}
 
 				return result;
@@ -414,7 +416,7 @@
 		});
 		watchdog.stop();
 		if (result.kind === 'answered') {
-			observe(backEnd, paceOf(startedAt, firstTokenAt, result));
+			observe(job, backEnd, paceOf(startedAt, firstTokenAt, result));
 			return result;
 		}
 
@@ -466,17 +468,24 @@
 		};
 	}
 
-	function observe(backEnd: BackEnd, pace: Pace): void {
-		if (backEnd.health().kind === 'slow') {
+	function observe(job: Job, backEnd: BackEnd, pace: Pace): void {
+		const wasSlow = backEnd.health().kind === 'slow';
+		if (wasSlow) {
 			// The trial is judged by itself, not by what made the endpoint slow.
 			backEnd.forgetPace();
 		}
 
 		backEnd.observe(pace);
-		const typical = fleet.typicalPace(backEnd.endpoint.id);
+		const endpoint = backEnd.endpoint.id;
+		const typical = fleet.typicalPace(endpoint);
 		const own = backEnd.pace();
-		const isEngine = backEnd.kind === 'engine';
-		backEnd.report({kind: 'succeeded', pace: isEngine ? own.token : own.call, typical: isEngine ? typical.token : typical.call}, clock.now());
+		const [observed, usual] = backEnd.kind === 'engine' ? [own.token, typical.token] : [own.call, typical.call];
+		backEnd.report({
+			kind: 'succeeded', pace: observed, typical: usual, trialAfter: options.trialDelay(endpoint),
+		}, clock.now());
+		if (wasSlow && backEnd.health().kind === 'healthy') {
+			emit(job, 'restored', 'answered in its usual time', endpoint);
+		}
 	}
 
 	function learn(job: Job, result: AttemptResult, backEnd: BackEnd): void {
@@ -497,7 +506,7 @@
 			}
 
 			case 'stalled': {
-				backEnd.report({kind: 'stalled'}, clock.now());
+				backEnd.report({kind: 'stalled', trialAfter: options.trialDelay(endpoint)}, clock.now());
 				emit(job, 'stalled', result.failure.message, endpoint);
 				return;
 			}
