--- a/src/contracts/ledger.ts
+++ b/src/contracts/ledger.ts
@@ -22,6 +22,9 @@
 /** Upper bound of the encoded records of one batch, below the platform's limit of 1 MB a value. */
 export const maximumBatchBytes = 900_000;
 
+/** Time after which records that nobody waits for are written by themselves. */
+const longestDeferralMs = 100;
+
 const firstRetryMs = 50;
 const longestRetryMs = 2000;
 
@@ -33,13 +36,18 @@
 
 export type Slot = {readonly version: ObjectVersion; readonly batch: Batch | undefined};
 
+/**
+When records are written: `immediate` ones at once, `windowed` ones within the commit window,
+`deferred` ones with the next write, since nobody waits for them.
+*/
+export type Urgency = 'immediate' | 'windowed' | 'deferred';
+
 export type LedgerEvent
 	/** Take or take back ownership. */
 	= | {readonly kind: 'claim'}
 		| {readonly kind: 'ring'; readonly base: number; readonly slots: readonly Slot[]}
 		| {readonly kind: 'ring-unavailable'}
-		/** Urgent records are written at once, others with the next write or after the commit window. */
-		| {readonly kind: 'append'; readonly ticket: number; readonly records: readonly JournalRecord[]; readonly bytes: number; readonly isUrgent: boolean}
+		| {readonly kind: 'append'; readonly ticket: number; readonly records: readonly JournalRecord[]; readonly bytes: number; readonly urgency: Urgency}
 		| {readonly kind: 'window-over'}
 		| {readonly kind: 'updated'; readonly update: Update}
 		| {readonly kind: 'slot-read'; readonly slot: Slot}
@@ -62,7 +70,7 @@
 		| {readonly kind: 'deposed'}
 		| {readonly kind: 'retry-later'; readonly delay: Milliseconds};
 
-type Pending = {readonly ticket: number; readonly records: readonly JournalRecord[]; readonly bytes: number; readonly isUrgent: boolean};
+type Pending = {readonly ticket: number; readonly records: readonly JournalRecord[]; readonly bytes: number; readonly urgency: Urgency};
 
 type Flight = {readonly batch: Batch; readonly tickets: readonly number[]};
 
@@ -164,17 +172,34 @@
 		return [write(batch)];
 	}
 
+	/** Whether a record waits that should not wait for a window. */
 	function hasUrgent(): boolean {
-		return pending.some(entry => entry.isUrgent);
+		return pending.some(entry => entry.urgency === 'immediate' || (entry.urgency === 'windowed' && options.commitWindow === 0));
+	}
+
+	function append(urgency: Urgency): LedgerEffect[] {
+		switch (urgency) {
+			case 'immediate': {
+				return flush();
+			}
+
+			case 'windowed': {
+				return options.commitWindow === 0 ? flush() : waitForWindow(options.commitWindow);
+			}
+
+			case 'deferred': {
+				return waitForWindow(as<Milliseconds>(Math.max(options.commitWindow, longestDeferralMs)));
+			}
+		}
 	}
 
-	function waitForWindow(): LedgerEffect[] {
+	function waitForWindow(delay: Milliseconds): LedgerEffect[] {
 		if (isWaiting) {
 			return [];
 		}
 
 		isWaiting = true;
-		return [{kind: 'wait-for-window', delay: options.commitWindow}];
+		return [{kind: 'wait-for-window', delay}];
 	}
 
 	function depose(): LedgerEffect[] {
@@ -194,7 +219,7 @@
 		next = batch.sequence + 1;
 		retryMs = firstRetryMs;
 		const effects: LedgerEffect[] = [];
-		const mayFlush = phase.kind === 'claiming' || options.commitWindow === 0 || hasUrgent();
+		const mayFlush = phase.kind === 'claiming' || hasUrgent();
 		if (phase.kind === 'claiming') {
 			effects.push({kind: 'opened', epoch, batches: phase.batches});
 			phase = {kind: 'open'};
@@ -320,7 +345,7 @@
 				}
 
 				pending.push(event);
-				return event.isUrgent || options.commitWindow === 0 ? flush() : waitForWindow();
+				return append(event.urgency);
 			}
 
 			case 'window-over': {
--- a/src/zones/execution.ts
+++ b/src/zones/execution.ts
@@ -15,6 +15,7 @@
 	describeError, type Execution as Certainty, type Failure, failure, type FailureCode, type Step,
 } from '../contracts/failure.js';
 import {fingerprintOf} from '../contracts/fingerprint.js';
+import {type Urgency} from '../contracts/ledger.js';
 import {
 	as, type AttemptId, type EndpointId, type IdempotencyKey, type Milliseconds, type Tokens,
 } from '../contracts/id.js';
@@ -134,6 +135,15 @@
 	return {tokens: as<Tokens>(tokens), calls: 1};
 }
 
+/** A repeatable service call shows nothing before its settlement, so its intent can wait for that. */
+function urgencyOf(route: Route): Urgency {
+	if (!isRepeatable(route)) {
+		return 'immediate';
+	}
+
+	return route.kind === 'model' ? 'windowed' : 'deferred';
+}
+
 function usedBy(outcome: Outcome, reservation: Spend): Spend {
 	switch (outcome.kind) {
 		case 'completed': {
@@ -173,9 +183,9 @@
 	}
 
 	/** Applies a record here and sends it to the journal. */
-	function append(execution: Execution, record: JournalRecord, isUrgent = false) {
+	function append(execution: Execution, record: JournalRecord, urgency: Urgency = 'windowed') {
 		applyRecord(execution.programs, record);
-		return execution.journal.append([record], isUrgent);
+		return execution.journal.append([record], urgency);
 	}
 
 	async function run(execution: Execution, call: Call, digest: string): Promise<void> {
@@ -342,7 +352,7 @@
 			endpoint: backEnd.endpoint.id,
 			repeatable: isRepeatable(job.route),
 			reservation: job.reservation,
-		}, !isRepeatable(job.route));
+		}, urgencyOf(job.route));
 		if (isRepeatable(job.route)) {
 			void appended.durable.then(() => {
 				execution.transcript.name(job.stream ?? attempt.id);
--- a/src/zones/journal.ts
+++ b/src/zones/journal.ts
@@ -11,7 +11,7 @@
 	type ObjectName,
 } from '../contracts/id.js';
 import {
-	createLedger, type LedgerEffect, type LedgerEvent, type LedgerState, type Slot, slotsPerShard,
+	createLedger, type LedgerEffect, type LedgerEvent, type LedgerState, type Slot, slotsPerShard, type Urgency,
 } from '../contracts/ledger.js';
 import {type Platform, type StoredObject} from '../contracts/platform.js';
 import {
@@ -44,8 +44,8 @@
 export type Journal = {
 	/** Claims the shard and replays it. Waits through outages until the signal aborts. */
 	readonly open: () => Promise<Result<Programs, Failure>>;
-	/** Urgent records do not wait for the commit window. */
-	readonly append: (records: readonly JournalRecord[], isUrgent?: boolean) => Append;
+	/** Records are `windowed` unless said otherwise. */
+	readonly append: (records: readonly JournalRecord[], urgency?: Urgency) => Append;
 	readonly state: () => LedgerState;
 	/** Finds out whether the shard is still owned. `deposed` resolves if it is not. */
 	readonly verify: () => void;
@@ -309,16 +309,16 @@
 		return [...programs.values()].flatMap(program => program.records).filter(record => !pending.has(record));
 	}
 
-	function append(records: readonly JournalRecord[], isUrgent = false): Append {
+	function append(records: readonly JournalRecord[], urgency: Urgency = 'windowed'): Append {
 		const ticket: Ticket = {
 			records, durable: createDeferred(), committed: createDeferred(), isHeld: false,
 		};
 		const number = nextTicket++;
 		tickets.set(number, ticket);
 		handle({
-			kind: 'append', ticket: number, records, bytes: JSON.stringify(records).length, isUrgent,
+			kind: 'append', ticket: number, records, bytes: JSON.stringify(records).length, urgency,
 		});
-		if (options.commitWindow > 0 && !isUrgent) {
+		if (options.commitWindow > 0 && urgency === 'windowed') {
 			void holdPending();
 		}
 
--- a/tests/journal.test.ts
+++ b/tests/journal.test.ts
@@ -195,7 +195,7 @@
 	assert.equal(setup.platform.counts.writes - before, 1);
 	assert.equal(results.length, 50);
 	void owner.journal.append([opened(50)]).committed.then(() => results.push('relaxed'));
-	void owner.journal.append([opened(51)], true).committed.then(() => results.push('urgent'));
+	void owner.journal.append([opened(51)], 'immediate').committed.then(() => results.push('urgent'));
 	await setup.clock.settle();
 	assert.deepEqual(results.slice(50), ['relaxed', 'urgent']);
 	assert.equal(setup.platform.counts.writes - before, 2);
--- a/tests/ledger-exploration.test.ts
+++ b/tests/ledger-exploration.test.ts
@@ -113,7 +113,7 @@
 			owner.knowsIntent = effect.batches.some(batch => batch.records.length > 0);
 			if (!owner.knowsIntent) {
 				deliver(model, owner, {
-					kind: 'append', ticket: 1, records: [intent], bytes: 1, isUrgent: true,
+					kind: 'append', ticket: 1, records: [intent], bytes: 1, urgency: 'immediate',
 				});
 			}
 
