--- a/src/links/peer.ts
+++ b/src/links/peer.ts
@@ -61,6 +61,14 @@
 		configuration: procedure.query((): Configuration => instance.configuration()),
 		program: procedure.input(trusted<ProgramRequest>()).mutation(async ({input}): Promise<ProgramReply> => instance.answerProgram(input)),
 		shard: procedure.input(trusted<ShardRequest>()).mutation(async ({input}): Promise<ShardReply> => instance.answerShard(input)),
+		ending: procedure.input(trusted<StreamRequest>()).mutation(async ({input, signal}): Promise<CallEvent | undefined> => {
+			let last: CallEvent | undefined;
+			for await (const event of instance.answerStream(input, signal ?? new AbortController().signal)) {
+				last = event;
+			}
+
+			return last;
+		}),
 		stream: procedure.input(trusted<StreamRequest>()).mutation(async function * ({input, signal}): AsyncGenerator<CallEvent, void, undefined> {
 			yield * instance.answerStream(input, signal ?? new AbortController().signal);
 		}),
@@ -69,6 +77,11 @@
 
 type Router = ReturnType<typeof createRouter>;
 
+/** Whether the events of a request may include tokens. */
+function hasTokens(request: StreamRequest): boolean {
+	return request.kind === 'follow' || request.call.request.kind === 'model';
+}
+
 export type PeerServerOptions = {
 	readonly instance: Instance;
 	readonly host: string;
@@ -145,6 +158,27 @@
 		}
 	}
 
+	/** Calls of services have no tokens, so one answer serves them at a fraction of a stream's cost. */
+	async function * ending(peer: Member, request: StreamRequest, signal: AbortSignal): AsyncGenerator<CallEvent, void, undefined> {
+		try {
+			const event = await clientOf(peer).ending.mutate(request, {signal: AbortSignal.any([signal])});
+			if (event) {
+				yield event;
+				return;
+			}
+		} catch (error) {
+			if (!signal.aborted) {
+				yield {kind: 'refused', failure: unreachable(peer, error)};
+			}
+
+			return;
+		}
+
+		if (!signal.aborted) {
+			yield {kind: 'refused', failure: unreachable(peer, new Error('the call ended without an outcome'))};
+		}
+	}
+
 	async function * stream(peer: Member, request: StreamRequest, signal: AbortSignal): AsyncGenerator<CallEvent, void, undefined> {
 		let isEnded = false;
 		try {
@@ -179,6 +213,6 @@
 			const reply = await attempt(peer, timeout, async signal => clientOf(peer).shard.mutate(request, {signal}));
 			return reply.match<ShardReply>(value => value, reason => ({kind: 'failed', failure: reason}));
 		},
-		stream,
+		stream: (peer, request, signal) => hasTokens(request) ? stream(peer, request, signal) : ending(peer, request, signal),
 	};
 }
