Split instance and execution, and mend what reading them showed

Faults found by reading, each now with a test or guard: 1. A recovered answer lacked the tokens of the engine it had been moved from; the new test fails without the change. 2. A short request that many callers send could be quarantined because it was in flight at two unrelated crashes: an answer now clears it, and the fingerprint names the customer. 3. A fault of the program itself during a call left its program blocked; the call now ends with 'internal' and the queue goes on.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -26,7 +26,7 @@
 import {createBackEnd} from '../src/machines/back-end.js';
 import {choose} from '../src/machines/placement.js';
 import {systemClock, systemRandom} from '../src/programs/runtime.js';
-import {countTokens, promptOf} from '../src/zones/execution.js';
+import {countTokens, promptOf} from '../src/contracts/prompt.js';
 import {createJournal} from '../src/zones/journal.js';
 import {createMembership, type Member} from '../src/zones/membership.js';
 import {type Gossip} from '../src/zones/peers.js';
--- a/src/contracts/fingerprint.ts
+++ b/src/contracts/fingerprint.ts
@@ -3,7 +3,7 @@
 fingerprint that ignores spelling, which recognises a harmful request that is sent again.
 */
 import {createHash} from 'node:crypto';
-import {type Request} from './call.js';
+import {type Call, type Request} from './call.js';
 import {type RouteName} from './id.js';
 
 const digestLength = 22;
@@ -21,15 +21,15 @@
 	return hash([route, request]);
 }
 
-/** Digest of a request's content in which letter case and white space do not count. */
-export function fingerprintOf(route: RouteName, request: Request): string {
+/** Digest of a customer's request in which letter case and white space do not count. */
+export function fingerprintOf({customer, route, request}: Pick<Call, 'customer' | 'route' | 'request'>): string {
 	switch (request.kind) {
 		case 'model': {
-			return hash([route, request.messages.map(message => [message.role, normalize(message.content)])]);
+			return hash([customer, route, request.messages.map(message => [message.role, normalize(message.content)])]);
 		}
 
 		case 'service': {
-			return hash([route, request.method, request.path, normalize(request.body)]);
+			return hash([customer, route, request.method, request.path, normalize(request.body)]);
 		}
 	}
 }
--- /dev/null
+++ b/src/contracts/prompt.ts
@@ -0,0 +1,31 @@
+/**
+Prompts: the conversation that an engine has to see, and its estimated size.
+*/
+import {type Message, type Request} from './call.js';
+import {as, type Tokens} from './id.js';
+import {type Program} from './program.js';
+
+/** Characters that one prompt token stands for on average. */
+const charactersPerToken = 4;
+
+/** Conversation that an engine has to see: the history of the program and the new messages. */
+export function promptOf(program: Program, request: Request): readonly Message[] {
+	if (request.kind !== 'model') {
+		return [];
+	}
+
+	const messages: Message[] = [];
+	for (const turn of program.history) {
+		if (turn.request.kind === 'model' && turn.answer.kind === 'message') {
+			messages.push(...turn.request.messages, {role: 'assistant', content: turn.answer.tokens.join('')});
+		}
+	}
+
+	return [...messages, ...request.messages];
+}
+
+/** Estimated tokens of a prompt. */
+export function countTokens(prompt: readonly Message[]): Tokens {
+	const characters = prompt.reduce((sum, message) => sum + message.content.length, 0);
+	return as<Tokens>(Math.ceil(characters / charactersPerToken));
+}
--- /dev/null
+++ b/src/contracts/usage.ts
@@ -0,0 +1,26 @@
+/**
+What an outcome costs the budget of its program.
+*/
+import {type Spend} from './budget.js';
+import {as, type Tokens} from './id.js';
+import {type Outcome} from './outcome.js';
+
+/** Amount that a settled call has used. A call that may have run counts with its whole reservation. */
+export function usedBy(outcome: Outcome, reservation: Spend): Spend {
+	switch (outcome.kind) {
+		case 'completed': {
+			const {answer} = outcome;
+			const tokens = answer.kind === 'message' ? answer.usage.prompt + answer.usage.completion : 0;
+			return {tokens: as<Tokens>(tokens), calls: 1};
+		}
+
+		case 'not-run': {
+			return {tokens: as<Tokens>(0), calls: 0};
+		}
+
+		case 'failed':
+		case 'unknown': {
+			return reservation;
+		}
+	}
+}
--- a/src/machines/instance.ts
+++ b/src/machines/instance.ts
@@ -3,13 +3,13 @@
 passes them there, and runs this instance's share of the control work.
 */
 import {type Dispatch} from '../contracts/attempt.js';
-import {type CallEvent, type Position} from '../contracts/call.js';
+import {type CallEvent} from '../contracts/call.js';
 import {type Clock, type Random} from '../contracts/clock.js';
 import {type Configuration} from '../contracts/configuration.js';
-import {type Failure, failure} from '../contracts/failure.js';
+import {type Failure} from '../contracts/failure.js';
 import {
 	as, type Address, type DataCentreId, type EndpointId, type Home, homeOf, type Incarnation, type InstanceId, type Milliseconds,
-	type ObjectName, type ProgramId,
+	type ProgramId,
 } from '../contracts/id.js';
 import {type Listing, type Platform} from '../contracts/platform.js';
 import {createConfigurationWatch} from '../zones/configuration-watch.js';
@@ -22,8 +22,10 @@
 	type EndpointNews, type Gossip, type Peers, type ProgramReply, type ProgramRequest, type ShardReply, type ShardRequest,
 	type StreamRequest,
 } from '../zones/peers.js';
-import {type Opening, type Shard} from '../zones/shard.js';
+import {type Opening} from '../zones/shard.js';
 import {createForwards} from '../zones/forwards.js';
+import {createRouting} from '../zones/routing.js';
+import {createStatus} from './status.js';
 import {type BackEnd} from './back-end.js';
 import {createEndpointProbe} from './endpoint-probe.js';
 import {createEventLog, type LoggedEvent} from './event-log.js';
@@ -33,15 +35,7 @@
 import {createScheduler, type Policy} from './policy.js';
 import {createQuarantine} from './quarantine.js';
 
-/** How long a request about a program looks for its home. */
-const routingTimeoutMs = 10_000;
-
-/** How long the events of a call are followed through changes of its home. */
-const followTimeoutMs = 60_000;
-
-const routingRetryMs = 100;
 const listingIntervalMs = 2000;
-const statusIntervalMs = 5000;
 
 /** Time until a slow endpoint is tried again, by the instance responsible for it and by others. */
 const ownTrialMs = 5000;
@@ -127,18 +121,6 @@
 	}
 }
 
-function isMoving(reason: Failure): boolean {
-	return reason.code === 'not-owner' || reason.code === 'leaving' || reason.code === 'peer-unreachable';
-}
-
-function homeOfRequest(request: ProgramRequest): Home {
-	return request.kind === 'open' ? request.home : homeOf(request.program);
-}
-
-function homeOfStream(request: StreamRequest): Home {
-	return homeOf(request.kind === 'call' ? request.call.program : request.target.program);
-}
-
 function groupByHome(programs: readonly ProgramId[]): Map<string, ProgramId[]> {
 	const groups = new Map<string, ProgramId[]>();
 	for (const program of programs) {
@@ -149,24 +131,6 @@
 	return groups;
 }
 
-/** Whether a refusal comes from a home that has its ledger, and so knows of every earlier attempt. */
-function isFromLedger(reason: Failure): boolean {
-	return !isMoving(reason) && reason.step !== 'recover';
-}
-
-/** After a lost connection, only the ledger can say that the call did not run. */
-function doubt(event: CallEvent): CallEvent {
-	if (event.kind !== 'refused' || isFromLedger(event.failure)) {
-		return event;
-	}
-
-	return {kind: 'refused', failure: {...event.failure, execution: 'unknown'}};
-}
-
-function at(request: StreamRequest, position: Position): StreamRequest {
-	return {...request, position};
-}
-
 /** Creates an instance. Nothing runs before `run`. */
 export function createInstance(options: InstanceOptions): Instance {
 	const {clock, random, platform, peers, dispatch} = options;
@@ -285,6 +249,22 @@
 		},
 	});
 
+	const routing = createRouting({
+		id: options.id, dataCentre, forwards, peers, clock,
+	});
+
+	const status = createStatus({
+		id: options.id,
+		dataCentre: options.dataCentre,
+		platform,
+		clock,
+		fleet,
+		members: () => membership.members(),
+		generation: () => configuration.current().generation,
+		generations: () => neighbourhood.generations(),
+		isChosen: () => isChosen('status'),
+	});
+
 	/** Whether this instance does a piece of control work for its data centre. */
 	function isChosen(work: string): boolean {
 		return isJoined && ownerOf(work, candidatesIn(options.dataCentre, membership.members()))?.id === options.id;
@@ -327,119 +307,6 @@
 		return reply.kind === 'living' ? programs.filter(program => !reply.programs.includes(program)) : [];
 	}
 
-	function unreachable(home: Home): Failure {
-		return failure('peer-unreachable', `No instance of data centre "${home.dataCentre}" can be reached`, {
-			step: 'forward', peer: home.dataCentre, retryAfter: as<Milliseconds>(routingTimeoutMs),
-		});
-	}
-
-	async function askHome(request: ProgramRequest): Promise<ProgramReply> {
-		const home = homeOfRequest(request);
-		const owner = dataCentre.owner(home);
-		if (!owner) {
-			return {kind: 'failed', failure: unreachable(home)};
-		}
-
-		return owner.id === options.id ? answerProgram(request) : peers.program(owner, request);
-	}
-
-	async function program(request: ProgramRequest): Promise<ProgramReply> {
-		const until = clock.now() + routingTimeoutMs;
-		for (;;) {
-			const reply = await askHome(request);
-			const isOver = clock.now() >= until || !dataCentre.owner(homeOfRequest(request));
-			if (reply.kind !== 'failed' || !isMoving(reply.failure) || isOver) {
-				return reply;
-			}
-
-			await clock.sleep(as<Milliseconds>(routingRetryMs));
-		}
-	}
-
-	async function answerProgram(request: ProgramRequest): Promise<ProgramReply> {
-		const opened = await dataCentre.shard(homeOfRequest(request));
-		return opened.isErr() ? {kind: 'failed', failure: opened.error} : answerFrom(opened.value, request);
-	}
-
-	async function answerFrom(shard: Shard, request: ProgramRequest): Promise<ProgramReply> {
-		const fail = (reason: Failure): ProgramReply => ({kind: 'failed', failure: reason});
-		switch (request.kind) {
-			case 'open': {
-				const opened = await shard.open(request.opening);
-				return opened.match<ProgramReply>(view => ({kind: 'view', view}), fail);
-			}
-
-			case 'end': {
-				const ending = await shard.end(request.program, request.customer, request.closing);
-				return ending.match<ProgramReply>(view => ({kind: 'view', view}), fail);
-			}
-
-			case 'view': {
-				return shard.view(request.program, request.customer).match<ProgramReply>(view => ({kind: 'view', view}), fail);
-			}
-
-			case 'history': {
-				return shard.history(request.program, request.customer).match<ProgramReply>(turns => ({kind: 'history', turns}), fail);
-			}
-		}
-	}
-
-	async function * answerStream(request: StreamRequest, signal: AbortSignal): AsyncGenerator<CallEvent, void, undefined> {
-		const opened = await dataCentre.shard(homeOfStream(request));
-		if (opened.isErr()) {
-			yield {kind: 'refused', failure: opened.error};
-			return;
-		}
-
-		yield * request.kind === 'call'
-			? opened.value.call(request.call, request.position, signal)
-			: opened.value.follow(request.target, request.position, signal);
-	}
-
-	/** Events of a call from its home; undefined when no home can be reached. Ends with a refusal if the home dies. */
-	function streamFromHome(request: StreamRequest, signal: AbortSignal): AsyncIterable<CallEvent> | undefined {
-		const owner = dataCentre.owner(homeOfStream(request));
-		if (!owner) {
-			return undefined;
-		}
-
-		return owner.id === options.id ? answerStream(request, signal) : forwards.follow(owner, request, signal);
-	}
-
-	async function * stream(request: StreamRequest, signal: AbortSignal): AsyncGenerator<CallEvent, void, undefined> {
-		const until = clock.now() + (request.kind === 'call' ? request.call.timeout : followTimeoutMs);
-		let {position} = request;
-		let mayHaveRun = false;
-		while (!signal.aborted) {
-			const source = streamFromHome(at(request, position), signal);
-			if (!source) {
-				yield {kind: 'refused', failure: {...unreachable(homeOfStream(request)), execution: mayHaveRun ? 'unknown' : 'not-run'}};
-				return;
-			}
-
-			let moving: Failure | undefined;
-			for await (const event of source) {
-				if (event.kind === 'refused' && isMoving(event.failure) && clock.now() < until) {
-					moving = event.failure;
-					break;
-				}
-
-				yield mayHaveRun ? doubt(event) : event;
-				if (event.kind === 'token') {
-					position = {stream: event.stream, index: event.index + 1};
-				}
-			}
-
-			if (!moving) {
-				return;
-			}
-
-			mayHaveRun ||= moving.execution !== 'not-run';
-
-			await clock.sleep(as<Milliseconds>(routingRetryMs), signal);
-		}
-	}
-
 	/** Learns who is there before anything is owned. Goes on alone when neither platform nor peers answer. */
 	async function join(): Promise<void> {
 		const listing = await platform.instances();
@@ -476,56 +343,6 @@
 		}
 	}
 
-	function endpointStates() {
-		return fleet.backEnds().map(backEnd => ({
-			id: backEnd.endpoint.id,
-			health: backEnd.health(),
-			load: backEnd.load(),
-			paceMs: Math.round(backEnd.pace().call),
-		}));
-	}
-
-	async function writeStatus(signal: AbortSignal): Promise<void> {
-		let written = '';
-		while (!signal.aborted) {
-			await clock.sleep(as<Milliseconds>(statusIntervalMs), signal);
-			if (!isChosen('status')) {
-				continue;
-			}
-
-			const status = composeStatus();
-			if (JSON.stringify(status) !== written && await putStatus(status)) {
-				written = JSON.stringify(status);
-			}
-		}
-	}
-
-	function composeStatus() {
-		const generations = neighbourhood.generations();
-		const local = membership.members().filter(member => member.dataCentre === options.dataCentre);
-		return {
-			by: options.id,
-			generation: configuration.current().generation,
-			instances: local.map(member => ({
-				id: member.id,
-				status: member.status,
-				generation: member.id === options.id ? configuration.current().generation : generations.get(member.id) ?? 0,
-			})),
-			outOfUse: endpointStates().filter(state => state.health.kind !== 'healthy').map(state => ({id: state.id, reason: state.health.kind})),
-		};
-	}
-
-	async function putStatus(status: unknown): Promise<boolean> {
-		const name = as<ObjectName>(`status/data-centre/${options.dataCentre}`);
-		const current = await platform.read(name);
-		if (current.isErr()) {
-			return false;
-		}
-
-		const update = await platform.update(name, current.value.version, status);
-		return update.kind === 'written';
-	}
-
 	function gauges(): Gauges {
 		const shards = dataCentre.owned();
 		return {
@@ -549,7 +366,7 @@
 				programs: shard.programs(),
 				running: shard.running(),
 			})),
-			endpoints: endpointStates(),
+			endpoints: status.endpoints(),
 			quarantine: quarantine.crashes(),
 			released: memory.released(),
 		};
@@ -558,12 +375,12 @@
 	return {
 		id: options.id,
 		dataCentre: options.dataCentre,
-		open: async opening => program({kind: 'open', home: opening.parent === undefined ? dataCentre.newHome() : homeOf(opening.parent), opening}),
-		program,
-		stream,
+		open: async opening => routing.program({kind: 'open', home: opening.parent === undefined ? dataCentre.newHome() : homeOf(opening.parent), opening}),
+		program: routing.program,
+		stream: routing.stream,
 		answerGossip: message => neighbourhood.receive(message),
-		answerProgram,
-		answerStream,
+		answerProgram: routing.answerProgram,
+		answerStream: routing.answerStream,
 		answerShard: async request => dataCentre.answer(request),
 		members: () => membership.members(),
 		configuration: () => configuration.current(),
@@ -577,7 +394,7 @@
 				neighbourhood.run(signal),
 				configuration.run(signal),
 				readListing(signal),
-				writeStatus(signal),
+				status.run(signal),
 				dataCentre.run(signal),
 				memory.run(signal),
 				probe.run(signal),
--- a/src/machines/quarantine.ts
+++ b/src/machines/quarantine.ts
@@ -14,6 +14,8 @@
 export type Quarantine = {
 	/** Records a crash, seen here or reported by a peer. Returns whether it was news. */
 	readonly record: (crash: Crash, now: Milliseconds) => boolean;
+	/** A request that was answered is not what crashed the endpoints. */
+	readonly absolve: (fingerprint: string) => void;
 	readonly isBlocked: (fingerprint: string, now: Milliseconds) => boolean;
 	readonly crashes: () => readonly Crash[];
 };
@@ -40,6 +42,9 @@
 			suspect.last = isNews ? now : suspect.last;
 			return isNews;
 		},
+		absolve(fingerprint) {
+			suspects.delete(fingerprint);
+		},
 		isBlocked(fingerprint, now) {
 			expire(now);
 			return (suspects.get(fingerprint)?.endpoints.size ?? 0) >= crashesBeforeQuarantine;
--- a/src/zones/execution.ts
+++ b/src/zones/execution.ts
@@ -21,17 +21,20 @@
 } from '../contracts/id.js';
 import {type Outcome, outcomeOf} from '../contracts/outcome.js';
 import {
-	applyRecord, type CallState, expiryOf, type Program, type Programs,
+	applyRecord, expiryOf, type Program, type Programs,
 } from '../contracts/program.js';
 import {type JournalRecord} from '../contracts/record.js';
+import {countTokens, promptOf} from '../contracts/prompt.js';
+import {usedBy} from '../contracts/usage.js';
 import {isRepeatable, type Route} from '../contracts/route.js';
 import {type BackEnd, type Pace} from '../machines/back-end.js';
 import {type Fleet, type Place} from '../machines/fleet.js';
 import {type Scheduler} from '../machines/policy.js';
 import {type Quarantine} from '../machines/quarantine.js';
 import {type Journal} from './journal.js';
+import {createEngineAttempts} from './engine-attempts.js';
+import {createRecovery} from './recovery.js';
 import {type Transcript} from './transcript.js';
-import {startWatchdog} from './watchdog.js';
 
 /** Attempts that one call may take. */
 const maximumAttempts = 3;
@@ -39,18 +42,6 @@
 /** Time that a call which may not be repeated waits for its intent to be recorded. */
 export const commitTimeoutMs = 2000;
 
-/** Times the usual silence after which a model call is moved to another engine. */
-const silenceFactor = 4;
-
-const shortestTokenSilenceMs = 100;
-const shortestFirstSilenceMs = 300;
-
-/** Silence that is borne before anything is known about the pool. */
-const unknownSilenceMs = 10_000;
-
-/** Characters that one prompt token stands for on average. */
-const charactersPerToken = 4;
-
 /** What a call works on. */
 export type Execution = {
 	readonly program: Program;
@@ -108,28 +99,6 @@
 	attempts: number;
 };
 
-/** Conversation that an engine has to see: the history of the program and the new messages. */
-export function promptOf(program: Program, request: Request): readonly Message[] {
-	if (request.kind !== 'model') {
-		return [];
-	}
-
-	const messages: Message[] = [];
-	for (const turn of program.history) {
-		if (turn.request.kind === 'model' && turn.answer.kind === 'message') {
-			messages.push(...turn.request.messages, {role: 'assistant', content: turn.answer.tokens.join('')});
-		}
-	}
-
-	return [...messages, ...request.messages];
-}
-
-/** Estimated tokens of a prompt. */
-export function countTokens(prompt: readonly Message[]): Tokens {
-	const characters = prompt.reduce((sum, message) => sum + message.content.length, 0);
-	return as<Tokens>(Math.ceil(characters / charactersPerToken));
-}
-
 function reservationOf(request: Request, prompt: readonly Message[]): Spend {
 	const tokens = request.kind === 'model' ? countTokens(prompt) + request.limit : 0;
 	return {tokens: as<Tokens>(tokens), calls: 1};
@@ -144,28 +113,11 @@
 	return route.kind === 'model' ? 'windowed' : 'deferred';
 }
 
-function usedBy(outcome: Outcome, reservation: Spend): Spend {
-	switch (outcome.kind) {
-		case 'completed': {
-			const {answer} = outcome;
-			const tokens = answer.kind === 'message' ? answer.usage.prompt + answer.usage.completion : 0;
-			return {tokens: as<Tokens>(tokens), calls: 1};
-		}
-
-		case 'not-run': {
-			return {tokens: as<Tokens>(0), calls: 0};
-		}
-
-		case 'failed':
-		case 'unknown': {
-			return reservation;
-		}
-	}
-}
-
 /** Creates the executor of an instance. */
 export function createExecutor(options: ExecutorOptions): Executor {
 	const {fleet, dispatch, quarantine, clock, random, scheduler} = options;
+	const recovery = createRecovery(options);
+	const engineAttempts = createEngineAttempts({fleet, dispatch, clock});
 
 	function stop(step: Step, reason: unknown, certainty: Certainty): Failure {
 		const code: FailureCode = describeError(reason).includes('deadline') ? 'deadline-exceeded' : 'cancelled';
@@ -211,7 +163,7 @@
 
 	/** Checks what can be checked before anything is reserved. */
 	function prepare(execution: Execution, call: Call, digest: string): Job | Failure {
-		const fingerprint = fingerprintOf(call.route, call.request);
+		const fingerprint = fingerprintOf(call);
 		const route = fleet.route(call.route);
 		if (!route) {
 			return failure('not-found', `No route "${call.route}"`, {step: 'admit', peer: 'configuration'});
@@ -382,7 +334,15 @@
 	async function send(job: Job, attempt: Attempt, backEnd: BackEnd): Promise<AttemptResult> {
 		switch (attempt.request.kind) {
 			case 'model': {
-				return sendToEngine(job, attempt, backEnd);
+				const sent = await engineAttempts.send(backEnd, attempt, {
+					...dispatchOptions(job, attempt, backEnd),
+					mayMove: () => canTryAgain(job) && fleet.hasAlternative(job.route.pool, job.excluded) && fleet.retryBudget(job.route.pool).withdraw(),
+				});
+				if (sent.pace) {
+					observe(job, backEnd, sent.pace);
+				}
+
+				return sent.result;
 			}
 
 			case 'service': {
@@ -397,72 +357,6 @@
 		}
 	}
 
-	async function sendToEngine(job: Job, attempt: Attempt, backEnd: BackEnd): Promise<AttemptResult> {
-		const startedAt = clock.now();
-		const stalling = new AbortController();
-		let firstTokenAt: number | undefined;
-		const watchdog = startWatchdog({
-			clock,
-			limit: () => longestSilence(backEnd, firstTokenAt !== undefined),
-			onSilence() {
-				const mayMove = canTryAgain(job) && fleet.hasAlternative(job.route.pool, job.excluded) && fleet.retryBudget(job.route.pool).withdraw();
-				if (mayMove) {
-					stalling.abort(new Error('stalled'));
-				}
-
-				return mayMove;
-			},
-		});
-		const own = dispatchOptions(job, attempt, backEnd);
-		const result = await dispatch.send(backEnd.endpoint, attempt, {
-			...own,
-			signal: AbortSignal.any([own.signal, stalling.signal]),
-			onToken(text, index) {
-				firstTokenAt ??= clock.now();
-				watchdog.touch();
-				if (!stalling.signal.aborted) {
-					own.onToken(text, index);
-				}
-			},
-		});
-		watchdog.stop();
-		if (result.kind === 'answered') {
-			observe(job, backEnd, paceOf(startedAt, firstTokenAt, result));
-			return result;
-		}
-
-		if (stalling.signal.aborted) {
-			const message = `${backEnd.endpoint.id} was silent for longer than usual`;
-			return {kind: 'stalled', failure: failure('endpoint-failed', message, {step: 'stream', peer: backEnd.endpoint.id, execution: 'unknown'})};
-		}
-
-		return result.kind === 'broken' && !job.signal.aborted ? resumeOr(result, job, attempt, backEnd) : result;
-	}
-
-	/** The engine may still be generating although the connection broke. */
-	async function resumeOr(broken: AttemptResult, job: Job, attempt: Attempt, backEnd: BackEnd): Promise<AttemptResult> {
-		const resumed = await dispatch.resume(backEnd.endpoint, attempt.id, dispatchOptions(job, attempt, backEnd));
-		if (resumed.kind !== 'answered' || resumed.answer.kind !== 'message') {
-			return broken;
-		}
-
-		return {kind: 'answered', answer: {...resumed.answer, tokens: [...attempt.prefix, ...resumed.answer.tokens]}};
-	}
-
-	/** Silence, in ms, after which a call is better off elsewhere. */
-	function longestSilence(backEnd: BackEnd, hasBegun: boolean): number {
-		const typical = fleet.typicalPace(backEnd.endpoint.id);
-		const [usual, shortest] = hasBegun ? [typical.token, shortestTokenSilenceMs] : [typical.firstToken, shortestFirstSilenceMs];
-		return usual === 0 ? unknownSilenceMs : Math.max(shortest, usual * silenceFactor);
-	}
-
-	function paceOf(startedAt: number, firstTokenAt: number | undefined, result: AttemptResult): Pace {
-		const now = clock.now();
-		const tokens = result.kind === 'answered' && result.answer.kind === 'message' ? result.answer.usage.completion : 0;
-		const first = firstTokenAt ?? now;
-		return {call: now - startedAt, firstToken: first - startedAt, token: (now - first) / Math.max(1, tokens - 1)};
-	}
-
 	function dispatchOptions(job: Job, attempt: Attempt, backEnd: BackEnd) {
 		const {transcript} = job.execution;
 		return {
@@ -504,6 +398,7 @@
 		switch (result.kind) {
 			case 'answered': {
 				backEnd.remember(job.call.program, countTokens(job.prompt));
+				quarantine.absolve(job.fingerprint);
 				return;
 			}
 
@@ -564,85 +459,11 @@
 		));
 	}
 
-	async function recover(execution: Execution, key: IdempotencyKey): Promise<void> {
-		const state = execution.program.calls.get(key);
-		if (state?.kind !== 'intended') {
-			refuse(execution, failure('not-found', `No call with key ${key}`, {step: 'recover', peer: 'home'}));
-			return;
-		}
-
-		const outcome = state.request.kind === 'model' ? await resume(execution, state) : interrupted(state);
-		const used = usedBy(outcome, state.reservation);
-		// The reservation was counted as spent when the intent was replayed.
-		execution.program.account.restore({
-			tokens: as<Tokens>(used.tokens - state.reservation.tokens), calls: used.calls - state.reservation.calls,
-		});
-		execution.transcript.name(state.stream);
-		options.onEvent({
-			kind: 'recovered', call: state.call, program: execution.program.id, endpoint: state.endpoint, detail: outcome.kind,
-		});
-		const {durable} = append(execution, {
-			kind: 'settled',
-			program: execution.program.id,
-			call: state.call,
-			key,
-			digest: state.digest,
-			stream: state.stream,
-			outcome,
-			used,
-		});
-		const recorded = await durable;
-		execution.transcript.end(recorded.match<Parameters<Transcript['end']>[0]>(
-			() => ({kind: 'settled', outcome}),
-			reason => ({kind: 'refused', failure: {...reason, execution: 'unknown'}}),
-		));
-	}
-
-	/** Outcome of a call whose sender was lost: it is never sent again. */
-	function interrupted(state: Extract<CallState, {kind: 'intended'}>): Outcome {
-		return {
-			kind: 'unknown',
-			failure: failure('outcome-unknown', `The instance that sent the request to ${state.endpoint} was lost before the outcome was recorded`, {
-				step: 'recover', peer: state.endpoint, execution: 'unknown',
-			}),
-		};
-	}
-
-	/** Collects a model's answer from the engine that an earlier owner asked. */
-	async function resume(execution: Execution, state: Extract<CallState, {kind: 'intended'}>): Promise<Outcome> {
-		const backEnd = fleet.backEnd(state.endpoint);
-		const route = fleet.route(state.route);
-		if (!backEnd || !route) {
-			return interrupted(state);
-		}
-
-		for (const token of state.prefix) {
-			execution.transcript.push(token);
-		}
-
-		execution.transcript.name(state.stream);
-		const result = await dispatch.resume(backEnd.endpoint, state.attempt, {
-			timeout: route.timeout,
-			signal: execution.signal,
-			onToken(text) {
-				execution.transcript.push(text);
-			},
-			onLoad(total) {
-				backEnd.reportLoad(total, clock.now());
-			},
-		});
-		if (result.kind === 'answered') {
-			return {kind: 'completed', answer: result.answer};
-		}
-
-		return outcomeOf({...result.failure, step: 'recover', execution: 'failed'});
-	}
-
 	function emit(job: Job, kind: ExecutionEvent['kind'], detail: string, endpoint?: EndpointId): void {
 		options.onEvent({
 			kind, call: job.call.id, program: job.call.program, ...(endpoint !== undefined && {endpoint}), detail,
 		});
 	}
 
-	return {run, recover};
+	return {run, recover: recovery.recover};
 }
--- /dev/null
+++ b/src/zones/recovery.ts
@@ -0,0 +1,123 @@
+/**
+Recovery of calls whose intent an earlier owner recorded: a model's answer is collected from the engine
+that was asked, and a call that may not be repeated is reported as unknown.
+*/
+import {type Dispatch} from '../contracts/attempt.js';
+import {type Clock} from '../contracts/clock.js';
+import {type Failure, failure} from '../contracts/failure.js';
+import {as, type IdempotencyKey, type Tokens} from '../contracts/id.js';
+import {type Outcome, outcomeOf} from '../contracts/outcome.js';
+import {applyRecord, type CallState} from '../contracts/program.js';
+import {type JournalRecord} from '../contracts/record.js';
+import {usedBy} from '../contracts/usage.js';
+import {type Fleet} from '../machines/fleet.js';
+import {type Execution, type ExecutionEvent} from './execution.js';
+import {type Transcript} from './transcript.js';
+
+export type Recovery = {
+	/** Brings a call to its outcome. The transcript ends in any case. */
+	readonly recover: (execution: Execution, key: IdempotencyKey) => Promise<void>;
+};
+
+export type RecoveryOptions = {
+	readonly fleet: Fleet;
+	readonly dispatch: Dispatch;
+	readonly clock: Clock;
+	readonly onEvent: (event: ExecutionEvent) => void;
+};
+
+type Intended = Extract<CallState, {kind: 'intended'}>;
+
+/** Creates the recovery of an instance. */
+export function createRecovery(options: RecoveryOptions): Recovery {
+	const {fleet, dispatch, clock} = options;
+
+	function refuse(execution: Execution, reason: Failure): void {
+		execution.transcript.end({kind: 'refused', failure: reason});
+	}
+
+	function append(execution: Execution, record: JournalRecord) {
+		applyRecord(execution.programs, record);
+		return execution.journal.append([record]);
+	}
+
+	async function recover(execution: Execution, key: IdempotencyKey): Promise<void> {
+		const state = execution.program.calls.get(key);
+		if (state?.kind !== 'intended') {
+			refuse(execution, failure('not-found', `No call with key ${key}`, {step: 'recover', peer: 'home'}));
+			return;
+		}
+
+		const outcome = state.request.kind === 'model' ? await resume(execution, state) : interrupted(state);
+		const used = usedBy(outcome, state.reservation);
+		// The reservation was counted as spent when the intent was replayed.
+		execution.program.account.restore({
+			tokens: as<Tokens>(used.tokens - state.reservation.tokens), calls: used.calls - state.reservation.calls,
+		});
+		execution.transcript.name(state.stream);
+		options.onEvent({
+			kind: 'recovered', call: state.call, program: execution.program.id, endpoint: state.endpoint, detail: outcome.kind,
+		});
+		const {durable} = append(execution, {
+			kind: 'settled',
+			program: execution.program.id,
+			call: state.call,
+			key,
+			digest: state.digest,
+			stream: state.stream,
+			outcome,
+			used,
+		});
+		const recorded = await durable;
+		execution.transcript.end(recorded.match<Parameters<Transcript['end']>[0]>(
+			() => ({kind: 'settled', outcome}),
+			reason => ({kind: 'refused', failure: {...reason, execution: 'unknown'}}),
+		));
+	}
+
+	/** Outcome of a call whose sender was lost: it is never sent again. */
+	function interrupted(state: Intended): Outcome {
+		return {
+			kind: 'unknown',
+			failure: failure('outcome-unknown', `The instance that sent the request to ${state.endpoint} was lost before the outcome was recorded`, {
+				step: 'recover', peer: state.endpoint, execution: 'unknown',
+			}),
+		};
+	}
+
+	/** Collects a model's answer from the engine that an earlier owner asked. */
+	async function resume(execution: Execution, state: Intended): Promise<Outcome> {
+		const backEnd = fleet.backEnd(state.endpoint);
+		const route = fleet.route(state.route);
+		if (!backEnd || !route) {
+			return interrupted(state);
+		}
+
+		for (const token of state.prefix) {
+			execution.transcript.push(token);
+		}
+
+		execution.transcript.name(state.stream);
+		const result = await dispatch.resume(backEnd.endpoint, state.attempt, {
+			timeout: route.timeout,
+			signal: execution.signal,
+			onToken(text) {
+				execution.transcript.push(text);
+			},
+			onLoad(total) {
+				backEnd.reportLoad(total, clock.now());
+			},
+		});
+		if (result.kind === 'answered' && result.answer.kind === 'message') {
+			return {kind: 'completed', answer: {...result.answer, tokens: [...state.prefix, ...result.answer.tokens]}};
+		}
+
+		if (result.kind === 'answered') {
+			return interrupted(state);
+		}
+
+		return outcomeOf({...result.failure, step: 'recover', execution: 'failed'});
+	}
+
+	return {recover};
+}
--- a/src/zones/shard.ts
+++ b/src/zones/shard.ts
@@ -7,7 +7,9 @@
 import {type Budget, type Spend} from '../contracts/budget.js';
 import {type Call, type CallEvent, type Position} from '../contracts/call.js';
 import {type Clock, type Random} from '../contracts/clock.js';
-import {type Failure, failure, type FailureCode} from '../contracts/failure.js';
+import {
+	describeError, type Failure, failure, type FailureCode,
+} from '../contracts/failure.js';
 import {digestOf} from '../contracts/fingerprint.js';
 import {
 	createProgramId, type CustomerId, type EndpointId, type Home, type IdempotencyKey, type Milliseconds,
@@ -259,8 +261,13 @@
 			signal: AbortSignal.any([signal, entry.controller.signal]),
 		};
 		void sequenceOf(program.id).add(async () => {
-			await execute(execution);
-			finish(program.id, key);
+			try {
+				await execute(execution);
+			} catch (error) {
+				entry.transcript.end({kind: 'refused', failure: failure('internal', describeError(error), {step: 'admit', peer: 'home', execution: 'unknown'})});
+			} finally {
+				finish(program.id, key);
+			}
 		});
 		return entry.transcript;
 	}
--- a/tests/failures.test.ts
+++ b/tests/failures.test.ts
@@ -6,7 +6,10 @@
 	afterEach, beforeEach, describe, test,
 } from 'node:test';
 import {type CallEvent, start} from '../src/contracts/call.js';
-import {as, type IdempotencyKey} from '../src/contracts/id.js';
+import {
+	as, type EndpointId, type IdempotencyKey, type Milliseconds,
+} from '../src/contracts/id.js';
+import {createQuarantine} from '../src/machines/quarantine.js';
 import {
 	brenta, collect, conclusion, createWorld, finish, openProgram, question, reservation, trentside, within, type World,
 } from './fixtures/world.js';
@@ -222,6 +225,34 @@
 		assert.ok([...world.backEnds.holdings.values()].every(programs => !programs.has(program)));
 	});
 
+	test('an answer that was moved to another engine is whole after its home dies as well', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		const {owner, other} = others(program);
+		world.backEnds.duration = 5000;
+		world.backEnds.faults.set('engine-0', 'breaks-midway');
+		world.backEnds.faults.set('engine-1', 'breaks-midway');
+		const answered = finish(other, question(program, 'moved'));
+		await world.clock.advance(50);
+		world.backEnds.faults.clear();
+		await world.clock.advance(500);
+		assert.equal(world.backEnds.executions.length, 2);
+		owner.kill();
+		const event = await within(world, answered, 30_000);
+		assert.ok(event?.kind === 'settled' && event.outcome.kind === 'completed' && event.outcome.answer.kind === 'message');
+		assert.deepEqual(event.outcome.answer.tokens, [' moved:0', ' moved:1', ' moved:2', ' moved:3']);
+	});
+
+	test('a request that is answered is no longer suspected of earlier crashes', async () => {
+		const quarantine = createQuarantine();
+		const crash = (endpoint: string) => quarantine.record({fingerprint: 'yes', endpoint: as<EndpointId>(endpoint)}, as<Milliseconds>(0));
+		crash('engine-0');
+		quarantine.absolve('yes');
+		crash('engine-1');
+		assert.equal(quarantine.isBlocked('yes', as<Milliseconds>(0)), false);
+		crash('engine-0');
+		assert.equal(quarantine.isBlocked('yes', as<Milliseconds>(0)), true);
+	});
+
 	test('a hung tool ends at its time-out with an honest outcome', async () => {
 		const program = await within(world, openProgram(world.node(0)), 2000);
 		world.backEnds.faults.set('service-0', 'hangs');
