--- a/bench/proofs.ts
+++ b/bench/proofs.ts
@@ -71,7 +71,7 @@
 		name: 'The whole answer to one\'s own request, late or crossed',
 		tests: ['without a missing or doubled token', 'is continued by another engine', 'is resumed from the engine', 'answer under way is whole'],
 		mutation: {
-			without: 'positions in a continued answer', file: 'src/zones/execution.js', find: 'index + attempt.prefix.length === transcript', replace: 'index === transcript',
+			without: 'positions in a continued answer', file: 'src/zones/executor.js', find: 'index + attempt.prefix.length === transcript', replace: 'index === transcript',
 		},
 	},
 	{
@@ -85,7 +85,7 @@
 		name: 'A request that may not be repeated runs at most once: intent first',
 		tests: ['a reservation whose sender dies', 'is not run, and model calls go on'],
 		mutation: {
-			without: 'the wait for the intent', file: 'src/zones/execution.js', find: 'if (isRepeatable(job.route)) {', replace: 'if (job) {',
+			without: 'the wait for the intent', file: 'src/zones/executor.js', find: 'if (isRepeatable(job.route)) {', replace: 'if (job) {',
 		},
 	},
 	{
@@ -102,7 +102,7 @@
 		name: 'A key that ran elsewhere is not called "not run" by a deposed owner',
 		tests: ['random schedules'],
 		mutation: {
-			without: 'passing on a call whose shard is lost', file: 'src/zones/execution.js', find: 'if (execution.lost.aborted) {\n            refuse', replace: 'if (false) {\n            refuse',
+			without: 'passing on a call whose shard is lost', file: 'src/zones/executor.js', find: 'if (execution.lost.aborted) {\n            refuse', replace: 'if (false) {\n            refuse',
 		},
 	},
 	{
--- a/src/machines/instance.ts
+++ b/src/machines/instance.ts
@@ -14,7 +14,7 @@
 import {type Listing, type Platform} from '../contracts/platform.js';
 import {createConfigurationWatch} from '../zones/configuration-watch.js';
 import {createDataCentre} from '../zones/data-centre.js';
-import {createExecutor, type ExecutionEvent} from '../zones/execution.js';
+import {createExecutor, type ExecutionEvent} from '../zones/executor.js';
 import {createMembership, type Member} from '../zones/membership.js';
 import {createNeighbourhood} from '../zones/neighbourhood.js';
 import {candidatesIn, ownerOf, shardKey} from '../zones/ownership.js';
--- a/src/zones/data-centre.ts
+++ b/src/zones/data-centre.ts
@@ -11,7 +11,7 @@
 } from '../contracts/id.js';
 import {type Platform} from '../contracts/platform.js';
 import {type JournalRecord} from '../contracts/record.js';
-import {type Executor} from './execution.js';
+import {type Executor} from './executor.js';
 import {createHoldings} from './holdings.js';
 import {createJournal, type Holder} from './journal.js';
 import {type Member, type Membership} from './membership.js';
--- a/src/zones/recovery.ts
+++ b/src/zones/recovery.ts
@@ -11,7 +11,7 @@
 import {type JournalRecord} from '../contracts/record.js';
 import {usedBy} from '../contracts/usage.js';
 import {type Fleet} from '../machines/fleet.js';
-import {type Execution, type ExecutionEvent} from './execution.js';
+import {type Execution, type ExecutionEvent} from './executor.js';
 import {type Transcript} from './transcript.js';
 
 export type Recovery = {
--- a/src/zones/shard.ts
+++ b/src/zones/shard.ts
@@ -19,7 +19,7 @@
 	expiryOf, applyRecord, type Program, type Programs, turnsOf, type Turn,
 } from '../contracts/program.js';
 import {type Closing, type JournalRecord} from '../contracts/record.js';
-import {type Execution as CallExecution, type Executor} from './execution.js';
+import {type Execution as CallExecution, type Executor} from './executor.js';
 import {type Journal} from './journal.js';
 import {createTranscript, type Transcript} from './transcript.js';
 
--- a/standins/batch.ts
+++ b/standins/batch.ts
@@ -31,7 +31,13 @@
 	readonly prefillPerStep: number;
 };
 
-export type CacheEvent = {readonly kind: 'stored' | 'evicted' | 'released'; readonly owner: string; readonly tokens: number};
+export type CacheEvent = {
+	readonly kind: 'stored' | 'evicted' | 'released';
+	readonly owner: string;
+	readonly tokens: number;
+	/** Wall-clock time since the epoch, in ms. */
+	readonly at: number;
+};
 
 export type Batch = {
 	readonly add: (sequence: Sequence) => void;
@@ -61,6 +67,12 @@
 	let computed = 0;
 	let found = 0;
 
+	function note(kind: CacheEvent['kind'], owner: string, tokens: number): void {
+		events.push({
+			kind, owner, tokens, at: Date.now(),
+		});
+	}
+
 	function evict(): void {
 		let total = [...cache.values()].reduce((sum, tokens) => sum + tokens, 0);
 		const busy = new Set(running.map(sequence => sequence.program));
@@ -71,7 +83,7 @@
 
 			if (!busy.has(owner)) {
 				cache.delete(owner);
-				events.push({kind: 'evicted', owner, tokens});
+				note('evicted', owner, tokens);
 				total -= tokens;
 			}
 		}
@@ -81,7 +93,7 @@
 		const known = cache.get(owner) ?? 0;
 		cache.delete(owner);
 		cache.set(owner, Math.max(known, tokens));
-		events.push({kind: 'stored', owner, tokens});
+		note('stored', owner, tokens);
 		evict();
 	}
 
@@ -155,7 +167,7 @@
 			const tokens = cache.get(owner);
 			if (tokens !== undefined) {
 				cache.delete(owner);
-				events.push({kind: 'released', owner, tokens});
+				note('released', owner, tokens);
 			}
 		},
 		store,
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -248,7 +248,10 @@
 		app.get('/v1/cache/events', handle(async (request, response) => {
 			const since = Number(new URLSearchParams(request.search ?? '').get('since'));
 			// Every tenth event is lost, as on real engines under load.
-			const events = batch.events().map((event, index) => ({...event, sequence: index})).filter(event => event.sequence >= since && event.sequence % 10 !== 9);
+			const until = Date.now() - (options.reportLagMs ?? 0);
+			const events = batch.events()
+				.map((event, index) => ({...event, sequence: index}))
+				.filter(event => event.sequence >= since && event.at <= until && event.sequence % 10 !== 9);
 			answer(response, 200, {events});
 		}));
 		app.get('/v1/load', handle(async (_request, response) => {
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -16,8 +16,10 @@
 	delayMs: z.number().optional(),
 	/** Number of the next writes that take effect without an answer. */
 	loseAnswers: z.number().optional(),
-	/** Data centres whose instances cannot reach the platform are handled by their links; this cuts single names. */
+	/** Refuses objects whose names begin like this. */
 	refusePrefix: z.string().optional(),
+	/** Calls a second above which the platform refuses more. */
+	callsPerSecond: z.number().positive().optional(),
 });
 
 const listingBody = z.object({
@@ -56,6 +58,8 @@
 	};
 	let faults: z.output<typeof faultsBody> = {};
 	let revision = 0;
+	let countedSecond = 0;
+	let callsInSecond = 0;
 	const waiting: Array<() => void> = [];
 
 	function put(name: string, value: unknown): number {
@@ -89,13 +93,22 @@
 		]);
 	}
 
+	/** Counts a call in the current second. */
+	function isOverRate(): boolean {
+		const second = Math.floor(Date.now() / 1000);
+		callsInSecond = second === countedSecond ? callsInSecond + 1 : 1;
+		countedSecond = second;
+		return faults.callsPerSecond !== undefined && callsInSecond > faults.callsPerSecond;
+	}
+
 	/** Whether the platform serves a request now; an outage answers nothing useful. */
 	async function admit(name: string): Promise<boolean> {
 		if (faults.delayMs) {
 			await delay(faults.delayMs);
 		}
 
-		return faults.down !== true && (faults.refusePrefix === undefined || !name.startsWith(faults.refusePrefix));
+		const isRefused = faults.refusePrefix !== undefined && name.startsWith(faults.refusePrefix);
+		return faults.down !== true && !isRefused && !isOverRate();
 	}
 
 	function learn(entry: z.output<typeof listingBody>): void {
--- a/tests/platform-contract.test.ts
+++ b/tests/platform-contract.test.ts
@@ -54,6 +54,9 @@
 	{
 		name: 'a write that is answered too late', faults: {delayMs: 600}, expected: current => current, kind: 'doubtful', isStored: false,
 	},
+	{
+		name: 'a write above the rate that the platform bears', faults: {callsPerSecond: 0.5}, expected: current => current, kind: 'unavailable', isStored: false,
+	},
 	{
 		name: 'a value above one megabyte', faults: {}, expected: current => current, value: 'x'.repeat(1_100_000), kind: 'unavailable', isStored: false,
 	},
