Share the usual times of pools by gossip

Cause: an entry that had seen too few calls of a pool knew no usual time, and left calls on slowed engines for up to 10 s. Change: probes carry the times of up to two pools; an instance uses them until it has its own. A test covers the case that was found.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -402,6 +402,7 @@
 			generation: as<ConfigurationGeneration>(20_000),
 			endpoints: [],
 			crashes: [],
+			paces: [],
 		};
 		const server = await servePeers({
 			instance: createStubInstance({answerGossip: () => message}), host: loopback, port: 0, token,
--- a/src/machines/back-end.ts
+++ b/src/machines/back-end.ts
@@ -16,7 +16,8 @@
 
 const paceWeight = 0.3;
 
-const noPace: Pace = {call: 0, firstToken: 0, token: 0};
+/** Pace before anything was observed. */
+export const noPace: Pace = {call: 0, firstToken: 0, token: 0};
 
 /** Times of calls, in ms. Services have no tokens; theirs stay zero. */
 export type Pace = {
--- a/src/machines/fleet.ts
+++ b/src/machines/fleet.ts
@@ -11,7 +11,9 @@
 } from '../contracts/id.js';
 import {type Pool} from '../contracts/pool.js';
 import {type Route} from '../contracts/route.js';
-import {type BackEnd, createBackEnd, type Pace} from './back-end.js';
+import {
+	type BackEnd, createBackEnd, noPace, type Pace,
+} from './back-end.js';
 import {type PlacementQuery} from './placement.js';
 import {type Scheduler} from './policy.js';
 import {createRetryBudget, type RetryBudget} from './retry-budget.js';
@@ -30,6 +32,9 @@
 	readonly signal: AbortSignal;
 };
 
+/** Usual times of calls in a pool, in ms. */
+export type PoolPace = {readonly pool: PoolName; readonly pace: Pace};
+
 export type Fleet = {
 	readonly apply: (configuration: Configuration) => void;
 	readonly configuration: () => Configuration;
@@ -43,6 +48,10 @@
 	readonly backEnds: () => readonly BackEnd[];
 	/** Medians of the smoothed times in the pool that an endpoint belongs to. */
 	readonly typicalPace: (endpoint: EndpointId) => Pace;
+	/** Usual times that this instance has observed itself, for some pools at a time in turn. */
+	readonly takePaces: (limit: number) => readonly PoolPace[];
+	/** Takes a peer's times over for a pool that this instance has not observed. */
+	readonly learnPace: (learned: PoolPace) => void;
 };
 
 export type FleetOptions = {
@@ -71,6 +80,8 @@
 	let configuration = emptyConfiguration;
 	let routes = new Map<RouteName, Route>();
 	let groups = new Map<PoolName, Group>();
+	const learnedPaces = new Map<PoolName, Pace>();
+	let paceTurn = 0;
 	let byEndpoint = new Map<EndpointId, {readonly backEnd: BackEnd; readonly group: Group}>();
 
 	function createGroup(pool: Pool): Group {
@@ -93,6 +104,13 @@
 		byEndpoint = new Map([...groups.values()].flatMap(group => group.backEnds.map(backEnd => [backEnd.endpoint.id, {backEnd, group}])));
 	}
 
+	/** Medians over the endpoints that were observed from here. */
+	function observedPace(group: Group): Pace {
+		const paces = group.backEnds.map(backEnd => backEnd.pace());
+		const typical = (value: (pace: Pace) => number) => median(paces.map(pace => value(pace)).filter(time => time > 0));
+		return {call: typical(pace => pace.call), firstToken: typical(pace => pace.firstToken), token: typical(pace => pace.token)};
+	}
+
 	function refuse(code: 'no-endpoint' | 'overloaded' | 'cancelled', message: string, pool: PoolName): Result<never, Failure> {
 		return err(failure(code, message, {step: 'place', peer: pool, retryAfter: as<Milliseconds>(retryAfterMs)}));
 	}
@@ -155,9 +173,23 @@
 		backEnds: () => [...byEndpoint.values()].map(entry => entry.backEnd),
 		typicalPace(endpoint) {
 			const group = byEndpoint.get(endpoint)?.group;
-			const paces = (group?.backEnds ?? []).map(backEnd => backEnd.pace());
-			const typical = (value: (pace: Pace) => number) => median(paces.map(pace => value(pace)).filter(time => time > 0));
-			return {call: typical(pace => pace.call), firstToken: typical(pace => pace.firstToken), token: typical(pace => pace.token)};
+			const observed = group ? observedPace(group) : noPace;
+			const learned = (group && learnedPaces.get(group.pool.name)) ?? noPace;
+			return {
+				call: observed.call || learned.call,
+				firstToken: observed.firstToken || learned.firstToken,
+				token: observed.token || learned.token,
+			};
+		},
+		takePaces(limit) {
+			const known = [...groups.values()]
+				.map(group => ({pool: group.pool.name, pace: observedPace(group)}))
+				.filter(entry => entry.pace.call > 0);
+			paceTurn++;
+			return known.filter((_, index) => (index + paceTurn) % Math.ceil(known.length / limit) === 0);
+		},
+		learnPace(learned) {
+			learnedPaces.set(learned.pool, learned.pace);
 		},
 	};
 }
--- a/src/machines/instance.ts
+++ b/src/machines/instance.ts
@@ -185,6 +185,8 @@
 				neighbourhood.announceCrash(crash);
 			}
 		},
+		takePaces: fleet.takePaces,
+		onPace: fleet.learnPace,
 		onGeneration(peer) {
 			void fetchConfiguration(peer);
 		},
--- a/src/zones/neighbourhood.ts
+++ b/src/zones/neighbourhood.ts
@@ -8,6 +8,7 @@
 	type Milliseconds,
 } from '../contracts/id.js';
 import {type Listing} from '../contracts/platform.js';
+import {type PoolPace} from '../machines/fleet.js';
 import {type Crash} from '../machines/quarantine.js';
 import {createBroadcast} from './broadcast.js';
 import {
@@ -18,6 +19,9 @@
 /** News of each sort that one message carries. */
 const newsPerMessage = 8;
 
+/** Pools whose usual times one message carries. */
+const pacesPerMessage = 2;
+
 /** Neighbours whose view a starting instance asks for. */
 const neighboursToMeet = 3;
 
@@ -52,6 +56,8 @@
 	readonly onPause: (gap: Milliseconds) => void;
 	readonly onEndpoint: (news: EndpointNews) => void;
 	readonly onCrash: (crash: Crash) => void;
+	readonly takePaces: (limit: number) => readonly PoolPace[];
+	readonly onPace: (pace: PoolPace) => void;
 	/** A peer has a newer configuration. */
 	readonly onGeneration: (peer: Member) => void;
 };
@@ -73,6 +79,7 @@
 			generation: options.generation(),
 			endpoints: endpointNews.take(newsPerMessage),
 			crashes: crashNews.take(newsPerMessage),
+			paces: options.takePaces(pacesPerMessage),
 		};
 	}
 
@@ -134,6 +141,10 @@
 			learnEndpoint(news);
 		}
 
+		for (const pace of message.paces) {
+			options.onPace(pace);
+		}
+
 		for (const crash of message.crashes) {
 			options.onCrash(crash);
 		}
--- a/src/zones/peers.ts
+++ b/src/zones/peers.ts
@@ -11,6 +11,7 @@
 } from '../contracts/id.js';
 import {type Turn} from '../contracts/program.js';
 import {type Closing, type JournalRecord} from '../contracts/record.js';
+import {type PoolPace} from '../machines/fleet.js';
 import {type Crash} from '../machines/quarantine.js';
 import {type Member} from './membership.js';
 import {type Opening, type ProgramView, type Target} from './shard.js';
@@ -31,6 +32,8 @@
 	readonly generation: ConfigurationGeneration;
 	readonly endpoints: readonly EndpointNews[];
 	readonly crashes: readonly Crash[];
+	/** Usual times of calls, for pools that the sender knows better than the receiver may. */
+	readonly paces: readonly PoolPace[];
 };
 
 /** A request about programs, answered by their home. */
--- a/tests/failures.test.ts
+++ b/tests/failures.test.ts
@@ -253,6 +253,25 @@
 		assert.equal(quarantine.isBlocked('yes', as<Milliseconds>(0)), true);
 	});
 
+	test('an instance that has seen no calls knows from its peers when an engine is too silent', async () => {
+		const program = await within(world, openProgram(world.node(0)), 2000);
+		const {owner, other} = others(program);
+		const elsewhere = await within(world, openProgram(other), 2000);
+		assert.equal(world.ownerOf(elsewhere), other);
+		world.backEnds.duration = 50;
+		for (const text of ['a', 'b', 'c']) {
+			await within(world, finish(owner, question(program, text)), 2000);
+		}
+
+		await world.clock.advance(3000);
+		world.backEnds.faults.set('engine-0', 'hangs');
+		world.backEnds.faults.set('engine-1', 'hangs');
+		const answered = finish(other, question(elsewhere, 'silent'));
+		await world.clock.advance(10);
+		world.backEnds.faults.delete(world.backEnds.executions.at(-1)?.endpoint === 'engine-0' ? 'engine-1' : 'engine-0');
+		assert.equal(conclusion(await within(world, answered, 2000)), 'completed');
+	});
+
 	test('a hung tool ends at its time-out with an honest outcome', async () => {
 		const program = await within(world, openProgram(world.node(0)), 2000);
 		world.backEnds.faults.set('service-0', 'hangs');
