--- a/bench/proofs.ts
+++ b/bench/proofs.ts
@@ -78,7 +78,7 @@
 		name: '"Not run" is true',
 		tests: ['is never called not run', 'is not run, and model calls go on', 'is not run, and runs after the cut'],
 		mutation: {
-			without: 'the memory of a lost connection', file: 'src/machines/instance.js', find: 'mayHaveRun ||= moving.execution !== \'not-run\';', replace: '',
+			without: 'the memory of a lost connection', file: 'src/zones/routing.js', find: 'mayHaveRun ||= moving.execution !== \'not-run\';', replace: '',
 		},
 	},
 	{
