Compute a placement's cost once, and end recorded calls in one place

Read again: the scheduler priced the chosen endpoint a second time on every call, and executor and recovery each had the rule that an outcome which is not on record is not shown. choose() now returns the cost with the endpoint; endingOf() is the one rule.

--- a/src/machines/placement.ts
+++ b/src/machines/placement.ts
@@ -55,7 +55,7 @@
 }
 
 /** The cheapest usable back end, or a last resort when there is none. */
-export function choose(backEnds: readonly BackEnd[], query: PlacementQuery): BackEnd | undefined {
+export function choose(backEnds: readonly BackEnd[], query: PlacementQuery): Candidate | undefined {
 	const untried = backEnds.filter(backEnd => !query.excluded.has(backEnd.endpoint.id));
 	const usable = untried.filter(backEnd => backEnd.isUsable(query.now));
 	const remaining = usable.length > 0 ? usable : lastResorts(backEnds, untried);
@@ -67,5 +67,5 @@
 		}
 	}
 
-	return best?.backEnd;
+	return best;
 }
--- a/src/machines/policy.ts
+++ b/src/machines/policy.ts
@@ -4,7 +4,7 @@
 */
 import {type EndpointId, type Milliseconds, type Tokens} from '../contracts/id.js';
 import {type BackEnd} from './back-end.js';
-import {choose, costOf, type PlacementQuery} from './placement.js';
+import {choose, type PlacementQuery} from './placement.js';
 
 export type Policy
 	= | {readonly kind: 'adaptive'}
@@ -36,13 +36,12 @@
 	}
 
 	function chooseCheapest(backEnds: readonly BackEnd[], query: PlacementQuery, patience: Milliseconds): Choice {
-		const backEnd = choose(backEnds, query);
-		if (!backEnd) {
+		const best = choose(backEnds, query);
+		if (!best) {
 			return {kind: 'none'};
 		}
 
-		const cost = costOf(backEnd, query);
-		return cost > patience ? {kind: 'too-late', cost} : {kind: 'chosen', backEnd};
+		return best.cost > patience ? {kind: 'too-late', cost: best.cost} : {kind: 'chosen', backEnd: best.backEnd};
 	}
 
 	return {
--- a/src/zones/executor.ts
+++ b/src/zones/executor.ts
@@ -34,7 +34,7 @@
 import {type Journal} from './journal.js';
 import {createEngineAttempts} from './engine-attempts.js';
 import {createRecovery} from './recovery.js';
-import {type Transcript} from './transcript.js';
+import {endingOf, type Transcript} from './transcript.js';
 
 /** Attempts that one call may take. */
 const maximumAttempts = 3;
@@ -453,10 +453,7 @@
 		}
 
 		const recorded = await durable;
-		execution.transcript.end(recorded.match<Parameters<Transcript['end']>[0]>(
-			() => ({kind: 'settled', outcome}),
-			reason => ({kind: 'refused', failure: {...reason, execution: 'unknown'}}),
-		));
+		execution.transcript.end(endingOf(outcome, recorded));
 	}
 
 	function emit(job: Job, kind: ExecutionEvent['kind'], detail: string, endpoint?: EndpointId): void {
--- a/src/zones/recovery.ts
+++ b/src/zones/recovery.ts
@@ -12,7 +12,7 @@
 import {usedBy} from '../contracts/usage.js';
 import {type Fleet} from '../machines/fleet.js';
 import {type Execution, type ExecutionEvent} from './executor.js';
-import {type Transcript} from './transcript.js';
+import {endingOf} from './transcript.js';
 
 export type Recovery = {
 	/** Brings a call to its outcome. The transcript ends in any case. */
@@ -69,10 +69,7 @@
 			used,
 		});
 		const recorded = await durable;
-		execution.transcript.end(recorded.match<Parameters<Transcript['end']>[0]>(
-			() => ({kind: 'settled', outcome}),
-			reason => ({kind: 'refused', failure: {...reason, execution: 'unknown'}}),
-		));
+		execution.transcript.end(endingOf(outcome, recorded));
 	}
 
 	/** Outcome of a call whose sender was lost: it is never sent again. */
--- a/src/zones/transcript.ts
+++ b/src/zones/transcript.ts
@@ -2,9 +2,11 @@
 Transcript of one call's answer. Readers follow it at their own pace and may start at any token, so a
 slow caller holds up neither the engine nor other readers, and a lost connection can be resumed.
 */
+import {type Result} from 'neverthrow';
 import {type CallEvent, type Position} from '../contracts/call.js';
-import {failure} from '../contracts/failure.js';
+import {type Failure, failure} from '../contracts/failure.js';
 import {type AttemptId} from '../contracts/id.js';
+import {type Outcome} from '../contracts/outcome.js';
 
 type Ending = Extract<CallEvent, {kind: 'settled' | 'refused'}>;
 
@@ -20,6 +22,14 @@
 	readonly read: (position: Position, signal: AbortSignal) => AsyncGenerator<CallEvent, void, undefined>;
 };
 
+/** Ending of a call whose outcome was to be recorded. An outcome that is not on record is not shown. */
+export function endingOf(outcome: Outcome, recorded: Result<unknown, Failure>): Ending {
+	return recorded.match<Ending>(
+		() => ({kind: 'settled', outcome}),
+		reason => ({kind: 'refused', failure: {...reason, execution: 'unknown'}}),
+	);
+}
+
 /** Creates an empty transcript. */
 export function createTranscript(): Transcript {
 	const tokens: string[] = [];
