Relay requests on the platform: routes, placement, attempts and streams, thin

The first path from end to end through platform/: settings by a template, store watched by each entry, requests relayed, answers whole, streams by whole events and resumed at the same endpoint.

--- /dev/null
+++ b/src/contracts/object-store.ts
@@ -0,0 +1,56 @@
+/**
+The object store of the platform as the decisions see it: objects by kind and name with revisions,
+lists, watches and conditional writes. The encoding lives in an adapter.
+*/
+import {type Result} from 'neverthrow';
+import {type Failure} from './failure.js';
+import {type Milliseconds, type ObjectName, type ObjectVersion} from './id.js';
+
+export type KindedObject = {
+	readonly name: ObjectName;
+	/** Revision of its last change. */
+	readonly revision: ObjectVersion;
+	readonly spec: unknown;
+	readonly status: unknown;
+};
+
+export type ObjectList = {
+	readonly objects: readonly KindedObject[];
+	/** Revision of the store at which the list was read. */
+	readonly revision: ObjectVersion;
+};
+
+export type ObjectChange = {
+	readonly object: KindedObject;
+	readonly isDeleted: boolean;
+};
+
+export type WatchResult
+	= | {readonly kind: 'changes'; readonly changes: readonly ObjectChange[]; readonly revision: ObjectVersion}
+	/** The store no longer has the history since the revision; list again. */
+		| {readonly kind: 'history-lost'}
+		| {readonly kind: 'failed'; readonly failure: Failure};
+
+/** Result of a write. */
+export type WriteResult
+	= | {readonly kind: 'written'; readonly revision: ObjectVersion}
+	/** The object is at another revision, or exists already; nothing was written. */
+		| {readonly kind: 'conflict'; readonly object: KindedObject | undefined}
+		| {readonly kind: 'absent'}
+	/** Certain that nothing was written. */
+		| {readonly kind: 'unavailable'; readonly failure: Failure}
+	/** The write may or may not have taken effect, or may yet. */
+		| {readonly kind: 'doubtful'; readonly failure: Failure};
+
+/** Failures have the code `platform-unavailable`. */
+export type ObjectStore = {
+	readonly list: (kind: string, options: {readonly mayBeStale: boolean}) => Promise<Result<ObjectList, Failure>>;
+	/** Waits until an object of the kind has changed since the revision, at most for the time given. */
+	readonly watch: (kind: string, since: ObjectVersion, wait: Milliseconds, signal: AbortSignal) => Promise<WatchResult>;
+	readonly create: (kind: string, name: ObjectName, spec: unknown) => Promise<WriteResult>;
+	/** Replaces the spec of an object that is at the revision. */
+	readonly replace: (kind: string, name: ObjectName, spec: unknown, revision: ObjectVersion) => Promise<WriteResult>;
+	readonly putStatus: (kind: string, name: ObjectName, status: unknown) => Promise<WriteResult>;
+	/** Calls made so far. */
+	readonly calls: () => number;
+};
--- /dev/null
+++ b/src/contracts/routing-table.ts
@@ -0,0 +1,47 @@
+/**
+Routing table: finds the route of a request by its host and the longest matching path prefix, and the
+pool by the weights of the route's shares.
+*/
+import {type PoolName} from './id.js';
+import {type RelayConfiguration, type RelayPool, type RelayRoute} from './relay.js';
+
+export type RoutingTable = {
+	readonly configuration: RelayConfiguration;
+	readonly routeOf: (host: string, path: string) => RelayRoute | undefined;
+	readonly pool: (name: PoolName) => RelayPool | undefined;
+};
+
+/** Builds the table of one configuration. */
+export function createRoutingTable(configuration: RelayConfiguration): RoutingTable {
+	const byHost = new Map<string, RelayRoute[]>();
+	for (const route of configuration.routes) {
+		const routes = byHost.get(route.host) ?? [];
+		routes.push(route);
+		byHost.set(route.host, routes);
+	}
+
+	for (const routes of byHost.values()) {
+		routes.sort((left, right) => right.prefix.length - left.prefix.length);
+	}
+
+	const pools = new Map(configuration.pools.map(pool => [pool.name, pool]));
+	return {
+		configuration,
+		routeOf: (host, path) => byHost.get(host)?.find(route => path.startsWith(route.prefix)),
+		pool: name => pools.get(name),
+	};
+}
+
+/** Picks a share of the route; `fraction` is uniform in [0, 1). */
+export function choosePool(route: RelayRoute, fraction: number): PoolName | undefined {
+	const total = route.shares.reduce((sum, share) => sum + share.weight, 0);
+	let left = fraction * total;
+	for (const share of route.shares) {
+		left -= share.weight;
+		if (left < 0) {
+			return share.pool;
+		}
+	}
+
+	return route.shares.at(-1)?.pool;
+}
--- /dev/null
+++ b/src/links/relay-log.ts
@@ -0,0 +1,124 @@
+/**
+Log lines of a relaying instance: one for each decision that touches a request or changes what the
+instance believes. docs/OPERATIONS.md shows how to follow a request through them.
+*/
+import {type RelayInstanceEvent} from '../machines/relay-instance.js';
+import {type RelayEvent} from '../machines/relay-event.js';
+import {type RelayRequest} from '../contracts/relay-request.js';
+import {type Log} from './log.js';
+
+/** Lines a second about requests that were served as expected; failures are always written. */
+const ordinaryLinesPerSecond = 50;
+
+function requestOf(request: RelayRequest) {
+	return {request: request.attempt, program: request.program?.id};
+}
+
+function logRelay(log: Log, event: RelayEvent): void {
+	switch (event.kind) {
+		case 'attempted': {
+			const {result} = event;
+			log.info({
+				event: 'attempt', ...requestOf(event.request), endpoint: event.endpoint, result: result.kind, load: event.load, tookMs: Math.round(event.took),
+				...(result.kind === 'answered' && {status: result.head.status}),
+				...(result.kind === 'rejected' && {status: result.status}),
+				...('reason' in result && {reason: result.reason}),
+			}, 'attempt ended');
+			return;
+		}
+
+		case 'served': {
+			log.info({
+				event: 'served', ...requestOf(event.request), attempts: event.attempts, elapsedMs: Math.round(event.elapsed),
+			}, 'answer delivered');
+			return;
+		}
+
+		case 'refused': {
+			log.warn({
+				event: 'refused', ...requestOf(event.request), target: event.request.target, refusal: event.refusal.kind, attempts: event.attempts, elapsedMs: Math.round(event.elapsed),
+			}, 'request refused');
+			return;
+		}
+
+		case 'cancelled': {
+			log.info({
+				event: 'cancelled', ...requestOf(event.request), attempts: event.attempts, elapsedMs: Math.round(event.elapsed),
+			}, 'caller went away');
+			return;
+		}
+
+		case 'crash-suspected': {
+			log.warn({
+				event: 'crash-suspected', ...requestOf(event.request), endpoint: event.endpoint, fingerprint: event.fingerprint,
+			}, 'request may have crashed an endpoint');
+		}
+	}
+}
+
+function isOrdinary(event: RelayInstanceEvent): boolean {
+	if (event.kind !== 'relay') {
+		return false;
+	}
+
+	const {relay} = event;
+	return relay.kind === 'served' || (relay.kind === 'attempted' && (relay.result.kind === 'answered' || relay.result.kind === 'finished'));
+}
+
+function logOne(log: Log, event: RelayInstanceEvent): void {
+	switch (event.kind) {
+		case 'relay': {
+			logRelay(log, event.relay);
+			return;
+		}
+
+		case 'configuration': {
+			log.info({event: 'configuration', generation: event.generation, previous: event.previous}, 'configuration in force');
+			return;
+		}
+
+		case 'configuration-refused': {
+			log.warn({event: 'configuration-refused', reason: event.failure.message}, 'configuration cannot be read');
+			return;
+		}
+
+		case 'endpoint': {
+			log.info({
+				event: 'endpoint', endpoint: event.id, change: event.change, revision: event.revision,
+			}, 'endpoint changed');
+			return;
+		}
+
+		case 'store': {
+			log.warn({
+				event: 'store', objects: event.objects, change: event.change, reason: event.reason,
+			}, `store ${event.change}`);
+		}
+	}
+}
+
+/** Creates a writer that bounds the lines about ordinary requests and says how many it left out. */
+export function createRelayLog(log: Log): (event: RelayInstanceEvent) => void {
+	let second = 0;
+	let lines = 0;
+	let omitted = 0;
+	return event => {
+		const now = Math.floor(performance.now() / 1000);
+		if (now !== second) {
+			if (omitted > 0) {
+				log.info({event: 'omitted', lines: omitted}, 'lines about ordinary requests left out');
+			}
+
+			second = now;
+			lines = 0;
+			omitted = 0;
+		}
+
+		if (isOrdinary(event) && ++lines > ordinaryLinesPerSecond) {
+			omitted++;
+			return;
+		}
+
+		logOne(log, event);
+	};
+}
--- /dev/null
+++ b/src/machines/relay-placement.ts
@@ -0,0 +1,107 @@
+/**
+Placement of relayed requests. Waiting, pace, computing a prompt again and distance are priced in one
+currency, expected milliseconds. Part of the price of a prompt depends only on a hash of its first part,
+so that instances choose alike without talking.
+*/
+import {createHash} from 'node:crypto';
+import {
+	type DataCentreId, type EndpointId, type Milliseconds,
+} from '../contracts/id.js';
+import {type PromptPart} from '../contracts/relay-request.js';
+import {type RelayEndpoint} from './relay-endpoint.js';
+
+/** Time to compute one prompt token on a current accelerator: about 50 tokens a ms. */
+const prefillMsPerToken = 0.02;
+
+/** Extra price of another data centre: bytes between data centres are scarce, and a cut loses the request. */
+const remoteMs = 40;
+
+/** Share of a request's time that it loses on an endpoint whose other slots are all taken. */
+const sharingShare = 0.4;
+
+/** Share of the prompt's first part that counts as cached where its hash points first. */
+const homeShare = 0.6;
+
+/** Pace before anything was observed, in ms. */
+const assumedPaceMs = 150;
+
+export type RelayQuery = {
+	readonly prompt: readonly PromptPart[];
+	readonly dataCentre: DataCentreId;
+	readonly excluded: ReadonlySet<EndpointId>;
+	readonly now: Milliseconds;
+};
+
+export type Placement = {
+	readonly endpoint: RelayEndpoint;
+	/** Expected time until an answer begins, in ms. */
+	readonly cost: number;
+};
+
+function weigh(endpoint: EndpointId, key: string): number {
+	return createHash('sha1').update(`${endpoint}|${key}`).digest().readUInt32BE();
+}
+
+function median(values: readonly number[]): number | undefined {
+	const sorted = values.toSorted((left, right) => left - right);
+	return sorted[Math.floor((sorted.length - 1) / 2)];
+}
+
+/** Median of the paces that were observed lately, in ms. */
+export function typicalPace(endpoints: readonly RelayEndpoint[], now: Milliseconds): number {
+	return median(endpoints.flatMap(endpoint => endpoint.recentPace(now) ?? [])) ?? assumedPaceMs;
+}
+
+/** Endpoint of this data centre that the hash of the prompt's first part points to. */
+function homeOf(endpoints: readonly RelayEndpoint[], query: RelayQuery): RelayEndpoint | undefined {
+	const [first] = query.prompt;
+	if (!first) {
+		return undefined;
+	}
+
+	const local = endpoints.filter(endpoint => endpoint.listed().dataCentre === query.dataCentre);
+	let best: {readonly endpoint: RelayEndpoint; readonly weight: number} | undefined;
+	for (const endpoint of local) {
+		const weight = weigh(endpoint.listed().id, first.id);
+		if (!best || weight > best.weight) {
+			best = {endpoint, weight};
+		}
+	}
+
+	return best?.endpoint;
+}
+
+function missingTokens(endpoint: RelayEndpoint, query: RelayQuery, isHome: boolean): number {
+	const total = query.prompt.reduce((sum, part) => sum + part.tokens, 0);
+	const assumed = isHome ? (query.prompt[0]?.tokens ?? 0) * homeShare : 0;
+	return total - Math.max(endpoint.cached(query.prompt), assumed);
+}
+
+/** Expected time until the endpoint answers, in ms. */
+function costOf(endpoint: RelayEndpoint, query: RelayQuery, typical: number, isHome: boolean): number {
+	const {slots, dataCentre} = endpoint.listed();
+	const pace = endpoint.pace(typical, query.now);
+	const load = endpoint.load(query.now);
+	const waiting = (Math.max(0, load + 1 - slots) / slots) * pace;
+	const sharing = Math.min(1, load / slots) * sharingShare * pace;
+	const distance = dataCentre === query.dataCentre ? 0 : remoteMs;
+	return pace + waiting + sharing + distance + (missingTokens(endpoint, query, isHome) * prefillMsPerToken);
+}
+
+/** The cheapest endpoint that can be used, or else the cheapest of those that failed lately. */
+export function place(endpoints: readonly RelayEndpoint[], query: RelayQuery): Placement | undefined {
+	const open = endpoints.filter(endpoint => !query.excluded.has(endpoint.listed().id));
+	const usable = open.filter(endpoint => endpoint.isUsable(query.now));
+	const candidates = usable.length > 0 ? usable : open;
+	const typical = typicalPace(endpoints, query.now);
+	const home = homeOf(usable, query);
+	let best: Placement | undefined;
+	for (const endpoint of candidates) {
+		const cost = costOf(endpoint, query, typical, endpoint === home);
+		if (!best || cost < best.cost) {
+			best = {endpoint, cost};
+		}
+	}
+
+	return best;
+}
--- /dev/null
+++ b/src/machines/relay.ts
@@ -0,0 +1,306 @@
+/**
+Relay: carries one request of a caller to an endpoint and the answer back, over as many attempts as the
+route, the time and the budget allow. A broken stream goes on behind its last whole event, in the same
+answer.
+*/
+import {createHash} from 'node:crypto';
+import {type Clock, type Random} from '../contracts/clock.js';
+import {
+	as, type EndpointId, type Milliseconds, type PoolName, type Tokens,
+} from '../contracts/id.js';
+import {type RelayRoute} from '../contracts/relay.js';
+import {nextRelayStep, type RelayLink, type RelayResult} from '../contracts/relay-attempt.js';
+import {
+	type Caller, pathOf, type Refusal, type RelayRequest,
+} from '../contracts/relay-request.js';
+import {choosePool, type RoutingTable} from '../contracts/routing-table.js';
+import {type Quarantine} from './quarantine.js';
+import {type RelayEndpoint} from './relay-endpoint.js';
+import {type RelayEvent} from './relay-event.js';
+import {type RelayFleet} from './relay-fleet.js';
+import {createRelayJob, type RelayJob} from './relay-job.js';
+import {type TokenBudgets} from './token-budgets.js';
+
+/** Pause before the same endpoint is asked again, or all endpoints once more. */
+const retryPauseMs = 40;
+
+/** Share of the latency goal after which a request that no endpoint took is refused. */
+const offerShare = 0.25;
+
+/** Shortest time after which a refused caller is asked to come back. */
+const shortestRetryAfterMs = 150;
+
+export type RelayOptions = {
+	readonly fleet: RelayFleet;
+	readonly link: RelayLink;
+	readonly budgets: TokenBudgets;
+	readonly quarantine: Quarantine;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly dataCentre: RelayJob['dataCentre'];
+	readonly table: () => RoutingTable | undefined;
+	readonly onEvent: (event: RelayEvent) => void;
+};
+
+export type Relay = {
+	/** Serves one request; resolves when the caller has its answer or has gone. */
+	readonly serve: (request: RelayRequest, caller: Caller, signal: AbortSignal) => Promise<void>;
+	readonly active: () => number;
+};
+
+function fingerprintOf(request: RelayRequest): string {
+	return createHash('sha1').update(`${request.method} ${request.host}${request.target}\n`).update(request.body).digest('base64url');
+}
+
+/** Creates the relay of an instance. */
+export function createRelay(options: RelayOptions): Relay {
+	const {fleet, clock, quarantine} = options;
+	let active = 0;
+
+	function refuse(job: RelayJob, refusal: Refusal): void {
+		options.onEvent({
+			kind: 'refused', request: job.request, refusal, attempts: job.attempts(), elapsed: job.elapsed(),
+		});
+		if (job.isOpen()) {
+			job.caller.breakOff();
+		} else {
+			job.caller.refuse(refusal);
+		}
+	}
+
+	/** Ends a request that no further attempt can serve. */
+	function giveUp(job: RelayJob, result: RelayResult | undefined): void {
+		if (result?.kind === 'cancelled' || job.signal.aborted) {
+			options.onEvent({
+				kind: 'cancelled', request: job.request, attempts: job.attempts(), elapsed: job.elapsed(),
+			});
+			return;
+		}
+
+		if (job.mayHaveRun()) {
+			refuse(job, {kind: result?.kind === 'expired' || job.timeLeft() <= 0 ? 'timeout' : 'failed'});
+			return;
+		}
+
+		const retryAfter = Math.max(shortestRetryAfterMs, job.route.latencyGoal * offerShare);
+		refuse(job, {kind: 'not-run', retryAfter: as<Milliseconds>(retryAfter)});
+	}
+
+	function choose(job: RelayJob, pool: PoolName): RelayEndpoint | undefined {
+		const bound = job.boundTo();
+		if (bound !== undefined && fleet.isServing(bound)) {
+			return fleet.endpoint(bound);
+		}
+
+		return fleet.choose(pool, {
+			prompt: job.request.prompt, dataCentre: options.dataCentre, excluded: job.excluded(), now: clock.now(),
+		})?.endpoint;
+	}
+
+	async function attempt(job: RelayJob, endpoint: RelayEndpoint): Promise<RelayResult> {
+		const {id} = endpoint.listed();
+		const startedAt = clock.now();
+		const release = endpoint.occupy();
+		let isFirst = true;
+		const begin = () => {
+			if (isFirst) {
+				isFirst = false;
+				endpoint.observe(clock.now() - startedAt, clock.now());
+			}
+		};
+
+		endpoint.remember(job.request.prompt);
+		const result = await options.link.send(job.describe(endpoint.listed(), begin));
+		release();
+		job.conclude(id, result);
+		learn(endpoint, result, clock.now() - startedAt);
+		options.onEvent({
+			kind: 'attempted', request: job.request, endpoint: id, result, load: endpoint.load(clock.now()), took: as<Milliseconds>(clock.now() - startedAt),
+		});
+		return result;
+	}
+
+	/** Takes from a result what it says about the endpoint. */
+	function learn(endpoint: RelayEndpoint, result: RelayResult, tookMs: number): void {
+		const now = clock.now();
+		switch (result.kind) {
+			case 'answered': {
+				endpoint.observe(tookMs, now);
+				endpoint.succeed();
+				return;
+			}
+
+			case 'finished': {
+				endpoint.succeed();
+				return;
+			}
+
+			case 'unreachable':
+			case 'misdirected': {
+				endpoint.fail(now);
+				return;
+			}
+
+			case 'silent': {
+				endpoint.observe(tookMs, now);
+				break;
+			}
+
+			case 'broken':
+			case 'rejected':
+			case 'expired':
+			case 'cancelled': {
+				break;
+			}
+		}
+	}
+
+	/** Whether a request that no endpoint has taken yet should go on trying. */
+	function mayWait(job: RelayJob): boolean {
+		return job.mayHaveRun() || job.elapsed() < job.route.latencyGoal * offerShare;
+	}
+
+	async function run(job: RelayJob, pool: PoolName): Promise<void> {
+		let last: RelayResult | undefined;
+		for (;;) {
+			const endpoint = job.timeLeft() > 0 && !job.signal.aborted ? choose(job, pool) : undefined;
+			if (!endpoint) {
+				if (job.timeLeft() <= 0 || job.signal.aborted || !mayWait(job)) {
+					giveUp(job, last);
+					return;
+				}
+
+				job.forgetExcluded();
+				await clock.sleep(as<Milliseconds>(retryPauseMs), job.signal);
+				continue;
+			}
+
+			last = await attempt(job, endpoint);
+			const step = nextRelayStep(last, job.progress());
+			switch (step.kind) {
+				case 'deliver': {
+					deliver(job, last);
+					return;
+				}
+
+				case 'give-up': {
+					giveUp(job, last);
+					return;
+				}
+
+				case 'elsewhere': {
+					job.exclude(endpoint.listed().id);
+					if (last.kind === 'rejected' && job.boundTo() !== undefined) {
+						await clock.sleep(as<Milliseconds>(retryPauseMs), job.signal);
+					}
+
+					break;
+				}
+
+				case 'same': {
+					job.bind(endpoint.listed().id);
+					break;
+				}
+			}
+		}
+	}
+
+	function deliver(job: RelayJob, result: RelayResult): void {
+		quarantine.absolve(job.fingerprint);
+		if (result.kind === 'answered') {
+			if (job.isOpen()) {
+				job.caller.breakOff();
+			} else {
+				job.caller.answer(result.head, result.body);
+			}
+		} else {
+			job.caller.finish();
+		}
+
+		options.onEvent({
+			kind: 'served', request: job.request, attempts: job.attempts(), elapsed: job.elapsed(),
+		});
+	}
+
+	/** Reserves the tokens of a model call; undefined means that the request was refused. */
+	async function reserve(job: RelayJob): Promise<((used: Tokens) => void) | undefined> {
+		const {program, largestAnswer, attempt: id} = job.request;
+		if (program?.budget === undefined || !job.route.isStream) {
+			return () => undefined;
+		}
+
+		const reservation = await options.budgets.reserve({
+			program: program.id, attempt: id, budget: program.budget, most: largestAnswer, retention: job.route.retention,
+		});
+		switch (reservation.kind) {
+			case 'granted': {
+				return reservation.settle;
+			}
+
+			case 'exhausted': {
+				refuse(job, {kind: 'budget-exhausted'});
+				return undefined;
+			}
+
+			case 'unknown': {
+				refuse(job, {kind: 'not-run', retryAfter: reservation.retryAfter});
+				return undefined;
+			}
+		}
+	}
+
+	function routeOf(request: RelayRequest): RelayRoute | Refusal {
+		const table = options.table();
+		if (!table) {
+			return {kind: 'not-ready'};
+		}
+
+		return table.routeOf(request.host, pathOf(request)) ?? {kind: 'no-route'};
+	}
+
+	async function admit(request: RelayRequest, caller: Caller, signal: AbortSignal): Promise<void> {
+		const route = routeOf(request);
+		if ('kind' in route) {
+			options.onEvent({
+				kind: 'refused', request, refusal: route, attempts: 0, elapsed: as<Milliseconds>(0),
+			});
+			caller.refuse(route);
+			return;
+		}
+
+		const pool = choosePool(route, options.random.fraction());
+		const fingerprint = fingerprintOf(request);
+		const job = createRelayJob({
+			request, route, caller, fingerprint, clock, signal, dataCentre: options.dataCentre, onCrash(endpoint: EndpointId) {
+				if (quarantine.record({fingerprint, endpoint}, clock.now())) {
+					options.onEvent({
+						kind: 'crash-suspected', request, endpoint, fingerprint,
+					});
+				}
+			},
+		});
+		if (quarantine.isBlocked(fingerprint, clock.now())) {
+			refuse(job, {kind: 'quarantined'});
+			return;
+		}
+
+		const settle = await reserve(job);
+		if (settle && pool !== undefined) {
+			await run(job, pool);
+			const tokensPerEvent = options.table()?.pool(pool)?.tokensPerEvent ?? 1;
+			settle(as<Tokens>(job.eventsRelayed() * tokensPerEvent));
+		}
+	}
+
+	return {
+		active: () => active,
+		async serve(request, caller, signal) {
+			active++;
+			try {
+				await admit(request, caller, signal);
+			} finally {
+				active--;
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/machines/retirement.ts
@@ -0,0 +1,87 @@
+/**
+Retirement of a machine with a disk: the operator asks that it be emptied, and the machine reports when
+it is. Nothing of the system has to last on the disk, so it is empty at once.
+*/
+import {type Clock, type Random} from '../contracts/clock.js';
+import {
+	as, type InstanceId, type Milliseconds, type ObjectName,
+} from '../contracts/id.js';
+import {type ObjectStore, type WriteResult} from '../contracts/object-store.js';
+import {createStoreWatch, type StoreWatchEvent} from '../zones/store-watch.js';
+
+/** Pause before a report that was not taken is sent again, in ms. */
+const retryMs = 500;
+
+export type RetirementEvent
+	= | {readonly kind: 'requested'}
+		| {readonly kind: 'reported'; readonly result: WriteResult['kind']}
+		| {readonly kind: 'store-lost'; readonly reason: string};
+
+export type Retirement = {
+	readonly run: (signal: AbortSignal) => Promise<void>;
+};
+
+export type RetirementOptions = {
+	readonly id: InstanceId;
+	readonly store: ObjectStore;
+	/** Kind of the operator's requests, which bear the names of machines. */
+	readonly objects: string;
+	/** What a machine that is empty reports. */
+	readonly status: unknown;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly onEvent: (event: RetirementEvent) => void;
+};
+
+/** Creates the retirement of a machine that nobody has asked for yet. */
+export function createRetirement(options: RetirementOptions): Retirement {
+	const {store, clock} = options;
+	const name = as<ObjectName>(options.id);
+	let isRequested = false;
+
+	async function report(signal: AbortSignal): Promise<void> {
+		options.onEvent({kind: 'requested'});
+		while (!signal.aborted) {
+			const result = await store.putStatus(options.objects, name, options.status);
+			options.onEvent({kind: 'reported', result: result.kind});
+			if (result.kind === 'written' || result.kind === 'absent') {
+				return;
+			}
+
+			await clock.sleep(as<Milliseconds>(retryMs), signal);
+		}
+	}
+
+	return {
+		async run(signal) {
+			const request = (names: readonly ObjectName[]) => {
+				if (!isRequested && names.includes(name)) {
+					isRequested = true;
+					void report(signal);
+				}
+			};
+
+			const onEvent = (event: StoreWatchEvent) => {
+				switch (event.kind) {
+					case 'listed': {
+						request(event.list.objects.map(object => object.name));
+						return;
+					}
+
+					case 'changed': {
+						request(event.changes.filter(change => !change.isDeleted).map(change => change.object.name));
+						return;
+					}
+
+					case 'lost': {
+						options.onEvent({kind: 'store-lost', reason: event.failure.message});
+					}
+				}
+			};
+
+			await createStoreWatch({
+				store, objects: options.objects, clock, random: options.random, isNeeded: () => true, knownRevision: () => undefined, onEvent,
+			}).run(signal);
+		},
+	};
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,4 +1,5 @@
-// Import direction: contracts <- machines, zones <- links <- programs. No decision imports a link.
+// Import direction: contracts <- machines, zones <- links <- programs, platform. No decision imports a
+// link, and nothing but the platform's own folder imports it.
 const restrict = (files, folders) => ({
 	files,
 	rules: {
@@ -14,7 +15,7 @@
 ];
 
 export default [
-	{ignores: ['dist/**']},
+	{ignores: ['dist/**', 'target/**', 'journal/**']},
 	{
 		rules: {
 			'no-restricted-syntax': ['error', ...shape],
@@ -23,11 +24,12 @@
 		},
 	},
 	// Wire formats set by others use snake case.
-	{files: ['src/links/**', 'standins/**', 'tests/**', 'bench/**'], rules: {'@typescript-eslint/naming-convention': 'off', camelcase: 'off'}},
+	{files: ['src/links/**', 'platform/**', 'standins/**', 'tests/**', 'bench/**'], rules: {'@typescript-eslint/naming-convention': 'off', camelcase: 'off'}},
 	// The runner of node:test collects the promises of top-level tests.
 	{files: ['tests/**'], rules: {'@typescript-eslint/no-floating-promises': 'off'}},
-	restrict(['src/contracts/**'], ['machines', 'zones', 'links', 'programs', 'standins', 'bench', 'tests']),
-	restrict(['src/machines/**', 'src/zones/**'], ['links', 'programs', 'standins', 'bench', 'tests']),
-	restrict(['src/links/**'], ['programs', 'standins', 'bench', 'tests']),
-	restrict(['src/programs/**'], ['standins', 'bench', 'tests']),
+	restrict(['src/contracts/**'], ['machines', 'zones', 'links', 'programs', 'platform', 'standins', 'bench', 'tests']),
+	restrict(['src/machines/**', 'src/zones/**'], ['links', 'programs', 'platform', 'standins', 'bench', 'tests']),
+	restrict(['src/links/**'], ['programs', 'platform', 'standins', 'bench', 'tests']),
+	restrict(['src/programs/**'], ['platform', 'standins', 'bench', 'tests']),
+	restrict(['platform/**'], ['standins', 'bench', 'tests']),
 ];
