--- /dev/null
+++ b/src/contracts/token-ledger.ts
@@ -0,0 +1,241 @@
+/**
+Ledger of the tokens that programs have used, as far as one instance knows it.
+
+Several instances count for one program. Each counts in a slot of its own, so that ledgers merge by
+taking the newer version of each slot (a grow-only counter with reservations). The store keeps a record
+for a program that no loss of memory can take back; what has been handed out beyond it may never be more
+than one call's most, because that much could be handed out again after such a loss.
+*/
+import {
+	as, type AttemptId, type DataCentreId, type Milliseconds, type ProgramId, type Tokens,
+} from './id.js';
+
+/** What one counting instance has granted. */
+export type LedgerSlot = {
+	/** Names one life of a counting instance, or the store's record. */
+	readonly counter: string;
+	/** Grows with each change. */
+	readonly version: number;
+	/** Tokens of calls that have ended. */
+	readonly settled: Tokens;
+	/** Tokens of calls under way, at their most. */
+	readonly reserved: Tokens;
+};
+
+/** A program's account as it travels between instances. */
+export type Account = {
+	readonly program: ProgramId;
+	/** Data centre in which the program was first seen; it alone may grant the whole budget. */
+	readonly home: DataCentreId | undefined;
+	readonly recorded: Tokens;
+	readonly retention: Milliseconds;
+	readonly slots: readonly LedgerSlot[];
+};
+
+export type ReservationRequest = {
+	readonly program: ProgramId;
+	readonly attempt: AttemptId;
+	readonly budget: Tokens;
+	/** Most tokens that the call may hand out. */
+	readonly most: Tokens;
+	/** Time for which a stopped program may come back. */
+	readonly retention: Milliseconds;
+};
+
+/**
+What a counting instance may grant:
+- `home`: the whole budget.
+- `contested`: another data centre cannot be told about the program and may grant it too. Each side grants
+  half of the budget and half a call, together the budget and the one call by which it may be overrun.
+- `guest`: the home cannot be reached and may grant the whole budget. Half a call beyond the one by which a
+  budget may be overrun, as ended calls use a fraction of their most.
+*/
+export type Entitlement = 'home' | 'contested' | 'guest';
+
+/** Calls at their most that a guest may grant at a time. */
+const guestCalls = 1.5;
+
+export type LedgerDecision
+	= | {readonly kind: 'granted'}
+	/** Granted once the store has recorded that the program may have used so much. */
+		| {readonly kind: 'record-first'; readonly upTo: Tokens}
+		| {readonly kind: 'exhausted'; readonly used: Tokens}
+	/** The budget covers the call, but this instance is not entitled to grant it. */
+		| {readonly kind: 'withheld'; readonly used: Tokens};
+
+export type TokenLedger = {
+	/** Reserves unless the budget does not cover the call. A second request of one attempt counts once. */
+	readonly reserve: (request: ReservationRequest, entitlement: Entitlement, now: Milliseconds) => LedgerDecision;
+	readonly home: (program: ProgramId) => DataCentreId | undefined;
+	/** Makes a data centre the home of a program that has none. */
+	readonly claim: (request: ReservationRequest, home: DataCentreId, now: Milliseconds) => void;
+	readonly settle: (program: ProgramId, attempt: AttemptId, used: Tokens, now: Milliseconds) => void;
+	/** The store holds a record for the program. */
+	readonly markRecorded: (program: ProgramId, recorded: Tokens) => void;
+	/** Counts a record that the store kept over a loss of memory as used. */
+	readonly restore: (program: ProgramId, recorded: Tokens, retention: Milliseconds, now: Milliseconds) => void;
+	readonly merge: (account: Account, now: Milliseconds) => void;
+	readonly account: (program: ProgramId) => Account | undefined;
+	readonly programs: () => readonly ProgramId[];
+	/** Programs that this instance has granted calls to. */
+	readonly counted: () => readonly ProgramId[];
+	/** Drops programs that were not heard of for their retention. */
+	readonly expire: (now: Milliseconds) => void;
+};
+
+/** Counter of what the store recorded. */
+const storeCounter = 'store';
+
+/** Share of a budget that the first record covers. */
+const recordedShare = 0.5;
+
+type Entry = {
+	readonly slots: Map<string, LedgerSlot>;
+	readonly reservations: Map<AttemptId, Tokens>;
+	home: DataCentreId | undefined;
+	recorded: Tokens;
+	retention: Milliseconds;
+	touchedAt: Milliseconds;
+};
+
+function sum(slots: Iterable<LedgerSlot>): number {
+	let total = 0;
+	for (const slot of slots) {
+		total += slot.settled + slot.reserved;
+	}
+
+	return total;
+}
+
+/** Creates an empty ledger; `counter` names this life of this instance. */
+export function createTokenLedger(counter: string): TokenLedger {
+	const entries = new Map<ProgramId, Entry>();
+
+	function entryOf(program: ProgramId, retention: Milliseconds, now: Milliseconds): Entry {
+		const known = entries.get(program);
+		if (known) {
+			known.touchedAt = now;
+			known.retention = as<Milliseconds>(Math.max(known.retention, retention));
+			return known;
+		}
+
+		const entry: Entry = {
+			slots: new Map(), reservations: new Map(), home: undefined, recorded: as<Tokens>(0), retention, touchedAt: now,
+		};
+		entries.set(program, entry);
+		return entry;
+	}
+
+	/** Adds to the slot of this instance. */
+	function count(entry: Entry, settled: number, reserved: number): void {
+		const slot = entry.slots.get(counter);
+		entry.slots.set(counter, {
+			counter,
+			version: (slot?.version ?? 0) + 1,
+			settled: as<Tokens>((slot?.settled ?? 0) + settled),
+			reserved: as<Tokens>((slot?.reserved ?? 0) + reserved),
+		});
+	}
+
+	/** Tokens, this call's most included, up to which calls are granted, and those that count. */
+	function boundOf(entry: Entry, {budget, most}: ReservationRequest, entitlement: Entitlement): {readonly used: number; readonly limit: number} {
+		const used = sum(entry.slots.values());
+		switch (entitlement) {
+			case 'home': {
+				return {used, limit: budget};
+			}
+
+			case 'contested': {
+				return {used, limit: (budget + most) / 2};
+			}
+
+			case 'guest': {
+				const own = entry.slots.get(counter);
+				return used + most > budget ? {used, limit: budget} : {used: sum(own ? [own] : []), limit: most * guestCalls};
+			}
+		}
+	}
+
+	return {
+		home: program => entries.get(program)?.home,
+		claim({program, retention}, home, now) {
+			entryOf(program, retention, now).home ??= home;
+		},
+		reserve(request, entitlement, now) {
+			const {program, attempt, budget, most, retention} = request;
+			const entry = entryOf(program, retention, now);
+			if (entry.reservations.has(attempt)) {
+				return {kind: 'granted'};
+			}
+
+			const used = sum(entry.slots.values());
+			const bound = boundOf(entry, request, entitlement);
+			if (bound.used + most > bound.limit) {
+				return used + most > budget ? {kind: 'exhausted', used: as<Tokens>(used)} : {kind: 'withheld', used: as<Tokens>(used)};
+			}
+
+			entry.reservations.set(attempt, most);
+			count(entry, 0, most);
+			if (used <= entry.recorded) {
+				return {kind: 'granted'};
+			}
+
+			// Half of the budget at once, so that most programs need one write and keep half after a loss of memory.
+			return {kind: 'record-first', upTo: as<Tokens>(Math.min(budget, Math.max(used + most, budget * recordedShare)))};
+		},
+		settle(program, attempt, used, now) {
+			const entry = entries.get(program);
+			if (!entry) {
+				return;
+			}
+
+			entry.touchedAt = now;
+			const reserved = entry.reservations.get(attempt) ?? 0;
+			entry.reservations.delete(attempt);
+			count(entry, used, -reserved);
+		},
+		markRecorded(program, recorded) {
+			const entry = entries.get(program);
+			if (entry && recorded > entry.recorded) {
+				entry.recorded = recorded;
+			}
+		},
+		restore(program, recorded, retention, now) {
+			const entry = entryOf(program, retention, now);
+			entry.recorded = as<Tokens>(Math.max(entry.recorded, recorded));
+			const slot = entry.slots.get(storeCounter);
+			if (!slot || slot.settled < recorded) {
+				entry.slots.set(storeCounter, {
+					counter: storeCounter, version: recorded, settled: recorded, reserved: as<Tokens>(0),
+				});
+			}
+		},
+		merge(account, now) {
+			const entry = entryOf(account.program, account.retention, now);
+			entry.recorded = as<Tokens>(Math.max(entry.recorded, account.recorded));
+			// Two data centres that could not reach each other may both have claimed it; all keep the same one.
+			entry.home = entry.home !== undefined && (account.home === undefined || entry.home < account.home) ? entry.home : account.home;
+			for (const slot of account.slots) {
+				const known = entry.slots.get(slot.counter);
+				if (slot.counter !== counter && (!known || slot.version > known.version)) {
+					entry.slots.set(slot.counter, slot);
+				}
+			}
+		},
+		account(program) {
+			const entry = entries.get(program);
+			return entry && {
+				program, home: entry.home, recorded: entry.recorded, retention: entry.retention, slots: [...entry.slots.values()],
+			};
+		},
+		programs: () => [...entries.keys()],
+		counted: () => [...entries].filter(([, entry]) => entry.slots.has(counter)).map(([program]) => program),
+		expire(now) {
+			for (const [program, entry] of entries) {
+				if (now - entry.touchedAt > entry.retention) {
+					entries.delete(program);
+				}
+			}
+		},
+	};
+}
--- a/src/links/relay-log.ts
+++ b/src/links/relay-log.ts
@@ -4,6 +4,7 @@
 */
 import {type RelayInstanceEvent} from '../machines/relay-instance.js';
 import {type RelayEvent} from '../machines/relay-event.js';
+import {type SharedTablesEvent} from '../zones/shared-tables.js';
 import {type RelayRequest} from '../contracts/relay-request.js';
 import {type Log} from './log.js';
 
@@ -56,6 +57,45 @@
 	}
 }
 
+function logTables(log: Log, event: SharedTablesEvent): void {
+	switch (event.kind) {
+		case 'configuration': {
+			log.info({
+				event: 'configuration', generation: event.generation, previous: event.previous, source: event.source,
+			}, 'configuration in force');
+			return;
+		}
+
+		case 'configuration-refused': {
+			log.warn({event: 'configuration-refused', reason: event.failure.message}, 'configuration cannot be read');
+			return;
+		}
+
+		case 'endpoint': {
+			log.info({
+				event: 'endpoint', endpoint: event.id, change: event.change, revision: event.revision, source: event.source,
+			}, 'endpoint changed');
+			return;
+		}
+
+		case 'unreadable': {
+			log.warn({event: 'unreadable', endpoint: event.id, revision: event.revision}, 'entry names no endpoint');
+			return;
+		}
+
+		case 'store': {
+			log.warn({
+				event: 'store', objects: event.objects, change: event.change, reason: event.reason,
+			}, `store ${event.change}`);
+			return;
+		}
+
+		case 'snapshot-failed': {
+			log.warn({event: 'snapshot-failed', peer: event.failure.peer, reason: event.failure.message}, 'no snapshot from a peer');
+		}
+	}
+}
+
 function isOrdinary(event: RelayInstanceEvent): boolean {
 	if (event.kind !== 'relay') {
 		return false;
@@ -72,27 +112,32 @@
 			return;
 		}
 
-		case 'configuration': {
-			log.info({event: 'configuration', generation: event.generation, previous: event.previous}, 'configuration in force');
+		case 'tables': {
+			logTables(log, event.tables);
 			return;
 		}
 
-		case 'configuration-refused': {
-			log.warn({event: 'configuration-refused', reason: event.failure.message}, 'configuration cannot be read');
+		case 'budget': {
+			const {kind, ...rest} = event.budget;
+			log.info({event: `budget-${kind}`, ...rest}, 'budget');
 			return;
 		}
 
-		case 'endpoint': {
+		case 'warm-up': {
+			const {kind, ...rest} = event.warmUp;
+			log.info({event: kind, ...rest}, 'warm-up');
+			return;
+		}
+
+		case 'member': {
 			log.info({
-				event: 'endpoint', endpoint: event.id, change: event.change, revision: event.revision,
-			}, 'endpoint changed');
+				event: 'member', member: event.member.id, status: event.member.status, incarnation: event.member.incarnation,
+			}, 'member changed');
 			return;
 		}
 
-		case 'store': {
-			log.warn({
-				event: 'store', objects: event.objects, change: event.change, reason: event.reason,
-			}, `store ${event.change}`);
+		case 'paused': {
+			log.warn({event: 'paused', gapMs: Math.round(event.gap)}, 'process was paused');
 		}
 	}
 }
--- /dev/null
+++ b/src/links/snapshots.ts
@@ -0,0 +1,67 @@
+/**
+Link between relaying instances for what does not fit into datagrams: whole tables, over tRPC.
+*/
+import {once} from 'node:events';
+import {createServer, type Server} from 'node:http';
+import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
+import {initTRPC} from '@trpc/server';
+import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import {err, ok, type Result} from 'neverthrow';
+import {fetch as undiciFetch} from 'undici';
+import {describeError, type Failure, failure} from '../contracts/failure.js';
+import {type Address} from '../contracts/id.js';
+import {type Member} from '../zones/membership.js';
+import {type RelayPeers, type RelaySnapshot} from '../zones/relay-peers.js';
+
+/** Time for a whole snapshot, in ms. */
+const snapshotTimeoutMs = 1500;
+
+const trpc = initTRPC.create();
+
+export type SnapshotSource = {
+	readonly members: () => readonly Member[];
+	readonly snapshot: () => RelaySnapshot;
+};
+
+function createRouter(source: SnapshotSource) {
+	return trpc.router({
+		members: trpc.procedure.query((): readonly Member[] => source.members()),
+		snapshot: trpc.procedure.query((): RelaySnapshot => source.snapshot()),
+	});
+}
+
+type Router = ReturnType<typeof createRouter>;
+
+export type SnapshotServerOptions = {
+	readonly host: string;
+	readonly port: number;
+	readonly source: SnapshotSource;
+};
+
+/** Serves snapshots to peers. Resolves once the port is bound. */
+export async function serveSnapshots(options: SnapshotServerOptions): Promise<Server> {
+	const server = createServer(createHTTPHandler({router: createRouter(options.source)}));
+	server.listen(options.port, options.host);
+	await once(server, 'listening');
+	return server;
+}
+
+// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Not the built-in fetch, which would be loaded beside undici.
+const sendRequest = undiciFetch as unknown as typeof fetch;
+
+/** Creates the client side. Queries end when the signal aborts. */
+export function createSnapshots(signal: AbortSignal): Pick<RelayPeers, 'members' | 'snapshot'> {
+	async function query<Value>(address: Address, ask: (client: TRPCClient<Router>, limit: AbortSignal) => Promise<Value>): Promise<Result<Value, Failure>> {
+		const client = createTRPCClient<Router>({links: [httpLink({url: `http://${address}`, fetch: sendRequest})]});
+		try {
+			return ok(await ask(client, AbortSignal.any([signal, AbortSignal.timeout(snapshotTimeoutMs)])));
+		} catch (error) {
+			return err(failure('peer-unreachable', `${address} did not answer: ${describeError(error)}`, {step: 'configure', peer: address}));
+		}
+	}
+
+	return {
+		members: async address => query(address, async (client, limit) => client.members.query(undefined, {signal: limit})),
+		snapshot: async address => query(address, async (client, limit) => client.snapshot.query(undefined, {signal: limit})),
+	};
+}
--- /dev/null
+++ b/src/machines/load-reports.ts
@@ -0,0 +1,80 @@
+/**
+Load reports: each instance tells the others of its data centre what it has in flight at endpoints, because
+they use the same ones and see each other's requests only this way.
+*/
+import {type Clock} from '../contracts/clock.js';
+import {as, type Milliseconds} from '../contracts/id.js';
+import {type Member} from '../zones/membership.js';
+import {type EndpointLoad, type RelayMessage, type RelayPeers} from '../zones/relay-peers.js';
+import {type RelayFleet} from './relay-fleet.js';
+
+/** Time between two reports; most requests last as long or longer. */
+const reportMs = 400;
+
+/** Peers that one report goes to, so that its cost does not grow with the data centre. */
+const mostPeers = 8;
+
+/** Endpoints in one report, which has to fit into a datagram. */
+const mostEndpoints = 24;
+
+export type LoadReports = {
+	readonly receive: (message: Extract<RelayMessage, {kind: 'loads'}>) => void;
+	readonly run: (signal: AbortSignal) => Promise<void>;
+};
+
+export type LoadReportsOptions = {
+	readonly self: () => Member;
+	readonly others: () => readonly Member[];
+	readonly peers: Pick<RelayPeers, 'post'>;
+	readonly fleet: RelayFleet;
+	readonly clock: Clock;
+};
+
+/** Creates the reports of an instance. */
+export function createLoadReports(options: LoadReportsOptions): LoadReports {
+	const {fleet, clock} = options;
+	let turn = 0;
+	let wasBusy = false;
+
+	function compose(): readonly EndpointLoad[] {
+		const now = clock.now();
+		return fleet.endpoints()
+			.map(endpoint => ({id: endpoint.listed().id, inFlight: endpoint.inFlight(), pace: endpoint.recentPace(now)}))
+			.filter(load => load.inFlight > 0 || load.pace !== undefined)
+			.toSorted((left, right) => right.inFlight - left.inFlight)
+			.slice(0, mostEndpoints)
+			.map(load => ({...load, pace: load.pace === undefined ? undefined : Math.round(load.pace)}));
+	}
+
+	function targets(): readonly Member[] {
+		const self = options.self();
+		const local = options.others().filter(member => member.dataCentre === self.dataCentre);
+		if (local.length <= mostPeers) {
+			return local;
+		}
+
+		turn += mostPeers;
+		return Array.from({length: mostPeers}, (_, index) => local[(turn + index) % local.length]).filter(member => member !== undefined);
+	}
+
+	return {
+		receive(message) {
+			for (const load of message.loads) {
+				fleet.learnLoad(message.from, load, clock.now());
+			}
+		},
+		async run(signal) {
+			while (!signal.aborted) {
+				await clock.sleep(as<Milliseconds>(reportMs), signal);
+				const loads = compose();
+				if (loads.length > 0 || wasBusy) {
+					for (const member of targets()) {
+						options.peers.post(member.address, {kind: 'loads', from: options.self().id, loads});
+					}
+				}
+
+				wasBusy = loads.length > 0;
+			}
+		},
+	};
+}
--- a/src/machines/relay-endpoint.ts
+++ b/src/machines/relay-endpoint.ts
@@ -30,7 +30,8 @@
 	readonly inFlight: () => number;
 	/** Requests of this instance, and of others by their fading reports. */
 	readonly load: (now: Milliseconds) => number;
-	readonly reportForeign: (source: string, inFlight: number, now: Milliseconds) => void;
+	/** Takes a peer's report of its requests here and of the pace that it sees, in ms. */
+	readonly reportForeign: (peer: string, report: {readonly inFlight: number; readonly pace: number | undefined}, now: Milliseconds) => void;
 	/** Smoothed time to the first byte of an answer, in ms, drawn towards `typical` as it ages. */
 	readonly pace: (typical: number, now: Milliseconds) => number;
 	/** Last smoothed pace, in ms, or undefined when nothing was observed lately. */
@@ -85,8 +86,12 @@
 		},
 		inFlight: () => inFlight,
 		load: now => inFlight + foreignLoad(now),
-		reportForeign(source, count, now) {
-			foreign.set(source, {inFlight: count, at: now});
+		reportForeign(peer, report, now) {
+			foreign.set(peer, {inFlight: report.inFlight, at: now});
+			// A peer's pace counts only where this instance has seen nothing itself.
+			if (report.pace !== undefined && (pace.ms === 0 || now - pace.at > paceHalfLifeMs)) {
+				pace = {ms: report.pace, at: now};
+			}
 		},
 		pace(typical, now) {
 			if (pace.ms === 0) {
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -1,47 +1,62 @@
 /**
-An entry instance that relays work: follows the configuration and the list of endpoints, serves requests,
-says whether it is ready, and stops without cutting a request off.
+An entry instance that relays work: meets its peers, shares tables and budgets with them, serves requests,
+says whether it is ready, and leaves without cutting a request off.
 */
-import {type Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import {type Clock, type Random} from '../contracts/clock.js';
-import {type Failure} from '../contracts/failure.js';
+import {failure} from '../contracts/failure.js';
 import {
-	as, type ConfigurationGeneration, type DataCentreId, type EndpointId, type InstanceId,
-	type ObjectVersion,
+	as, type Address, type ConfigurationGeneration, type DataCentreId, type Incarnation, type InstanceId,
+	type Milliseconds,
 } from '../contracts/id.js';
-import {type KindedObject, type ObjectStore} from '../contracts/object-store.js';
-import {type CallerLimits, type ListedEndpoint, type RelayConfiguration} from '../contracts/relay.js';
+import {type ObjectStore} from '../contracts/object-store.js';
+import {type CallerLimits} from '../contracts/relay.js';
 import {type RelayLink} from '../contracts/relay-attempt.js';
+import {type RelayDigest} from '../contracts/relay-digest.js';
 import {createRoutingTable, type RoutingTable} from '../contracts/routing-table.js';
-import {createStoreWatch, type StoreWatchEvent} from '../zones/store-watch.js';
-import {createLocalBudgets} from './local-budgets.js';
+import {createTokenLedger} from '../contracts/token-ledger.js';
+import {type BudgetEvent, createBudgetKeepers} from '../zones/budget-keepers.js';
+import {type BudgetRecords} from '../zones/budget-records.js';
+import {createMembership, type Member} from '../zones/membership.js';
+import {createNeighbourhood} from '../zones/neighbourhood.js';
+import {
+	type RelayMessage, type RelayPeers, type RelayReply, type RelaySnapshot,
+} from '../zones/relay-peers.js';
+import {createSharedTables, type SharedObjects, type SharedTablesEvent} from '../zones/shared-tables.js';
+import {isStoreWatcher} from '../zones/store-watchers.js';
+import {createWarmUp, type WarmUpEvent} from '../zones/warm-up.js';
+import {createLoadReports} from './load-reports.js';
 import {createQuarantine} from './quarantine.js';
 import {createRelay, type Relay} from './relay.js';
 import {type RelayEvent} from './relay-event.js';
 import {createRelayFleet} from './relay-fleet.js';
 
-/** What an instance lets be known, beside the requests themselves. */
+/** Timeout and tries of a probe. */
+const gossipTimeoutMs = 250;
+const gossipTries = 2;
+
+/** What an instance lets be known. */
 export type RelayInstanceEvent
 	= | {readonly kind: 'relay'; readonly relay: RelayEvent}
-		| {readonly kind: 'configuration'; readonly generation: ConfigurationGeneration; readonly previous: ConfigurationGeneration | undefined}
-		| {readonly kind: 'configuration-refused'; readonly failure: Failure}
-		| {readonly kind: 'endpoint'; readonly id: EndpointId; readonly change: 'listed' | 'leaving' | 'removed' | 'unreadable'; readonly revision: ObjectVersion}
-		| {readonly kind: 'store'; readonly objects: string; readonly change: 'lost' | 'back'; readonly reason: string};
-
-/** How the store's objects are named and read; given by the adapter. */
-export type RelayObjects = {
-	readonly configurationKind: string;
-	readonly endpointKind: string;
-	readonly decodeConfiguration: (object: KindedObject) => Result<RelayConfiguration, Failure> | undefined;
-	readonly decodeEndpoint: (object: KindedObject) => ListedEndpoint | undefined;
-};
+		| {readonly kind: 'tables'; readonly tables: SharedTablesEvent}
+		| {readonly kind: 'budget'; readonly budget: BudgetEvent}
+		| {readonly kind: 'warm-up'; readonly warmUp: WarmUpEvent}
+		| {readonly kind: 'member'; readonly member: Member}
+		| {readonly kind: 'paused'; readonly gap: Milliseconds};
 
 export type RelayInstanceOptions = {
 	readonly id: InstanceId;
 	readonly dataCentre: DataCentreId;
+	/** Where peers reach this instance. */
+	readonly address: Address;
+	readonly seeds: readonly Address[];
+	/** Whether the whole system starts for the first time. */
+	readonly isFirstStart: boolean;
 	readonly store: ObjectStore;
-	readonly objects: RelayObjects;
+	readonly records: BudgetRecords;
+	readonly objects: SharedObjects;
 	readonly link: RelayLink;
+	readonly peers: RelayPeers;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly onEvent: (event: RelayInstanceEvent) => void;
@@ -52,168 +67,204 @@
 	readonly limits: () => CallerLimits | undefined;
 	/** Whether new callers may come. */
 	readonly isReady: () => boolean;
+	/** Answers a peer. */
+	readonly answer: (message: RelayMessage) => Promise<RelayReply>;
+	readonly members: () => readonly Member[];
+	readonly snapshot: () => RelaySnapshot;
 	readonly run: (signal: AbortSignal) => Promise<void>;
-	/** Says that no new callers should come. */
-	readonly leave: () => void;
+	/** Says that no new callers should come, and tells peers. */
+	readonly leave: () => Promise<void>;
 	readonly dump: () => unknown;
 };
 
+const done: RelayReply = {kind: 'done'};
+
 /** Creates an instance that knows nothing yet. */
 export function createRelayInstance(options: RelayInstanceOptions): RelayInstance {
-	const {clock, random, store, objects} = options;
+	const {
+		clock, random, store, peers, id, dataCentre, address,
+	} = options;
+	const incarnation = as<Incarnation>(clock.wall());
+	const membership = createMembership({
+		id, dataCentre, address, incarnation,
+	}, random);
 	const fleet = createRelayFleet();
 	const quarantine = createQuarantine();
-	const lost = new Set<string>();
+	const ledger = createTokenLedger(`${id}@${incarnation}`);
+	const digests = new Map<InstanceId, RelayDigest>();
 	let table: RoutingTable | undefined;
 	let isLeaving = false;
 
-	function applyConfiguration(object: KindedObject): void {
-		const decoded = objects.decodeConfiguration(object);
-		decoded?.match(configuration => {
-			const previous = table?.configuration.generation;
-			if (previous === undefined || configuration.generation > previous) {
-				table = createRoutingTable(configuration);
-				options.onEvent({kind: 'configuration', generation: configuration.generation, previous});
-			}
-		}, failure => {
-			options.onEvent({kind: 'configuration-refused', failure});
-		});
-	}
-
-	function endpointOf(object: KindedObject): ListedEndpoint | undefined {
-		const endpoint = objects.decodeEndpoint(object);
-		const change = endpoint ? (endpoint.isLeaving ? 'leaving' : 'listed') : 'unreadable';
-		options.onEvent({
-			kind: 'endpoint', id: as<EndpointId>(object.name), change, revision: object.revision,
-		});
-		return endpoint;
-	}
-
-	/** Notes whether the store answers; endpoints that vanish while it does not are kept for a while. */
-	function noteStore(kind: string, event: StoreWatchEvent): void {
-		if (event.kind === 'lost') {
-			if (!lost.has(kind)) {
-				lost.add(kind);
-				options.onEvent({
-					kind: 'store', objects: kind, change: 'lost', reason: event.failure.message,
-				});
+	const others = () => membership.members().filter(member => member.id !== id && member.status !== 'dead');
+	const tables = createSharedTables({
+		address,
+		store,
+		objects: options.objects,
+		peers,
+		others: () => others().map(member => member.address),
+		isWatcher: () => isStoreWatcher(membership.self(), membership.members(), member =>
+			member === id ? tables.digest().isStoreReachable : digests.get(member)?.isStoreReachable ?? true),
+		isWarm: () => warmUp.isWarm(),
+		clock,
+		random,
+		onConfiguration(configuration) {
+			table = createRoutingTable(configuration);
+		},
+		onEntry: fleet.apply,
+		onEvent(event) {
+			options.onEvent({kind: 'tables', tables: event});
+		},
+	});
+	const budgets = createBudgetKeepers({
+		self: membership.self,
+		members: membership.members,
+		peers,
+		ledger,
+		records: options.records,
+		clock,
+		isWarm: () => warmUp.isWarm(),
+		onEvent(event) {
+			options.onEvent({kind: 'budget', budget: event});
+		},
+	});
+	const neighbourhood = createNeighbourhood({
+		membership,
+		clock,
+		seeds: options.seeds,
+		peers: {
+			async gossip(peer, gossip) {
+				const reply = await peers.ask(peer.address, {kind: 'gossip', gossip}, {timeout: as<Milliseconds>(gossipTimeoutMs), tries: gossipTries});
+				return reply?.kind === 'gossip'
+					? ok(reply.gossip)
+					: err(failure('peer-unreachable', `${peer.id} did not answer a probe`, {step: 'forward', peer: peer.id}));
+			},
+			members: async peer => peers.members(peer.address),
+		},
+		generation: () => table?.configuration.generation ?? as<ConfigurationGeneration>(0),
+		onMember(member) {
+			options.onEvent({kind: 'member', member});
+			budgets.rebalance();
+		},
+		onPause(gap) {
+			options.onEvent({kind: 'paused', gap});
+		},
+		onEndpoint() {
+			// Endpoints are known from the directory alone.
+		},
+		onCrash(crash) {
+			quarantine.record(crash, clock.now());
+		},
+		takePaces: () => [],
+		onPace() {
+			// Paces travel with the load reports.
+		},
+		relay: {digest: tables.digest, onDigest: learnDigest},
+		onGeneration() {
+			// The digest says it too.
+		},
+	});
+	const warmUp = createWarmUp({
+		isFirstStart: options.isFirstStart,
+		isAlone: () => others().length === 0,
+		hasWarmPeer: () => others().some(member => digests.get(member.id)?.isWarm),
+		meet: neighbourhood.meet,
+		async meetAt(peer) {
+			const members = await peers.members(peer);
+			neighbourhood.learnMembers(members.unwrapOr([]));
+		},
+		records: options.records,
+		ledger,
+		clock,
+		onEvent(event) {
+			options.onEvent({kind: 'warm-up', warmUp: event});
+		},
+	});
+	const loads = createLoadReports({
+		self: membership.self, others, peers, fleet, clock,
+	});
+	const relay = createRelay({
+		fleet,
+		quarantine,
+		clock,
+		random,
+		link: options.link,
+		budgets,
+		dataCentre,
+		table: () => table,
+		onEvent(event) {
+			options.onEvent({kind: 'relay', relay: event});
+			if (event.kind === 'crash-suspected') {
+				neighbourhood.announceCrash({fingerprint: event.fingerprint, endpoint: event.endpoint});
 			}
+		},
+	});
 
-			fleet.apply({kind: 'store-lost'}, clock.now());
-			return;
-		}
-
-		if (lost.delete(kind)) {
-			options.onEvent({
-				kind: 'store', objects: kind, change: 'back', reason: event.kind,
-			});
-		}
-
-		if (lost.size === 0) {
-			fleet.apply({kind: 'store-back'}, clock.now());
-		}
+	function learnDigest(peer: Member, digest: RelayDigest): void {
+		digests.set(peer.id, digest);
+		tables.learnDigest(peer.address, digest);
 	}
 
-	function onConfigurationEvent(event: StoreWatchEvent): void {
-		noteStore(objects.configurationKind, event);
-		switch (event.kind) {
-			case 'listed': {
-				for (const object of event.list.objects) {
-					applyConfiguration(object);
-				}
-
-				return;
+	async function answer(message: RelayMessage): Promise<RelayReply> {
+		switch (message.kind) {
+			case 'gossip': {
+				return {kind: 'gossip', gossip: neighbourhood.receive(message.gossip)};
 			}
 
-			case 'changed': {
-				for (const change of event.changes) {
-					if (!change.isDeleted) {
-						applyConfiguration(change.object);
-					}
+			case 'announce': {
+				const peer = others().find(member => member.address === message.from);
+				if (peer) {
+					learnDigest(peer, message.digest);
 				}
 
-				break;
-			}
-
-			case 'lost': {
-				break;
+				return done;
 			}
-		}
-	}
 
-	function onEndpointEvent(event: StoreWatchEvent): void {
-		noteStore(objects.endpointKind, event);
-		const now = clock.now();
-		switch (event.kind) {
-			case 'listed': {
-				const endpoints = event.list.objects.flatMap(object => endpointOf(object) ?? []);
-				fleet.apply({kind: 'snapshot', endpoints}, now);
-				return;
+			case 'endpoints': {
+				tables.learnEntries(message.entries, 'peer');
+				return done;
 			}
 
-			case 'changed': {
-				for (const {object, isDeleted} of event.changes) {
-					const endpoint = isDeleted ? undefined : endpointOf(object);
-					if (endpoint) {
-						fleet.apply({kind: 'listed', endpoint}, now);
-					} else {
-						options.onEvent({
-							kind: 'endpoint', id: as<EndpointId>(object.name), change: 'removed', revision: event.revision,
-						});
-						fleet.apply({kind: 'removed', id: as<EndpointId>(object.name)}, now);
-					}
-				}
-
-				break;
+			case 'loads': {
+				loads.receive(message);
+				return done;
 			}
 
-			case 'lost': {
-				break;
+			case 'reserve':
+			case 'settle':
+			case 'accounts': {
+				return await budgets.answer(message) ?? done;
 			}
 		}
 	}
 
-	const relay = createRelay({
-		fleet,
-		quarantine,
-		clock,
-		random,
-		link: options.link,
-		budgets: createLocalBudgets(),
-		dataCentre: options.dataCentre,
-		table: () => table,
-		onEvent(event) {
-			options.onEvent({kind: 'relay', relay: event});
-		},
-	});
-	const watch = (kind: string, onEvent: (event: StoreWatchEvent) => void) => createStoreWatch({
-		store, objects: kind, clock, random, isNeeded: () => true, knownRevision: () => undefined, onEvent,
-	});
-
 	return {
 		relay,
+		answer,
 		limits: () => table?.configuration.limits,
-		isReady: () => table !== undefined && !isLeaving,
+		isReady: () => table !== undefined && warmUp.isWarm() && !isLeaving,
+		members: membership.members,
+		snapshot: () => ({configuration: tables.configuration(), entries: tables.entries()}),
 		async run(signal) {
 			await Promise.all([
-				watch(objects.configurationKind, onConfigurationEvent).run(signal),
-				watch(objects.endpointKind, onEndpointEvent).run(signal),
+				tables.run(signal), neighbourhood.run(signal), warmUp.run(signal), budgets.run(signal), loads.run(signal),
 			]);
 		},
-		leave() {
+		async leave() {
 			isLeaving = true;
+			await neighbourhood.leave();
 		},
 		dump: () => ({
-			id: options.id,
-			generation: table?.configuration.generation,
+			id,
 			isLeaving,
+			isWarm: warmUp.isWarm(),
+			digest: tables.digest(),
 			active: relay.active(),
-			lost: [...lost],
 			storeCalls: store.calls(),
+			members: membership.members(),
+			programs: ledger.programs().map(program => ledger.account(program)),
 			endpoints: fleet.endpoints().map(endpoint => ({
 				...endpoint.listed(), inFlight: endpoint.inFlight(), load: endpoint.load(clock.now()), pace: endpoint.recentPace(clock.now()),
 			})),
 		}),
 	};
 }
-
--- a/src/machines/retirement.ts
+++ b/src/machines/retirement.ts
@@ -9,6 +9,9 @@
 import {type ObjectStore, type WriteResult} from '../contracts/object-store.js';
 import {createStoreWatch, type StoreWatchEvent} from '../zones/store-watch.js';
 
+/** Wait of one watch: a machine has seconds to be emptied, and each watch is a call. */
+const watchMs = 10_000;
+
 /** Pause before a report that was not taken is sent again, in ms. */
 const retryMs = 500;
 
@@ -80,7 +83,7 @@
 			};
 
 			await createStoreWatch({
-				store, objects: options.objects, clock, random: options.random, isNeeded: () => true, knownRevision: () => undefined, onEvent,
+				store, objects: options.objects, wait: as<Milliseconds>(watchMs), clock, random: options.random, isNeeded: () => true, onEvent,
 			}).run(signal);
 		},
 	};
--- a/src/programs/relay-settings.ts
+++ b/src/programs/relay-settings.ts
@@ -13,7 +13,7 @@
 const address = z.string().regex(/^(?:\d{1,3}\.){3}\d{1,3}:\d{1,5}$/v, 'must be an IP number and port');
 
 const schema = z.strictObject({
-	instance: z.strictObject({id: z.string().min(1), dataCentre: z.string().min(1)}),
+	instance: z.strictObject({id: z.string().min(1), dataCentre: z.string().min(1), firstStart: z.boolean().default(false)}),
 	platform: z.strictObject({address}),
 	callers: z.strictObject({address, readiness: address}).optional(),
 	peers: z.strictObject({address, seeds: z.array(address).default([])}).optional(),
@@ -27,6 +27,8 @@
 export type RelaySettings = {
 	readonly id: InstanceId;
 	readonly dataCentre: DataCentreId;
+	/** Whether the whole system starts for the first time, with nothing to recover. */
+	readonly isFirstStart: boolean;
 	readonly platform: Address;
 	/** Where callers connect, and where the balancer asks whether they may. */
 	readonly callers: {readonly address: Address; readonly readiness: Address} | undefined;
@@ -60,6 +62,7 @@
 	return ok({
 		id: as<InstanceId>(instance.id),
 		dataCentre: as<DataCentreId>(instance.dataCentre),
+		isFirstStart: instance.firstStart,
 		platform: as<Address>(parsed.data.platform.address),
 		callers: callers && {address: as<Address>(callers.address), readiness: as<Address>(callers.readiness)},
 		peers: peers && {address: as<Address>(peers.address), seeds: peers.seeds.map(seed => as<Address>(seed))},
--- /dev/null
+++ b/src/zones/budget-records.ts
@@ -0,0 +1,154 @@
+/**
+Records of used tokens in the store: one object an instance, which names the programs that it counts
+for. Requests that come together share a write.
+*/
+import PQueue from 'p-queue';
+import {z} from 'zod';
+import {type Clock} from '../contracts/clock.js';
+import {type Failure} from '../contracts/failure.js';
+import {
+	as, type Address, type InstanceId, type Milliseconds, type ObjectName, type ObjectVersion, type ProgramId, type Tokens,
+} from '../contracts/id.js';
+import {type KindedObject, type ObjectStore, type WriteResult} from '../contracts/object-store.js';
+
+/** Kind of the records in the store. */
+const recordKind = 'hickoryfork-budgets';
+
+/** Pause before a write that was not acknowledged is tried again. */
+const retryMs = 300;
+
+/** Tries of one write; what is left waits for the next one. */
+const mostTries = 20;
+
+const recordBody = z.object({
+	address: z.string(),
+	/** Used tokens, and the wall-clock time in ms at which the record may be dropped. */
+	programs: z.record(z.string(), z.tuple([z.number(), z.number()])),
+});
+
+export type BudgetRecord = {readonly program: ProgramId; readonly used: Tokens; readonly retention: Milliseconds};
+
+export type BudgetRecords = {
+	/** Resolves when the store holds the record, or to false when it gave up. */
+	readonly write: (record: BudgetRecord) => Promise<boolean>;
+	/** Records of all instances, and where those instances were. */
+	readonly load: () => Promise<{readonly records: readonly BudgetRecord[]; readonly addresses: readonly Address[]} | Failure>;
+};
+
+export type BudgetRecordsOptions = {
+	readonly id: InstanceId;
+	readonly address: Address;
+	readonly store: ObjectStore;
+	readonly clock: Clock;
+	readonly signal: AbortSignal;
+};
+
+type Stored = {readonly used: Tokens; readonly expiresAt: number};
+
+/** Creates the records of an instance that has written none in this life. */
+export function createBudgetRecords(options: BudgetRecordsOptions): BudgetRecords {
+	const {store, clock} = options;
+	const name = as<ObjectName>(options.id);
+	const queue = new PQueue({concurrency: 1});
+	const programs = new Map<ProgramId, Stored>();
+	let revision: ObjectVersion | undefined;
+	let written = 0;
+	let requested = 0;
+
+	function put(program: ProgramId, stored: Stored): void {
+		const known = programs.get(program);
+		if (!known || stored.used > known.used) {
+			programs.set(program, stored);
+		}
+	}
+
+	function compose(): z.output<typeof recordBody> {
+		const now = clock.wall();
+		for (const [program, stored] of programs) {
+			if (stored.expiresAt < now) {
+				programs.delete(program);
+			}
+		}
+
+		return {address: options.address, programs: Object.fromEntries([...programs].map(([program, stored]) => [program, [stored.used, stored.expiresAt]]))};
+	}
+
+	/** Takes over what an earlier life of this instance wrote. */
+	function adopt(object: KindedObject): void {
+		revision = object.revision;
+		const parsed = recordBody.safeParse(object.spec);
+		for (const [program, [used, expiresAt]] of Object.entries(parsed.data?.programs ?? {})) {
+			put(as<ProgramId>(program), {used: as<Tokens>(used), expiresAt});
+		}
+	}
+
+	async function writeOnce(): Promise<WriteResult> {
+		const spec = compose();
+		return revision === undefined ? store.create(recordKind, name, spec) : store.replace(recordKind, name, spec, revision);
+	}
+
+	/** Writes all programs; true when the store has them. */
+	async function writeAll(): Promise<boolean> {
+		for (let attempt = 0; attempt < mostTries && !options.signal.aborted; attempt++) {
+			const upTo = requested;
+			const result = await writeOnce();
+			switch (result.kind) {
+				case 'written': {
+					revision = result.revision;
+					written = upTo;
+					return true;
+				}
+
+				case 'conflict': {
+					// An earlier write whose answer was lost, or an earlier life of this instance.
+					if (result.object) {
+						adopt(result.object);
+					}
+
+					break;
+				}
+
+				case 'absent': {
+					revision = undefined;
+					break;
+				}
+
+				case 'unavailable':
+				case 'doubtful': {
+					await clock.sleep(as<Milliseconds>(retryMs), options.signal);
+				}
+			}
+		}
+
+		return false;
+	}
+
+	return {
+		async write({program, used, retention}) {
+			put(program, {used, expiresAt: clock.wall() + retention});
+			const ticket = ++requested;
+			return queue.add(async () => written >= ticket || writeAll());
+		},
+		async load() {
+			const list = await store.list(recordKind, {mayBeStale: false});
+			if (list.isErr()) {
+				return list.error;
+			}
+
+			const now = clock.wall();
+			const records: BudgetRecord[] = [];
+			const addresses: Address[] = [];
+			for (const object of list.value.objects) {
+				const parsed = recordBody.safeParse(object.spec);
+				addresses.push(...(parsed.data ? [as<Address>(parsed.data.address)] : []));
+				for (const [program, [used, expiresAt]] of Object.entries(parsed.data?.programs ?? {})) {
+					if (expiresAt >= now) {
+						records.push({program: as<ProgramId>(program), used: as<Tokens>(used), retention: as<Milliseconds>(expiresAt - now)});
+					}
+				}
+			}
+
+			return {records, addresses};
+		},
+	};
+}
--- /dev/null
+++ b/src/zones/endpoint-directory.ts
@@ -0,0 +1,119 @@
+/**
+Directory of endpoints: what the list in the store says, however an instance learned it. Entries carry
+the revision of their last change, and the newer one wins, so that lists from the store and from peers
+merge in any order.
+
+While the store is away the list lapses although back ends live, so an entry that vanished around an
+outage is kept until the store has been back long enough for living back ends to return.
+*/
+import {
+	as, type EndpointId, type Milliseconds, type ObjectVersion,
+} from '../contracts/id.js';
+import {type ListedEndpoint} from '../contracts/relay.js';
+
+/**
+Time after the last sign of trouble with the store during which a removal is doubted: living back ends are
+listed again within two seconds, and news of trouble takes up to a second from another instance.
+*/
+export const doubtMs = 3000;
+
+/** Time for which a removal is remembered against older news. */
+const tombstoneMs = 60_000;
+
+export type DirectoryEntry
+	= | {readonly kind: 'listed'; readonly revision: ObjectVersion; readonly endpoint: ListedEndpoint}
+		| {readonly kind: 'removed'; readonly revision: ObjectVersion; readonly id: EndpointId};
+
+export type EndpointDirectory = {
+	/** Takes entries that a peer has decided on. Returns those that were news. */
+	readonly merge: (entries: readonly DirectoryEntry[], now: Milliseconds) => readonly DirectoryEntry[];
+	/** Takes a change from the store. Returns what follows at once. */
+	readonly learn: (entry: DirectoryEntry, now: Milliseconds) => readonly DirectoryEntry[];
+	/** Takes a whole list from the store; what it lacks has been removed. */
+	readonly replace: (entries: readonly DirectoryEntry[], revision: ObjectVersion, now: Milliseconds) => readonly DirectoryEntry[];
+	/** The store failed to answer this instance or another. */
+	readonly noteTrouble: (now: Milliseconds) => void;
+	/** Removals that have waited long enough. */
+	readonly expire: (now: Milliseconds) => readonly DirectoryEntry[];
+	readonly entries: () => readonly DirectoryEntry[];
+	/** Newest revision known. */
+	readonly revision: () => ObjectVersion;
+};
+
+function idOf(entry: DirectoryEntry): EndpointId {
+	return entry.kind === 'listed' ? entry.endpoint.id : entry.id;
+}
+
+/** Creates an empty directory. */
+export function createEndpointDirectory(): EndpointDirectory {
+	const known = new Map<EndpointId, DirectoryEntry>();
+	const removedAt = new Map<EndpointId, Milliseconds>();
+	const doubted = new Map<EndpointId, DirectoryEntry>();
+	let troubleAt = as<Milliseconds>(-doubtMs);
+	let newest = as<ObjectVersion>(0);
+
+	function put(entry: DirectoryEntry, now: Milliseconds): DirectoryEntry[] {
+		const id = idOf(entry);
+		const current = known.get(id);
+		newest = as<ObjectVersion>(Math.max(newest, entry.revision));
+		if (current && current.revision >= entry.revision) {
+			return [];
+		}
+
+		doubted.delete(id);
+		known.set(id, entry);
+		if (entry.kind === 'removed') {
+			removedAt.set(id, now);
+		} else {
+			removedAt.delete(id);
+		}
+
+		return [entry];
+	}
+
+	/** Whether a removal may only mean that the store was away. */
+	function isDoubtful(now: Milliseconds): boolean {
+		return now - troubleAt < doubtMs;
+	}
+
+	function learn(entry: DirectoryEntry, now: Milliseconds): readonly DirectoryEntry[] {
+		const isListed = known.get(idOf(entry))?.kind === 'listed';
+		if (entry.kind === 'removed' && isListed && isDoubtful(now)) {
+			doubted.set(entry.id, entry);
+			return [];
+		}
+
+		return put(entry, now);
+	}
+
+	function forgetTombstones(now: Milliseconds): void {
+		for (const [id, at] of removedAt) {
+			if (now - at > tombstoneMs) {
+				removedAt.delete(id);
+				known.delete(id);
+			}
+		}
+	}
+
+	return {
+		merge: (entries, now) => entries.flatMap(entry => put(entry, now)),
+		learn,
+		replace(entries, revision, now) {
+			const listed = new Set(entries.map(entry => idOf(entry)));
+			const missing = [...known.values()]
+				.filter(entry => entry.kind === 'listed' && !listed.has(entry.endpoint.id) && entry.revision <= revision)
+				.map<DirectoryEntry>(entry => ({kind: 'removed', revision, id: idOf(entry)}));
+			newest = as<ObjectVersion>(Math.max(newest, revision));
+			return [...entries, ...missing].flatMap(entry => learn(entry, now));
+		},
+		noteTrouble(now) {
+			troubleAt = now;
+		},
+		expire(now) {
+			forgetTombstones(now);
+			return doubted.size === 0 || isDoubtful(now) ? [] : [...doubted.values()].flatMap(entry => put(entry, now));
+		},
+		entries: () => [...known.values()],
+		revision: () => newest,
+	};
+}
--- a/src/zones/neighbourhood.ts
+++ b/src/zones/neighbourhood.ts
@@ -8,6 +8,7 @@
 	type Milliseconds,
 } from '../contracts/id.js';
 import {type Listing} from '../contracts/platform.js';
+import {type RelayDigest} from '../contracts/relay-digest.js';
 import {type PoolPace} from '../machines/fleet.js';
 import {type Crash} from '../machines/quarantine.js';
 import {createBroadcast} from './broadcast.js';
@@ -31,6 +32,8 @@
 export type Neighbourhood = {
 	/** Answers a probe. */
 	readonly receive: (message: Gossip) => Gossip;
+	/** Takes the view of another instance, found by other means than probes. */
+	readonly learnMembers: (members: readonly Member[]) => void;
 	readonly learnListing: (listing: readonly Listing[]) => void;
 	readonly announceEndpoint: (news: EndpointNews) => void;
 	readonly announceCrash: (crash: Crash) => void;
@@ -48,7 +51,7 @@
 
 export type NeighbourhoodOptions = {
 	readonly membership: Membership;
-	readonly peers: Peers;
+	readonly peers: Pick<Peers, 'gossip' | 'members'>;
 	readonly clock: Clock;
 	readonly seeds: readonly Address[];
 	readonly generation: () => ConfigurationGeneration;
@@ -58,6 +61,8 @@
 	readonly onCrash: (crash: Crash) => void;
 	readonly takePaces: (limit: number) => readonly PoolPace[];
 	readonly onPace: (pace: PoolPace) => void;
+	/** Digest of the tables that relaying instances share; left out where nothing is relayed. */
+	readonly relay?: {readonly digest: () => RelayDigest; readonly onDigest: (peer: Member, digest: RelayDigest) => void};
 	/** A peer has a newer configuration. */
 	readonly onGeneration: (peer: Member) => void;
 };
@@ -80,6 +85,7 @@
 			endpoints: endpointNews.take(newsPerMessage),
 			crashes: crashNews.take(newsPerMessage),
 			paces: options.takePaces(pacesPerMessage),
+			...(options.relay && {relay: options.relay.digest()}),
 		};
 	}
 
@@ -145,6 +151,10 @@
 			options.onPace(pace);
 		}
 
+		if (message.relay) {
+			options.relay?.onDigest(message.from, message.relay);
+		}
+
 		for (const crash of message.crashes) {
 			options.onCrash(crash);
 		}
@@ -226,6 +236,9 @@
 			handle({kind: 'acknowledged', member: message.from.id, now: clock.now()});
 			return compose();
 		},
+		learnMembers(members) {
+			learnMembers(members.filter(member => member.status !== 'dead'), membership.self().dataCentre);
+		},
 		learnListing,
 		announceEndpoint: learnEndpoint,
 		announceCrash(crash) {
--- a/src/zones/ownership.ts
+++ b/src/zones/ownership.ts
@@ -35,3 +35,11 @@
 export function shardKey(home: Home): string {
 	return `shard/${home.dataCentre}/${home.shard}`;
 }
+
+/** Members in the order in which they would own a key. */
+export function rankOwners(key: string, members: readonly Member[]): readonly Member[] {
+	return members
+		.map(member => ({member, weight: weigh(member, key)}))
+		.toSorted((left, right) => right.weight - left.weight)
+		.map(entry => entry.member);
+}
--- a/src/zones/peers.ts
+++ b/src/zones/peers.ts
@@ -9,6 +9,7 @@
 	type ConfigurationGeneration, type CustomerId, type EndpointId, type FencingNumber, type Home, type Milliseconds,
 	type ProgramId,
 } from '../contracts/id.js';
+import {type RelayDigest} from '../contracts/relay-digest.js';
 import {type Turn} from '../contracts/program.js';
 import {type Closing, type JournalRecord} from '../contracts/record.js';
 import {type PoolPace} from '../machines/fleet.js';
@@ -34,6 +35,8 @@
 	readonly crashes: readonly Crash[];
 	/** Usual times of calls, for pools that the sender knows better than the receiver may. */
 	readonly paces: readonly PoolPace[];
+	/** What the sender knows of the tables that relaying instances share. */
+	readonly relay?: RelayDigest;
 };
 
 /** A request about programs, answered by their home. */
--- /dev/null
+++ b/src/zones/relay-peers.ts
@@ -0,0 +1,68 @@
+/**
+What relaying instances ask of each other. The links carry these messages; nothing here knows how.
+*/
+import {type Result} from 'neverthrow';
+import {type Failure} from '../contracts/failure.js';
+import {
+	type Address, type AttemptId, type DataCentreId, type EndpointId, type Milliseconds, type ProgramId, type Tokens,
+} from '../contracts/id.js';
+import {type RelayConfiguration} from '../contracts/relay.js';
+import {type RelayDigest} from '../contracts/relay-digest.js';
+import {type Account, type ReservationRequest} from '../contracts/token-ledger.js';
+import {type DirectoryEntry} from './endpoint-directory.js';
+import {type Member} from './membership.js';
+import {type Gossip} from './peers.js';
+
+/** Requests of this instance at an endpoint, and its pace as seen from here in ms. */
+export type EndpointLoad = {readonly id: EndpointId; readonly inFlight: number; readonly pace: number | undefined};
+
+/** A short message that expects a reply. */
+export type RelayMessage
+	= | {readonly kind: 'gossip'; readonly gossip: Gossip}
+		| {readonly kind: 'reserve'; readonly reservation: ReservationRequest; readonly isHomeUnreachable: boolean}
+		| {readonly kind: 'settle'; readonly program: ProgramId; readonly attempt: AttemptId; readonly used: Tokens}
+		| {readonly kind: 'accounts'; readonly accounts: readonly Account[]}
+	/** Changes of the list of endpoints. */
+		| {readonly kind: 'endpoints'; readonly entries: readonly DirectoryEntry[]}
+	/** The sender has something newer. */
+		| {readonly kind: 'announce'; readonly from: Address; readonly digest: RelayDigest}
+		| {readonly kind: 'loads'; readonly from: string; readonly loads: readonly EndpointLoad[]};
+
+export type ReservationOutcome
+	= | {readonly kind: 'granted'}
+		| {readonly kind: 'exhausted'}
+	/** The instance that was asked may not grant it now. */
+		| {readonly kind: 'withheld'}
+	/** The instance does not know yet what programs have used. */
+		| {readonly kind: 'cold'}
+	/** The program's home is another data centre. */
+		| {readonly kind: 'elsewhere'; readonly home: DataCentreId};
+
+export type RelayReply
+	= | {readonly kind: 'done'}
+		| {readonly kind: 'gossip'; readonly gossip: Gossip}
+		| {readonly kind: 'reservation'; readonly outcome: ReservationOutcome};
+
+/** Everything that an instance knows of the shared tables. */
+export type RelaySnapshot = {
+	readonly configuration?: RelayConfiguration | undefined;
+	readonly entries: readonly DirectoryEntry[];
+};
+
+export type MessageOptions = {
+	/** Time after which a try counts as lost. */
+	readonly timeout: Milliseconds;
+	readonly tries: number;
+};
+
+/** The other instances, as seen from this one. */
+export type RelayPeers = {
+	/** Undefined when no try was answered. */
+	readonly ask: (address: Address, message: RelayMessage, options: MessageOptions) => Promise<RelayReply | undefined>;
+	/** Sends without waiting for a reply. */
+	readonly post: (address: Address, message: RelayMessage) => void;
+	/** Both fail with `peer-unreachable`. */
+	readonly members: (address: Address) => Promise<Result<readonly Member[], Failure>>;
+	readonly snapshot: (address: Address) => Promise<Result<RelaySnapshot, Failure>>;
+};
+
--- a/src/zones/store-watch.ts
+++ b/src/zones/store-watch.ts
@@ -7,9 +7,6 @@
 import {as, type Milliseconds, type ObjectVersion} from '../contracts/id.js';
 import {type ObjectChange, type ObjectList, type ObjectStore} from '../contracts/object-store.js';
 
-/** Longest wait of one watch, in ms. A store that falls silent is noticed within it. */
-const watchMs = 8000;
-
 /** Pause after a failed call, in ms; it doubles with each further one. */
 const firstPauseMs = 150;
 const longestPauseMs = 1000;
@@ -29,12 +26,12 @@
 export type StoreWatchOptions = {
 	readonly store: ObjectStore;
 	readonly objects: string;
+	/** Longest wait of one watch. A store that falls silent is noticed within it. */
+	readonly wait: Milliseconds;
 	readonly clock: Clock;
 	readonly random: Random;
 	/** Whether this instance has to watch now, or is told by others. */
 	readonly isNeeded: () => boolean;
-	/** Revision up to which the objects are known from others, if they are. */
-	readonly knownRevision: () => ObjectVersion | undefined;
 	readonly onEvent: (event: StoreWatchEvent) => void;
 };
 
@@ -65,7 +62,7 @@
 
 	/** Waits for changes. Returns the revision to go on from. */
 	async function follow(since: ObjectVersion, signal: AbortSignal): Promise<ObjectVersion | undefined> {
-		const result = await store.watch(objects, since, as<Milliseconds>(watchMs), signal);
+		const result = await store.watch(objects, since, options.wait, signal);
 		switch (result.kind) {
 			case 'changes': {
 				failures = 0;
@@ -92,7 +89,6 @@
 			let revision: ObjectVersion | undefined;
 			while (!signal.aborted) {
 				if (options.isNeeded()) {
-					revision ??= options.knownRevision();
 					revision = revision === undefined ? await list(signal) : await follow(revision, signal);
 				} else {
 					revision = undefined;
--- /dev/null
+++ b/src/zones/warm-up.ts
@@ -0,0 +1,104 @@
+/**
+Warm-up of an instance: before it counts budgets it has to know what programs have used. Peers that were
+there before send it the accounts that it keeps; when there are none, everyone has lost its memory, and
+the store's records say what may have been used.
+*/
+import {type Clock} from '../contracts/clock.js';
+import {as, type Address, type Milliseconds} from '../contracts/id.js';
+import {type TokenLedger} from '../contracts/token-ledger.js';
+import {type BudgetRecords} from './budget-records.js';
+
+/** Time in which peers that see this instance come send it accounts. */
+const handOverMs = 700;
+
+/** Time for finding a warm peer before the store is asked. */
+const searchMs = 500;
+
+/** Pause between two tries. */
+const retryMs = 250;
+
+export type WarmUpEvent
+	= | {readonly kind: 'warm'; readonly source: 'first-start' | 'peers' | 'store'; readonly records: number}
+		| {readonly kind: 'records-unavailable'; readonly reason: string};
+
+export type WarmUp = {
+	readonly isWarm: () => boolean;
+	readonly run: (signal: AbortSignal) => Promise<void>;
+};
+
+export type WarmUpOptions = {
+	readonly isFirstStart: boolean;
+	/** Whether no other instance is known. */
+	readonly isAlone: () => boolean;
+	readonly hasWarmPeer: () => boolean;
+	/** Asks seeds and known peers. */
+	readonly meet: () => Promise<void>;
+	readonly meetAt: (address: Address) => Promise<void>;
+	readonly records: BudgetRecords;
+	readonly ledger: TokenLedger;
+	readonly clock: Clock;
+	readonly onEvent: (event: WarmUpEvent) => void;
+};
+
+/** Creates the warm-up of an instance that has just started. */
+export function createWarmUp(options: WarmUpOptions): WarmUp {
+	const {clock, records, ledger} = options;
+	let isWarm = false;
+
+	function finish(source: 'first-start' | 'peers' | 'store', count: number): void {
+		isWarm = true;
+		options.onEvent({kind: 'warm', source, records: count});
+	}
+
+	async function loadRecords(): Promise<void> {
+		const loaded = await records.load();
+		if ('code' in loaded) {
+			options.onEvent({kind: 'records-unavailable', reason: loaded.message});
+			return;
+		}
+
+		for (const record of loaded.records) {
+			ledger.restore(record.program, record.used, record.retention, clock.now());
+		}
+
+		finish('store', loaded.records.length);
+		await Promise.all(loaded.addresses.map(async address => options.meetAt(address)));
+	}
+
+	async function warm(signal: AbortSignal): Promise<void> {
+		if (options.isFirstStart) {
+			finish('first-start', 0);
+			return;
+		}
+
+		const startedAt = clock.now();
+		while (!isWarm && !signal.aborted) {
+			if (options.isAlone()) {
+				await options.meet();
+			}
+
+			if (options.hasWarmPeer()) {
+				await clock.sleep(as<Milliseconds>(handOverMs), signal);
+				finish('peers', ledger.programs().length);
+			} else if (clock.now() - startedAt > searchMs) {
+				await loadRecords();
+			}
+
+			await clock.sleep(as<Milliseconds>(retryMs), signal);
+		}
+	}
+
+	return {
+		isWarm: () => isWarm,
+		async run(signal) {
+			await warm(signal);
+			while (!signal.aborted) {
+				if (options.isAlone()) {
+					await options.meet();
+				}
+
+				await clock.sleep(as<Milliseconds>(retryMs), signal);
+			}
+		},
+	};
+}
