Spread work by what it costs all that run, and hand budgets over when instances come and go

BUDGET: a keeper that restarted counted from zero because peers heard of its return after it was warm; guests asked a keeper a data centre each.

--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -77,8 +77,6 @@
 	readonly merge: (account: Account, now: Milliseconds) => void;
 	readonly account: (program: ProgramId) => Account | undefined;
 	readonly programs: () => readonly ProgramId[];
-	/** Programs that this instance has granted calls to. */
-	readonly counted: () => readonly ProgramId[];
 	/** Drops programs that were not heard of for their retention. */
 	readonly expire: (now: Milliseconds) => void;
 };
@@ -229,7 +227,6 @@
 			};
 		},
 		programs: () => [...entries.keys()],
-		counted: () => [...entries].filter(([, entry]) => entry.slots.has(counter)).map(([program]) => program),
 		expire(now) {
 			for (const [program, entry] of entries) {
 				if (now - entry.touchedAt > entry.retention) {
--- a/src/machines/load-reports.ts
+++ b/src/machines/load-reports.ts
@@ -1,11 +1,14 @@
 /**
 Load reports: each instance tells the others of its data centre what it has in flight at endpoints, because
-they use the same ones and see each other's requests only this way.
+they use the same ones and see each other's requests only this way. One instance of each data centre tells
+the other data centres the sum.
 */
 import {type Clock} from '../contracts/clock.js';
 import {as, type Milliseconds} from '../contracts/id.js';
 import {type Member} from '../zones/membership.js';
+import {candidatesIn, ownerOf} from '../zones/ownership.js';
 import {type EndpointLoad, type RelayMessage, type RelayPeers} from '../zones/relay-peers.js';
+import {type RelayEndpoint} from './relay-endpoint.js';
 import {type RelayFleet} from './relay-fleet.js';
 
 /** Time between two reports; most requests last as long or longer. */
@@ -36,16 +39,44 @@
 	let turn = 0;
 	let wasBusy = false;
 
-	function compose(): readonly EndpointLoad[] {
+	function compose(loadOf: (endpoint: RelayEndpoint) => number): readonly EndpointLoad[] {
 		const now = clock.now();
 		return fleet.endpoints()
-			.map(endpoint => ({id: endpoint.listed().id, inFlight: endpoint.inFlight(), pace: endpoint.recentPace(now)}))
+			.map(endpoint => ({id: endpoint.listed().id, inFlight: loadOf(endpoint), pace: endpoint.recentPace(now)}))
 			.filter(load => load.inFlight > 0 || load.pace !== undefined)
 			.toSorted((left, right) => right.inFlight - left.inFlight)
 			.slice(0, mostEndpoints)
 			.map(load => ({...load, pace: load.pace === undefined ? undefined : Math.round(load.pace)}));
 	}
 
+	function tellDataCentre(): void {
+		const loads = compose(endpoint => endpoint.inFlight());
+		if (loads.length > 0 || wasBusy) {
+			for (const member of targets()) {
+				options.peers.post(member.address, {kind: 'loads', from: {kind: 'instance', name: options.self().id}, loads});
+			}
+		}
+
+		wasBusy = loads.length > 0;
+	}
+
+	/** Tells the other data centres what this one has in flight, if it falls to this instance. */
+	function tellOthers(): void {
+		const self = options.self();
+		const local = candidatesIn(self.dataCentre, [self, ...options.others()]);
+		if (ownerOf('loads', local)?.id !== self.id) {
+			return;
+		}
+
+		const now = clock.now();
+		const loads = compose(endpoint => endpoint.localLoad(now)).filter(load => load.inFlight > 0);
+		for (const member of options.others()) {
+			if (loads.length > 0 && member.dataCentre !== self.dataCentre) {
+				options.peers.post(member.address, {kind: 'loads', from: {kind: 'data-centre', name: self.dataCentre}, loads});
+			}
+		}
+	}
+
 	function targets(): readonly Member[] {
 		const self = options.self();
 		const local = options.others().filter(member => member.dataCentre === self.dataCentre);
@@ -66,14 +97,8 @@
 		async run(signal) {
 			while (!signal.aborted) {
 				await clock.sleep(as<Milliseconds>(reportMs), signal);
-				const loads = compose();
-				if (loads.length > 0 || wasBusy) {
-					for (const member of targets()) {
-						options.peers.post(member.address, {kind: 'loads', from: options.self().id, loads});
-					}
-				}
-
-				wasBusy = loads.length > 0;
+				tellDataCentre();
+				tellOthers();
 			}
 		},
 	};
--- a/src/machines/relay-endpoint.ts
+++ b/src/machines/relay-endpoint.ts
@@ -10,7 +10,7 @@
 const paceWeight = 0.3;
 
 /** Time in which half of what was observed about an endpoint's pace is forgotten. */
-const paceHalfLifeMs = 2000;
+const paceHalfLifeMs = 4000;
 
 /** Pause after the first failure to connect; it doubles with each further one. */
 const firstPauseMs = 250;
@@ -22,6 +22,9 @@
 /** Age at which a report of other instances' requests counts for nothing. */
 const reportLifeMs = 1500;
 
+/** Who reports load: an instance of the own data centre, or another data centre as a whole. */
+export type LoadSource = {readonly kind: 'instance' | 'data-centre'; readonly name: string};
+
 export type RelayEndpoint = {
 	readonly listed: () => ListedEndpoint;
 	readonly update: (listed: ListedEndpoint) => void;
@@ -30,9 +33,11 @@
 	readonly inFlight: () => number;
 	/** Requests of this instance, and of others by their fading reports. */
 	readonly load: (now: Milliseconds) => number;
+	/** Requests of this instance and of others in its data centre. */
+	readonly localLoad: (now: Milliseconds) => number;
 	/** Takes a peer's report of its requests here and of the pace that it sees, in ms. */
-	readonly reportForeign: (peer: string, report: {readonly inFlight: number; readonly pace: number | undefined}, now: Milliseconds) => void;
-	/** Smoothed time to the first byte of an answer, in ms, drawn towards `typical` as it ages. */
+	readonly reportForeign: (source: LoadSource, report: {readonly inFlight: number; readonly pace: number | undefined}, now: Milliseconds) => void;
+	/** Smoothed time of a request on the idle endpoint, in ms, drawn towards `typical` as it ages. */
 	readonly pace: (typical: number, now: Milliseconds) => number;
 	/** Last smoothed pace, in ms, or undefined when nothing was observed lately. */
 	readonly recentPace: (now: Milliseconds) => number | undefined;
@@ -55,15 +60,15 @@
 	let failures = 0;
 	let pausedUntil = as<Milliseconds>(0);
 	const parts = new Set<string>();
-	const foreign = new Map<string, {readonly inFlight: number; readonly at: Milliseconds}>();
+	const foreign = new Map<string, {readonly kind: LoadSource['kind']; readonly inFlight: number; readonly at: Milliseconds}>();
 
-	function foreignLoad(now: Milliseconds): number {
+	function foreignLoad(now: Milliseconds, kinds: ReadonlyArray<LoadSource['kind']>): number {
 		let sum = 0;
 		for (const [source, report] of foreign) {
 			const age = now - report.at;
 			if (age > reportLifeMs) {
 				foreign.delete(source);
-			} else {
+			} else if (kinds.includes(report.kind)) {
 				sum += report.inFlight;
 			}
 		}
@@ -85,9 +90,10 @@
 			};
 		},
 		inFlight: () => inFlight,
-		load: now => inFlight + foreignLoad(now),
-		reportForeign(peer, report, now) {
-			foreign.set(peer, {inFlight: report.inFlight, at: now});
+		load: now => inFlight + foreignLoad(now, ['instance', 'data-centre']),
+		localLoad: now => inFlight + foreignLoad(now, ['instance']),
+		reportForeign(source, report, now) {
+			foreign.set(source.name, {kind: source.kind, inFlight: report.inFlight, at: now});
 			// A peer's pace counts only where this instance has seen nothing itself.
 			if (report.pace !== undefined && (pace.ms === 0 || now - pace.at > paceHalfLifeMs)) {
 				pace = {ms: report.pace, at: now};
--- a/src/machines/relay-fleet.ts
+++ b/src/machines/relay-fleet.ts
@@ -5,7 +5,7 @@
 	type EndpointId, type Milliseconds, type PoolName,
 } from '../contracts/id.js';
 import {type DirectoryEntry} from '../zones/endpoint-directory.js';
-import {createRelayEndpoint, type RelayEndpoint} from './relay-endpoint.js';
+import {createRelayEndpoint, type LoadSource, type RelayEndpoint} from './relay-endpoint.js';
 import {place, type Placement, type RelayQuery} from './relay-placement.js';
 
 export type RelayFleet = {
@@ -17,7 +17,7 @@
 	/** Whether the endpoint is still listed and not leaving. */
 	readonly isServing: (id: EndpointId) => boolean;
 	/** Takes a peer's report of its requests at an endpoint, and of the pace that it sees, in ms. */
-	readonly learnLoad: (peer: string, load: {readonly id: EndpointId; readonly inFlight: number; readonly pace: number | undefined}, now: Milliseconds) => void;
+	readonly learnLoad: (source: LoadSource, load: {readonly id: EndpointId; readonly inFlight: number; readonly pace: number | undefined}, now: Milliseconds) => void;
 };
 
 /** Creates an empty fleet. */
@@ -55,8 +55,8 @@
 		endpoint: id => known.get(id),
 		endpoints: () => [...known.values()],
 		isServing: id => known.has(id) && !known.get(id)?.listed().isLeaving,
-		learnLoad(peer, load, now) {
-			known.get(load.id)?.reportForeign(peer, load, now);
+		learnLoad(source, load, now) {
+			known.get(load.id)?.reportForeign(source, load, now);
 		},
 	};
 }
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -174,6 +174,7 @@
 			const members = await greet(peer);
 			neighbourhood.learnMembers(members.unwrapOr([]));
 		},
+		announce: neighbourhood.notify,
 		records: options.records,
 		ledger,
 		clock,
--- a/src/machines/relay-job.ts
+++ b/src/machines/relay-job.ts
@@ -45,7 +45,7 @@
 	readonly timeLeft: () => Milliseconds;
 	/** Takes from the result of an attempt what it says about the request. */
 	readonly conclude: (endpoint: EndpointId, result: RelayResult) => void;
-	readonly describe: (endpoint: ListedEndpoint, onFirst: () => void) => RelayAttempt;
+	readonly describe: (endpoint: ListedEndpoint) => RelayAttempt;
 	readonly attempts: () => number;
 	readonly progress: () => RelayProgress;
 	/** Whether an endpoint may have run the request. */
@@ -158,7 +158,7 @@
 		elapsed: () => as<Milliseconds>(clock.now() - startedAt),
 		timeLeft: () => as<Milliseconds>(endsAt - clock.now()),
 		conclude,
-		describe: (endpoint, onFirst) => ({
+		describe: endpoint => ({
 			request,
 			endpoint,
 			isStream: route.isStream,
@@ -173,10 +173,7 @@
 					caller.open(head);
 				}
 			},
-			onEvent(event) {
-				onFirst();
-				relayEvent(event);
-			},
+			onEvent: relayEvent,
 			signal: options.signal,
 		}),
 		attempts: () => attempts,
--- a/src/machines/relay-placement.ts
+++ b/src/machines/relay-placement.ts
@@ -16,14 +16,20 @@
 /** Extra price of another data centre: bytes between data centres are scarce, and a cut loses the request. */
 const remoteMs = 40;
 
-/** Share of a request's time that it loses on an endpoint whose other slots are all taken. */
-const sharingShare = 0.4;
+/**
+Weight of the square of the load in a request's time: engines batch, and each request in the batch slows
+the others, about twofold when half of the slots are taken.
+*/
+const crowdingWeight = 4;
+
+/** What a request adds to its own time and to that of those that run beside it, over its own alone. */
+const marginalFactor = 3;
 
 /** Share of the prompt's first part that counts as cached where its hash points first. */
 const homeShare = 0.6;
 
 /** Pace before anything was observed, in ms. */
-const assumedPaceMs = 150;
+const assumedPaceMs = 200;
 
 export type RelayQuery = {
 	readonly prompt: readonly PromptPart[];
@@ -38,6 +44,16 @@
 	readonly cost: number;
 };
 
+/** Share by which `load` other requests lengthen a request's time. */
+function crowding(load: number, slots: number): number {
+	return crowdingWeight * ((load / slots) ** 2);
+}
+
+/** A request's time as it would have been on an idle endpoint, in ms. */
+export function idleTime(tookMs: number, load: number, slots: number): number {
+	return tookMs / (1 + crowding(load, slots));
+}
+
 function weigh(endpoint: EndpointId, key: string): number {
 	return createHash('sha1').update(`${endpoint}|${key}`).digest().readUInt32BE();
 }
@@ -80,12 +96,10 @@
 /** Expected time until the endpoint answers, in ms. */
 function costOf(endpoint: RelayEndpoint, query: RelayQuery, typical: number, isHome: boolean): number {
 	const {slots, dataCentre} = endpoint.listed();
-	const pace = endpoint.pace(typical, query.now);
 	const load = endpoint.load(query.now);
-	const waiting = (Math.max(0, load + 1 - slots) / slots) * pace;
-	const sharing = Math.min(1, load / slots) * sharingShare * pace;
 	const distance = dataCentre === query.dataCentre ? 0 : remoteMs;
-	return pace + waiting + sharing + distance + (missingTokens(endpoint, query, isHome) * prefillMsPerToken);
+	const running = endpoint.pace(typical, query.now) * (1 + (marginalFactor * crowding(load, slots)));
+	return running + distance + (missingTokens(endpoint, query, isHome) * prefillMsPerToken);
 }
 
 /** The cheapest endpoint that can be used, or else the cheapest of those that failed lately. */
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -18,6 +18,7 @@
 import {type RelayEndpoint} from './relay-endpoint.js';
 import {type RelayEvent} from './relay-event.js';
 import {type RelayFleet} from './relay-fleet.js';
+import {idleTime} from './relay-placement.js';
 import {createRelayJob, type RelayJob} from './relay-job.js';
 import {type TokenBudgets} from './token-budgets.js';
 
@@ -101,36 +102,25 @@
 		const {id} = endpoint.listed();
 		const startedAt = clock.now();
 		const release = endpoint.occupy();
-		let isFirst = true;
-		const begin = () => {
-			if (isFirst) {
-				isFirst = false;
-				endpoint.observe(clock.now() - startedAt, clock.now());
-			}
-		};
-
+		const load = endpoint.load(startedAt);
 		endpoint.remember(job.request.prompt);
-		const result = await options.link.send(job.describe(endpoint.listed(), begin));
+		const result = await options.link.send(job.describe(endpoint.listed()));
 		release();
 		job.conclude(id, result);
-		learn(endpoint, result, clock.now() - startedAt);
+		learn(endpoint, result, idleTime(clock.now() - startedAt, load, endpoint.listed().slots));
 		options.onEvent({
-			kind: 'attempted', request: job.request, endpoint: id, result, load: endpoint.load(clock.now()), took: as<Milliseconds>(clock.now() - startedAt),
+			kind: 'attempted', request: job.request, endpoint: id, result, load, took: as<Milliseconds>(clock.now() - startedAt),
 		});
 		return result;
 	}
 
 	/** Takes from a result what it says about the endpoint. */
-	function learn(endpoint: RelayEndpoint, result: RelayResult, tookMs: number): void {
+	function learn(endpoint: RelayEndpoint, result: RelayResult, idleMs: number): void {
 		const now = clock.now();
 		switch (result.kind) {
-			case 'answered': {
-				endpoint.observe(tookMs, now);
-				endpoint.succeed();
-				return;
-			}
-
+			case 'answered':
 			case 'finished': {
+				endpoint.observe(idleMs, now);
 				endpoint.succeed();
 				return;
 			}
@@ -142,7 +132,7 @@
 			}
 
 			case 'silent': {
-				endpoint.observe(tookMs, now);
+				endpoint.observe(idleMs, now);
 				break;
 			}
 
--- a/src/zones/budget-keepers.ts
+++ b/src/zones/budget-keepers.ts
@@ -15,7 +15,7 @@
 import {type Reservation, type TokenBudgets} from '../machines/token-budgets.js';
 import {type BudgetRecords} from './budget-records.js';
 import {type Member} from './membership.js';
-import {candidatesIn, rankOwners} from './ownership.js';
+import {candidatesIn, rankDataCentres, rankOwners} from './ownership.js';
 import {
 	type RelayMessage, type RelayPeers, type RelayReply, type ReservationOutcome,
 } from './relay-peers.js';
@@ -24,8 +24,8 @@
 const askTimeoutMs = 60;
 const askTries = 2;
 
-/** Keepers asked before this instance counts by itself. */
-const mostAsked = 2;
+/** Keepers of one data centre that are asked in turn; several may be restarting at the same time. */
+const mostAsked = 4;
 
 /** Time for which a keeper that did not answer is left out. */
 const unansweredMs = 1500;
@@ -46,8 +46,8 @@
 /** Instances of its home that know a program's account. */
 const homeKeepers = 2;
 
-/** How often accounts that have lapsed are dropped. */
-const expiryMs = 5000;
+/** How often accounts that have lapsed are dropped, and failed messages about accounts are sent again. */
+const maintenanceMs = 1000;
 
 const retryAfterMs = 300;
 
@@ -95,6 +95,8 @@
 	const homes = new Map<ProgramId, DataCentreId>();
 	/** Lives of members that know the program's home and what was counted when they came. */
 	const told = new Map<ProgramId, Set<string>>();
+	/** Programs whose home or whose other keepers did not hear of a change. */
+	const untold = new Set<ProgramId>();
 	let isSharing = false;
 
 	function ranked(dataCentre: Member['dataCentre'], program: ProgramId): readonly Member[] {
@@ -119,6 +121,10 @@
 	function noteTold(target: Member, accounts: readonly Account[], isTold: boolean): void {
 		for (const {program, home} of accounts) {
 			const unreachable = contested.get(program) ?? new Set<DataCentreId>();
+			if (!isTold) {
+				untold.add(program);
+			}
+
 			if (isTold) {
 				unreachable.delete(target.dataCentre);
 				told.set(program, (told.get(program) ?? new Set()).add(lifeOf(target)));
@@ -195,7 +201,8 @@
 
 	/** Reserves in this instance's own ledger. */
 	async function keep(request: ReservationRequest, isHomeUnreachable: boolean): Promise<ReservationOutcome> {
-		if (!options.isWarm()) {
+		// One that is leaving hands its accounts over and must not count any more.
+		if (!options.isWarm() || options.self().status === 'leaving') {
 			return {kind: 'cold'};
 		}
 
@@ -315,11 +322,22 @@
 		}
 	}
 
+	/** Asks for what may be granted without the home. All that reach each other ask the same keeper. */
+	async function askGuest(request: ReservationRequest): Promise<Word> {
+		const home = homes.get(request.program) ?? ledger.home(request.program);
+		const dataCentres = [...new Set(options.members().map(member => member.dataCentre))].filter(dataCentre => dataCentre !== home);
+		for (const dataCentre of rankDataCentres(request.program, dataCentres)) {
+			const word = await askDataCentre(dataCentre, request, true);
+			if (word) {
+				return word;
+			}
+		}
+
+		return {outcome: await keep(request, true), keeper: undefined};
+	}
+
 	async function reserve(request: ReservationRequest): Promise<Reservation> {
-		const word = await askHome(request)
-			?? await askDataCentre(options.self().dataCentre, request, true)
-			?? {outcome: await keep(request, true), keeper: undefined};
-		return toReservation(word, request);
+		return toReservation(await askHome(request) ?? await askGuest(request), request);
 	}
 
 	function forgetLapsed(): void {
@@ -363,15 +381,23 @@
 			}
 		},
 		rebalance() {
-			for (const program of ledger.counted()) {
-				markDirty(program);
+			const {dataCentre} = options.self();
+			for (const program of ledger.programs()) {
+				if (ledger.home(program) === dataCentre) {
+					markDirty(program);
+				}
 			}
 		},
 		async run(signal) {
 			while (!signal.aborted) {
-				await clock.sleep(as<Milliseconds>(expiryMs), signal);
+				await clock.sleep(as<Milliseconds>(maintenanceMs), signal);
 				ledger.expire(clock.now());
 				forgetLapsed();
+				for (const program of untold) {
+					markDirty(program);
+				}
+
+				untold.clear();
 			}
 		},
 	};
--- a/src/zones/ownership.ts
+++ b/src/zones/ownership.ts
@@ -36,6 +36,14 @@
 	return `shard/${home.dataCentre}/${home.shard}`;
 }
 
+/** Data centres in the order in which they would take a key. */
+export function rankDataCentres(key: string, dataCentres: readonly DataCentreId[]): readonly DataCentreId[] {
+	return dataCentres
+		.map(dataCentre => ({dataCentre, weight: createHash('sha1').update(`${dataCentre}|${key}`).digest('hex')}))
+		.toSorted((left, right) => left.weight.localeCompare(right.weight))
+		.map(entry => entry.dataCentre);
+}
+
 /** Members in the order in which they would own a key. */
 export function rankOwners(key: string, members: readonly Member[]): readonly Member[] {
 	return members
--- a/src/zones/relay-peers.ts
+++ b/src/zones/relay-peers.ts
@@ -9,6 +9,7 @@
 import {type RelayConfiguration} from '../contracts/relay.js';
 import {type RelayDigest} from '../contracts/relay-digest.js';
 import {type Account, type ReservationRequest} from '../contracts/token-ledger.js';
+import {type LoadSource} from '../machines/relay-endpoint.js';
 import {type DirectoryEntry} from './endpoint-directory.js';
 import {type Member} from './membership.js';
 import {type Gossip} from './peers.js';
@@ -26,7 +27,7 @@
 		| {readonly kind: 'endpoints'; readonly entries: readonly DirectoryEntry[]}
 	/** The sender has something newer. */
 		| {readonly kind: 'announce'; readonly from: Address; readonly digest: RelayDigest}
-		| {readonly kind: 'loads'; readonly from: string; readonly loads: readonly EndpointLoad[]};
+		| {readonly kind: 'loads'; readonly from: LoadSource; readonly loads: readonly EndpointLoad[]};
 
 export type ReservationOutcome
 	= | {readonly kind: 'granted'}
--- a/src/zones/warm-up.ts
+++ b/src/zones/warm-up.ts
@@ -37,6 +37,8 @@
 	/** Asks seeds and known peers. */
 	readonly meet: () => Promise<void>;
 	readonly meetAt: (address: Address) => Promise<void>;
+	/** Makes this instance known to everyone in its data centre, so that they hand accounts over. */
+	readonly announce: () => void;
 	readonly records: BudgetRecords;
 	readonly ledger: TokenLedger;
 	readonly clock: Clock;
@@ -78,6 +80,7 @@
 		while (!isWarm && !signal.aborted) {
 			await clock.sleep(as<Milliseconds>(retryMs), signal);
 			if (options.hasWarmPeer()) {
+				options.announce();
 				await clock.sleep(as<Milliseconds>(handOverMs), signal);
 				finish('peers', ledger.programs().length);
 			} else if (clock.now() - startedAt > searchMs) {
