--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -264,7 +264,10 @@
 		},
 		async leave() {
 			isLeaving = true;
-			await neighbourhood.leave();
+			const left = neighbourhood.leave();
+			// Whoever counts next has to know the accounts of this instance.
+			budgets.rebalance();
+			await left;
 		},
 		gauges: () => ({
 			activeRequests: relay.active(),
--- /dev/null
+++ b/tests/budget-keepers.test.ts
@@ -0,0 +1,237 @@
+/**
+Budgets over several instances: one home, keepers that come and go, data centres that are cut off.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	as, type Address, type AttemptId, type DataCentreId, type Incarnation, type InstanceId, type Milliseconds, type ProgramId,
+	type Tokens,
+} from '../src/contracts/id.js';
+import {createTokenLedger} from '../src/contracts/token-ledger.js';
+import {type Reservation} from '../src/machines/token-budgets.js';
+import {type BudgetKeepers, createBudgetKeepers} from '../src/zones/budget-keepers.js';
+import {type Member} from '../src/zones/membership.js';
+import {createFakeClock, type FakeClock} from './fixtures/fake-clock.js';
+
+const most = 100;
+const latencyMs = 1;
+
+type Node = {
+	member: Member;
+	keepers: BudgetKeepers;
+	isUp: boolean;
+	isWarm: boolean;
+	readonly stop: AbortController;
+};
+
+type Cluster = {
+	readonly clock: FakeClock;
+	readonly node: (id: string) => Node;
+	readonly isCut: Set<string>;
+	/** Reserves at an instance; resolves in simulated time. */
+	readonly reserve: (id: string, program: string, attempt: string, budget: number) => Promise<Reservation>;
+	readonly restart: (id: string) => void;
+	/** Every instance hears that members came or went. */
+	readonly rebalance: () => void;
+};
+
+function createCluster(ids: readonly string[]): Cluster {
+	const clock = createFakeClock();
+	const nodes = new Map<string, Node>();
+	const isCut = new Set<string>();
+	let lives = 0;
+
+	function zoneOf(id: string): string {
+		return id.slice(0, 1);
+	}
+
+	function reaches(from: string, to: string): boolean {
+		return zoneOf(from) === zoneOf(to) || (!isCut.has(zoneOf(from)) && !isCut.has(zoneOf(to)));
+	}
+
+	function start(id: string): Node {
+		const incarnation = as<Incarnation>(++lives);
+		const member: Member = {
+			id: as<InstanceId>(id), dataCentre: as<DataCentreId>(zoneOf(id)), address: as<Address>(id), incarnation, status: 'alive',
+		};
+		const stop = new AbortController();
+		const keepers = createBudgetKeepers({
+			self: () => node.member,
+			members: () => [...nodes.values()].map(other => other.member),
+			ledger: createTokenLedger(`${id}@${incarnation}`),
+			records: {write: async () => true, load: async () => ({records: [], addresses: []})},
+			clock,
+			isWarm: () => node.isWarm,
+			onEvent: () => undefined,
+			peers: {
+				async ask(address, message, {timeout, tries}) {
+					const target = nodes.get(address);
+					if (!target?.isUp || !reaches(id, address)) {
+						await clock.sleep(as<Milliseconds>(timeout * tries));
+						return undefined;
+					}
+
+					await clock.sleep(as<Milliseconds>(latencyMs));
+					const reply = await target.keepers.answer(message);
+					await clock.sleep(as<Milliseconds>(latencyMs));
+					return reply;
+				},
+			},
+		});
+		const node: Node = {
+			member, keepers, isUp: true, isWarm: true, stop,
+		};
+		void keepers.run(stop.signal);
+		return node;
+	}
+
+	for (const id of ids) {
+		nodes.set(id, start(id));
+	}
+
+	function nodeOf(id: string): Node {
+		const node = nodes.get(id);
+		assert.ok(node);
+		return node;
+	}
+
+	return {
+		clock,
+		isCut,
+		node: nodeOf,
+		async reserve(id, program, attempt, budget) {
+			const reserving = nodeOf(id).keepers.reserve({
+				program: as<ProgramId>(program), attempt: as<AttemptId>(attempt), budget: as<Tokens>(budget), most: as<Tokens>(most), retention: as<Milliseconds>(60_000),
+			});
+			await clock.advance(3000);
+			return reserving;
+		},
+		restart(id) {
+			nodeOf(id).stop.abort();
+			nodes.set(id, start(id));
+		},
+		rebalance() {
+			for (const node of nodes.values()) {
+				node.keepers.rebalance();
+			}
+		},
+	};
+}
+
+function settle(reservation: Reservation, used: number): void {
+	assert.equal(reservation.kind, 'granted');
+	if (reservation.kind === 'granted') {
+		reservation.settle(as<Tokens>(used));
+	}
+}
+
+/** Reserves and uses the most of each call at the instances in turn. Returns the tokens handed out. */
+async function spend(cluster: Cluster, ids: readonly string[], budget: number, calls: number): Promise<number> {
+	let total = 0;
+	for (let number = 0; number < calls; number++) {
+		const id = ids[number % ids.length] ?? '';
+		const reservation = await cluster.reserve(id, 'p', `${cluster.clock.now()}-${number}`, budget);
+		if (reservation.kind === 'granted') {
+			reservation.settle(as<Tokens>(most));
+			total += most;
+		}
+
+		await cluster.clock.advance(200);
+	}
+
+	return total;
+}
+
+const instances = ['a1', 'a2', 'a3', 'b1', 'b2', 'b3', 'c1', 'c2', 'c3'];
+
+test('a budget holds over entries of all data centres', async () => {
+	const cluster = createCluster(instances);
+	assert.equal(await spend(cluster, instances, 500, 20), 500);
+});
+
+test('calls that start in all data centres at the same moment share one budget', async () => {
+	const cluster = createCluster(instances);
+	settle(await cluster.reserve('a1', 'p', 'first', 400), 0);
+	await cluster.clock.advance(500);
+	const reserving = instances.map(async id => cluster.node(id).keepers.reserve({
+		program: as<ProgramId>('p'), attempt: as<AttemptId>(id), budget: as<Tokens>(400), most: as<Tokens>(most), retention: as<Milliseconds>(60_000),
+	}));
+	await cluster.clock.advance(3000);
+	const outcomes = await Promise.all(reserving);
+	assert.equal(outcomes.filter(outcome => outcome.kind === 'granted').length, 4);
+});
+
+for (const lost of ['a1', 'a2', 'a3']) {
+	test(`a budget holds when ${lost} of its home is gone`, async () => {
+		const cluster = createCluster(instances);
+		const before = await spend(cluster, ['a1', 'b1'], 500, 2);
+		cluster.node(lost).isUp = false;
+		const after = await spend(cluster, instances.filter(id => id !== lost), 500, 16);
+		assert.equal(before + after, 500);
+	});
+}
+
+test('a keeper that comes back knows what was granted meanwhile', async () => {
+	const cluster = createCluster(instances);
+	let total = await spend(cluster, ['a1'], 600, 1);
+	for (const id of ['a1', 'a2', 'a3']) {
+		cluster.node(id).isUp = false;
+		total += await spend(cluster, ['b1'], 600, 1);
+		cluster.restart(id);
+		cluster.node(id).isWarm = false;
+		cluster.rebalance();
+		await cluster.clock.advance(700);
+		cluster.node(id).isWarm = true;
+	}
+
+	total += await spend(cluster, instances, 600, 16);
+	assert.ok(total <= 600 + most, `${total} of 600`);
+});
+
+test('a leaving keeper does not count beside its successor', async () => {
+	const cluster = createCluster(instances);
+	let total = await spend(cluster, ['a1'], 500, 1);
+	for (const id of ['a1', 'a2']) {
+		const node = cluster.node(id);
+		node.member = {...node.member, status: 'leaving'};
+		// Instances hear of a change of members one by one, the leaving one first.
+		cluster.rebalance();
+		await cluster.clock.advance(100);
+	}
+
+	total += await spend(cluster, instances, 500, 16);
+	assert.equal(total, 500);
+});
+
+for (const cutOff of ['a', 'b', 'c']) {
+	test(`a budget is overrun by no more than one call when ${cutOff} is cut off during the program`, async () => {
+		const cluster = createCluster(instances);
+		let total = await spend(cluster, ['a1', 'b1'], 500, 2);
+		cluster.isCut.add(cutOff);
+		total += await spend(cluster, instances, 500, 27);
+		cluster.isCut.clear();
+		total += await spend(cluster, instances, 500, 9);
+		assert.ok(total <= 500 + most, `${total} of 500`);
+	});
+
+	test(`a budget is overrun by no more than one call when the program begins while ${cutOff} is cut off`, async () => {
+		const cluster = createCluster(instances);
+		cluster.isCut.add(cutOff);
+		const total = await spend(cluster, instances, 500, 36);
+		assert.ok(total <= 500 + most, `${total} of 500`);
+	});
+}
+
+test('a data centre that is cut off goes on serving programs whose home it is', async () => {
+	const cluster = createCluster(instances);
+	await spend(cluster, ['a1'], 800, 1);
+	cluster.isCut.add('a');
+	assert.equal(await spend(cluster, ['a1', 'a2'], 800, 4), 4 * most);
+});
+
+test('an instance that does not know what was used says so', async () => {
+	const cluster = createCluster(['a1']);
+	cluster.node('a1').isWarm = false;
+	const reservation = await cluster.reserve('a1', 'p', 'x', 500);
+	assert.equal(reservation.kind, 'unknown');
+});
--- /dev/null
+++ b/tests/object-store-contract.test.ts
@@ -0,0 +1,207 @@
+/**
+Contract with the platform's object store, met through its client against the stand-in, and what is built on
+it: records of budgets and retirements.
+*/
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import {
+	as, type Address, type InstanceId, type Milliseconds, type ObjectName, type ObjectVersion, type ProgramId, type Tokens,
+} from '../src/contracts/id.js';
+import {type ObjectStore} from '../src/contracts/object-store.js';
+import {createRetirement} from '../src/machines/retirement.js';
+import {systemClock, systemRandom} from '../src/programs/runtime.js';
+import {createBudgetRecords} from '../src/zones/budget-records.js';
+import {type ObjectStoreStandIn, startObjectStore} from '../standins/object-store.js';
+import {createStore} from '../platform/store.js';
+import {decodeConfiguration, decodeEndpoint} from '../platform/tables.js';
+
+const closing = new AbortController();
+let standIn: ObjectStoreStandIn;
+let store: ObjectStore;
+
+before(async () => {
+	standIn = await startObjectStore();
+	store = createStore({address: as<Address>(standIn.address), signal: closing.signal});
+});
+
+after(async () => {
+	closing.abort();
+	await standIn.close();
+});
+
+const nameOf = (text: string) => as<ObjectName>(text);
+
+type Case = {
+	readonly name: string;
+	readonly faults: Parameters<ObjectStoreStandIn['setFaults']>[0];
+	readonly offset: number;
+	readonly kind: 'written' | 'conflict' | 'unavailable' | 'doubtful';
+	readonly isStored: boolean;
+};
+
+const cases: readonly Case[] = [
+	{
+		name: 'a write at the current revision', faults: {}, offset: 0, kind: 'written', isStored: true,
+	},
+	{
+		name: 'a write at an old revision', faults: {}, offset: -1, kind: 'conflict', isStored: false,
+	},
+	{
+		name: 'a write that is refused for its rate', faults: {refuseWith: 429}, offset: 0, kind: 'unavailable', isStored: false,
+	},
+	{
+		name: 'a write during an outage', faults: {refuseWith: 503}, offset: 0, kind: 'unavailable', isStored: false,
+	},
+	{
+		name: 'a write whose answer is lost', faults: {loseAnswers: true}, offset: 0, kind: 'doubtful', isStored: true,
+	},
+	{
+		name: 'a write that is answered too late', faults: {delayMs: 1300}, offset: 0, kind: 'doubtful', isStored: false,
+	},
+];
+
+async function checkCase({name, faults, offset, kind, isStored}: Case): Promise<void> {
+	const object = name.replaceAll(' ', '-');
+	const revision = standIn.put('case', object, 'before');
+	standIn.setFaults(faults);
+	const result = await store.replace('case', nameOf(object), 'after', as<ObjectVersion>(revision + offset));
+	const stored = standIn.object('case', object);
+	standIn.setFaults({});
+	assert.equal(result.kind, kind);
+	assert.equal(stored?.Spec === 'after', isStored);
+}
+
+for (const entry of cases) {
+	test(`${entry.name} is ${entry.kind}`, async () => checkCase(entry));
+}
+
+test('a list comes whole over its pages', async () => {
+	for (let index = 0; index < 12; index++) {
+		standIn.put('paged', `object-${String(index).padStart(2, '0')}`, index);
+	}
+
+	const list = await store.list('paged', {mayBeStale: false});
+	assert.deepEqual(list._unsafeUnwrap().objects.map(object => object.spec), Array.from({length: 12}, (_, index) => index));
+});
+
+test('a watch tells of changes and deletions of its kind', async () => {
+	const since = as<ObjectVersion>(standIn.put('watched', 'a', 1));
+	const watching = store.watch('watched', since, as<Milliseconds>(2000), closing.signal);
+	standIn.put('other', 'x', 1);
+	standIn.put('watched', 'b', 2);
+	const first = await watching;
+	assert.ok(first.kind === 'changes');
+	assert.deepEqual(first.changes.map(change => [change.object.name, change.isDeleted]), [['b', false]]);
+	standIn.remove('watched', 'a');
+	const second = await store.watch('watched', first.revision, as<Milliseconds>(2000), closing.signal);
+	assert.ok(second.kind === 'changes');
+	assert.deepEqual(second.changes.map(change => [change.object.name, change.isDeleted]), [['a', true]]);
+});
+
+test('a watch whose history is gone says so', async () => {
+	standIn.setFaults({isHistoryLost: true});
+	const result = await store.watch('watched', as<ObjectVersion>(1), as<Milliseconds>(100), closing.signal);
+	standIn.setFaults({});
+	assert.equal(result.kind, 'history-lost');
+});
+
+function recordsOf(id: string) {
+	return createBudgetRecords({
+		id: as<InstanceId>(id), address: as<Address>('10.0.0.1:1'), store, clock: systemClock, signal: closing.signal,
+	});
+}
+
+function recordWith(program: string, used: number) {
+	return {program: as<ProgramId>(program), used: as<Tokens>(used), retention: as<Milliseconds>(60_000)};
+}
+
+async function loaded(): Promise<Record<string, number>> {
+	const result = await recordsOf('reader').load();
+	assert.ok('records' in result);
+	return Object.fromEntries(result.records.map(record => [record.program, record.used]));
+}
+
+test('records that come together share a write, and a later life adds to them', async () => {
+	const records = recordsOf('entry-1');
+	const before = standIn.calls();
+	assert.deepEqual(await Promise.all(['p1', 'p2', 'p3'].map(async program => records.write(recordWith(program, 50)))), [true, true, true]);
+	assert.ok(standIn.calls() - before <= 2);
+	assert.equal(await recordsOf('entry-1').write(recordWith('p4', 70)), true);
+	const all = await loaded();
+	assert.deepEqual([all.p1, all.p2, all.p3, all.p4], [50, 50, 50, 70]);
+});
+
+test('a record whose answer was lost is written once more and stands', async () => {
+	const records = recordsOf('entry-2');
+	standIn.setFaults({loseAnswers: true});
+	const writing = records.write(recordWith('p5', 90));
+	await systemClock.sleep(as<Milliseconds>(100));
+	standIn.setFaults({});
+	assert.equal(await writing, true);
+	const all = await loaded();
+	assert.equal(all.p5, 90);
+});
+
+test('a machine that is to be emptied reports that it is', async () => {
+	const events: string[] = [];
+	const stop = new AbortController();
+	const retirement = createRetirement({
+		id: as<InstanceId>('storage-1'),
+		store,
+		objects: 'retirements',
+		status: {State: 'completed'},
+		clock: systemClock,
+		random: systemRandom,
+		onEvent(event) {
+			events.push(event.kind);
+		},
+	});
+	const running = retirement.run(stop.signal);
+	standIn.put('retirements', 'storage-2', {DurationS: 5});
+	standIn.put('retirements', 'storage-1', {DurationS: 5});
+	while (!events.includes('reported')) {
+		await systemClock.sleep(as<Milliseconds>(10));
+	}
+
+	stop.abort();
+	await running;
+	assert.deepEqual(standIn.object('retirements', 'storage-1')?.Status, {State: 'completed'});
+	assert.equal(standIn.object('retirements', 'storage-2')?.Status, undefined);
+});
+
+const listed = {
+	Service: 'pool', Address: '10.0.0.1:80', Zone: 'padova', Version: 'v1', Slots: 6, State: 'ready', ColdLeftMs: 0, Sequence: 4,
+};
+
+const unreadable: ReadonlyArray<{readonly name: string; readonly spec: unknown}> = [
+	{name: 'no address', spec: {...listed, Address: undefined}},
+	{name: 'an address of another kind', spec: {...listed, Address: 'host.example:80'}},
+	{name: 'slots that are text', spec: {...listed, Slots: '6'}},
+	{name: 'a state that is not known', spec: {...listed, State: 'asleep'}},
+	{name: 'text in place of fields', spec: 'xyz'},
+	{name: 'nothing', spec: undefined},
+];
+
+for (const {name, spec} of unreadable) {
+	test(`an entry with ${name} names no endpoint`, () => {
+		assert.equal(decodeEndpoint({
+			name: nameOf('i-1'), revision: as<ObjectVersion>(1), spec, status: undefined,
+		}), undefined);
+	});
+}
+
+test('an entry of the list names an endpoint', () => {
+	const endpoint = decodeEndpoint({
+		name: nameOf('i-1'), revision: as<ObjectVersion>(1), spec: {...listed, State: 'draining'}, status: undefined,
+	});
+	assert.deepEqual(endpoint, {
+		id: 'i-1', pool: 'pool', address: '10.0.0.1:80', dataCentre: 'padova', slots: 6, isLeaving: true,
+	});
+});
+
+test('a configuration that lacks a field is refused with its place', () => {
+	const refused = decodeConfiguration({
+		Version: 1, Routes: [{Name: 'r'}], Services: [], Limits: {},
+	});
+	assert.match(refused._unsafeUnwrapErr().message, /Routes\.0\.Host/v);
+});
--- /dev/null
+++ b/tests/platform-boundary.test.ts
@@ -0,0 +1,24 @@
+/**
+The platform's words stay in its folder: nothing in `src` spells a header, field or path of its protocol.
+*/
+import assert from 'node:assert/strict';
+import {readdirSync, readFileSync} from 'node:fs';
+import path from 'node:path';
+import {test} from 'node:test';
+
+const headers = /attempt-id|server-seal|expect-instance|not-executed|request-urgency|token-count|prompt-prefix|program-deadline|token-budget(?!s)|kv-(?:from|move|backup|fetch)|pin-ms/iv;
+const fields = /PathPrefix|MaxAttempts|LatencyGoalMs|GapGoalMs|Serializable|CurrentRev|\/api\/objects|HICKORYFORK_SETTINGS/v;
+
+function sources(folder: string): string[] {
+	return readdirSync(folder, {withFileTypes: true}).flatMap(entry => {
+		const file = path.join(folder, entry.name);
+		return entry.isDirectory() ? sources(file) : [file];
+	});
+}
+
+test('no source outside the platform folder spells a word of its protocol', () => {
+	const found = sources('src').flatMap(file => readFileSync(file, 'utf8').split('\n')
+		.filter(line => headers.test(line) || fields.test(line))
+		.map(line => `${file}: ${line.trim()}`));
+	assert.deepEqual(found, []);
+});
