Record before a call is granted, and let no data centre claim what another may have claimed

Changes: a claim is told at once and the whole budget granted only when every data centre knows it; the store's record covers each call beforehand; what a cut-off side counted is recorded when it is known. Placement: a prompt is priced with those that wait while it is computed; 150 ms for another data centre. Test changed: the first call now needs a record, and the loss test is stricter (no overrun, any losses).

--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -3,8 +3,8 @@
 
 Several instances count for one program. Each counts in a slot of its own, so that ledgers merge by
 taking the newer version of each slot (a grow-only counter with reservations). The store keeps a record
-for a program that no loss of memory can take back; what has been handed out beyond it may never be more
-than one call's most, because that much could be handed out again after such a loss.
+for a program that no loss of memory can take back; no call is granted beyond it, so that a budget holds over
+such a loss. The one call by which a budget may be overrun is left for cuts between data centres.
 */
 import {
 	as, type AttemptId, type DataCentreId, type Milliseconds, type ProgramId, type Tokens,
@@ -76,6 +76,8 @@
 	readonly restore: (program: ProgramId, recorded: Tokens, retention: Milliseconds, now: Milliseconds) => void;
 	readonly merge: (account: Account, now: Milliseconds) => void;
 	readonly account: (program: ProgramId) => Account | undefined;
+	/** Tokens used or reserved beyond the store's record. */
+	readonly unrecorded: (program: ProgramId) => Tokens;
 	readonly programs: () => readonly ProgramId[];
 	/** Drops programs that were not heard of for their retention. */
 	readonly expire: (now: Milliseconds) => void;
@@ -174,7 +176,7 @@
 
 			entry.reservations.set(attempt, most);
 			count(entry, 0, most);
-			if (used <= entry.recorded) {
+			if (used + most <= entry.recorded) {
 				return {kind: 'granted'};
 			}
 
@@ -226,6 +228,10 @@
 				program, home: entry.home, recorded: entry.recorded, retention: entry.retention, slots: [...entry.slots.values()],
 			};
 		},
+		unrecorded(program) {
+			const entry = entries.get(program);
+			return as<Tokens>(entry ? Math.max(0, sum(entry.slots.values()) - entry.recorded) : 0);
+		},
 		programs: () => [...entries.keys()],
 		expire(now) {
 			for (const [program, entry] of entries) {
--- a/src/machines/relay-placement.ts
+++ b/src/machines/relay-placement.ts
@@ -14,16 +14,16 @@
 const prefillMsPerToken = 0.02;
 
 /** Extra price of another data centre: bytes between data centres are scarce, and a cut loses the request. */
-const remoteMs = 40;
+const remoteMs = 150;
 
 /**
-Weight of the square of the load in a request's time: engines batch, and each request in the batch slows
-the others, about twofold when half of the slots are taken.
+Share of its idle time by which each other request lengthens a request: engines batch, and the prompts of
+others are computed between a request's tokens.
 */
-const crowdingWeight = 4;
+const crowdingShare = 0.1;
 
-/** What a request adds to its own time and to that of those that run beside it, over its own alone. */
-const marginalFactor = 3;
+/** A request is delayed by those that run beside it, and delays them as much. */
+const mutual = 2;
 
 /** Share of the prompt's first part that counts as cached where its hash points first. */
 const homeShare = 0.6;
@@ -44,14 +44,9 @@
 	readonly cost: number;
 };
 
-/** Share by which `load` other requests lengthen a request's time. */
-function crowding(load: number, slots: number): number {
-	return crowdingWeight * ((load / slots) ** 2);
-}
-
 /** A request's time as it would have been on an idle endpoint, in ms. */
-export function idleTime(tookMs: number, load: number, slots: number): number {
-	return tookMs / (1 + crowding(load, slots));
+export function idleTime(tookMs: number, load: number): number {
+	return tookMs / (1 + (crowdingShare * load));
 }
 
 function weigh(endpoint: EndpointId, key: string): number {
@@ -98,8 +93,12 @@
 	const {slots, dataCentre} = endpoint.listed();
 	const load = endpoint.load(query.now);
 	const distance = dataCentre === query.dataCentre ? 0 : remoteMs;
-	const running = endpoint.pace(typical, query.now) * (1 + (marginalFactor * crowding(load, slots)));
-	return running + distance + (missingTokens(endpoint, query, isHome) * prefillMsPerToken);
+	const pace = endpoint.pace(typical, query.now);
+	const running = pace * (1 + (crowdingShare * mutual * load));
+	const waiting = pace * (Math.max(0, load + 1 - slots) / slots);
+	// Whatever runs there waits while the prompt is computed.
+	const computing = missingTokens(endpoint, query, isHome) * prefillMsPerToken * (1 + load);
+	return running + waiting + computing + distance;
 }
 
 /** The cheapest endpoint that can be used, or else the cheapest of those that failed lately. */
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -107,7 +107,7 @@
 		const result = await options.link.send(job.describe(endpoint.listed()));
 		release();
 		job.conclude(id, result);
-		learn(endpoint, result, idleTime(clock.now() - startedAt, load, endpoint.listed().slots));
+		learn(endpoint, result, idleTime(clock.now() - startedAt, load));
 		options.onEvent({
 			kind: 'attempted', request: job.request, endpoint: id, result, load, took: as<Milliseconds>(clock.now() - startedAt),
 		});
--- a/src/zones/budget-keepers.ts
+++ b/src/zones/budget-keepers.ts
@@ -13,15 +13,15 @@
 	type Account, type Entitlement, type ReservationRequest, type TokenLedger,
 } from '../contracts/token-ledger.js';
 import {type Reservation, type TokenBudgets} from '../machines/token-budgets.js';
-import {type BudgetRecords} from './budget-records.js';
+import {type BudgetRecord, type BudgetRecords} from './budget-records.js';
 import {type Member} from './membership.js';
 import {candidatesIn, rankDataCentres, rankOwners} from './ownership.js';
 import {
 	type RelayMessage, type RelayPeers, type RelayReply, type ReservationOutcome,
 } from './relay-peers.js';
 
-/** Time after which a keeper in the same data centre is asked again; it answers within a millisecond or two. */
-const askTimeoutMs = 60;
+/** Time after which a keeper is asked again; it answers within milliseconds, unless it is short of processor time. */
+const askTimeoutMs = 120;
 const askTries = 2;
 
 /** Keepers of one data centre that are asked in turn; several may be restarting at the same time. */
@@ -54,7 +54,6 @@
 export type BudgetEvent
 	= | {readonly kind: 'unrecorded'; readonly program: ProgramId}
 		| {readonly kind: 'keeper-silent'; readonly keeper: InstanceId; readonly program: ProgramId}
-		| {readonly kind: 'contested'; readonly program: ProgramId; readonly unreachable: DataCentreId}
 		| {readonly kind: 'withheld'; readonly program: ProgramId; readonly entitlement: Entitlement}
 		| {readonly kind: 'exhausted'; readonly program: ProgramId; readonly used: number; readonly budget: number; readonly most: number};
 
@@ -91,10 +90,11 @@
 	const {ledger, records, clock} = options;
 	const silentUntil = new Map<InstanceId, Milliseconds>();
 	const dirty = new Set<ProgramId>();
-	const contested = new Map<ProgramId, Set<DataCentreId>>();
+	/** Data centres that know the home of a program which this one claimed. */
+	const confirmed = new Map<ProgramId, Set<DataCentreId>>();
 	const homes = new Map<ProgramId, DataCentreId>();
-	/** Lives of members that know the program's home and what was counted when they came. */
-	const told = new Map<ProgramId, Set<string>>();
+	/** When lives of members were last told of a program's home; they forget it when they hear no more. */
+	const told = new Map<ProgramId, Map<string, Milliseconds>>();
 	/** Programs whose home or whose other keepers did not hear of a change. */
 	const untold = new Set<ProgramId>();
 	let isSharing = false;
@@ -103,6 +103,11 @@
 		return rankOwners(program, candidatesIn(dataCentre, options.members()));
 	}
 
+	function isTold(program: ProgramId, member: Member): boolean {
+		const at = told.get(program)?.get(lifeOf(member));
+		return at !== undefined && clock.now() - at < (ledger.account(program)?.retention ?? 0) / 2;
+	}
+
 	/**
 	Instances that have to hear of a change: those that would count next for the program's home, and once
 	one keeper of each other data centre, which has to know where the home is.
@@ -113,30 +118,18 @@
 		const dataCentres = new Set(options.members().map(member => member.dataCentre));
 		return [...dataCentres].flatMap(dataCentre => {
 			const keepers = ranked(dataCentre, program).slice(0, dataCentre === home ? homeKeepers : 1).filter(member => member.id !== self.id);
-			return dataCentre === home ? keepers : keepers.filter(member => !told.get(program)?.has(lifeOf(member)));
+			return dataCentre === home ? keepers : keepers.filter(member => !isTold(program, member));
 		});
 	}
 
-	/** Notes whether a data centre knows the programs that this one claimed. */
+	/** Notes who knows of the accounts. */
 	function noteTold(target: Member, accounts: readonly Account[], isTold: boolean): void {
-		for (const {program, home} of accounts) {
-			const unreachable = contested.get(program) ?? new Set<DataCentreId>();
-			if (!isTold) {
-				untold.add(program);
-			}
-
+		for (const {program} of accounts) {
 			if (isTold) {
-				unreachable.delete(target.dataCentre);
-				told.set(program, (told.get(program) ?? new Set()).add(lifeOf(target)));
-			} else if (home === options.self().dataCentre && target.dataCentre !== home) {
-				unreachable.add(target.dataCentre);
-				options.onEvent({kind: 'contested', program, unreachable: target.dataCentre});
-			}
-
-			if (unreachable.size > 0) {
-				contested.set(program, unreachable);
+				confirmed.set(program, (confirmed.get(program) ?? new Set()).add(target.dataCentre));
+				told.set(program, (told.get(program) ?? new Map<string, Milliseconds>()).set(lifeOf(target), clock.now()));
 			} else {
-				contested.delete(program);
+				untold.add(program);
 			}
 		}
 	}
@@ -173,16 +166,39 @@
 		}
 	}
 
+	/** Makes this data centre the home of a program that nobody here has heard of, and says so at once. */
+	function claim(request: ReservationRequest): void {
+		if (ledger.home(request.program) === undefined) {
+			ledger.claim(request, options.self().dataCentre, clock.now());
+			dirty.add(request.program);
+			share();
+		}
+	}
+
+	/** Takes over what another keeper counted; the home makes it last. */
+	function merge(account: Account): void {
+		ledger.merge(account, clock.now());
+		const {program, retention} = account;
+		const self = options.self();
+		if (ledger.home(program) === self.dataCentre && ledger.unrecorded(program) > 0 && ranked(self.dataCentre, program)[0]?.id === self.id) {
+			const used = as<Tokens>((ledger.account(program)?.recorded ?? 0) + ledger.unrecorded(program));
+			void writeRecord({program, used, retention});
+		}
+	}
+
+	async function writeRecord(record: BudgetRecord): Promise<boolean> {
+		const isWritten = await records.write(record);
+		if (isWritten) {
+			ledger.markRecorded(record.program, record.used);
+			markDirty(record.program);
+		}
+
+		return isWritten;
+	}
+
 	/** Waits for the store's record, but not longer than a call can bear. */
 	async function record(request: ReservationRequest, upTo: Account['recorded']): Promise<void> {
-		const writing = records.write({program: request.program, used: upTo, retention: request.retention}).then(isWritten => {
-			if (isWritten) {
-				ledger.markRecorded(request.program, upTo);
-				markDirty(request.program);
-			}
-
-			return isWritten;
-		});
+		const writing = writeRecord({program: request.program, used: upTo, retention: request.retention});
 		const waiting = new AbortController();
 		const isInTime = await Promise.race([writing, clock.sleep(as<Milliseconds>(recordPatienceMs), waiting.signal).then(() => false)]);
 		waiting.abort();
@@ -191,12 +207,18 @@
 		}
 	}
 
+	/** Whether a data centre that does not know the program's home may claim the program too. */
+	function isContested(program: ProgramId): boolean {
+		const {dataCentre} = options.self();
+		return options.members().some(member => member.dataCentre !== dataCentre && !confirmed.get(program)?.has(member.dataCentre));
+	}
+
 	function entitlementOf(program: ProgramId): Entitlement {
 		if (ledger.home(program) !== options.self().dataCentre) {
 			return 'guest';
 		}
 
-		return contested.has(program) ? 'contested' : 'home';
+		return isContested(program) ? 'contested' : 'home';
 	}
 
 	/** Reserves in this instance's own ledger. */
@@ -208,7 +230,7 @@
 
 		const {program} = request;
 		const {dataCentre} = options.self();
-		ledger.claim(request, dataCentre, clock.now());
+		claim(request);
 		const home = ledger.home(program) ?? dataCentre;
 		if (home !== dataCentre && !isHomeUnreachable) {
 			return {kind: 'elsewhere', home};
@@ -342,10 +364,10 @@
 
 	function forgetLapsed(): void {
 		const known = new Set(ledger.programs());
-		for (const program of [...homes.keys(), ...contested.keys(), ...told.keys()]) {
+		for (const program of [...homes.keys(), ...confirmed.keys(), ...told.keys()]) {
 			if (!known.has(program)) {
 				homes.delete(program);
-				contested.delete(program);
+				confirmed.delete(program);
 				told.delete(program);
 			}
 		}
@@ -366,7 +388,7 @@
 
 				case 'accounts': {
 					for (const account of message.accounts) {
-						ledger.merge(account, clock.now());
+						merge(account);
 					}
 
 					return {kind: 'done'};
--- a/tests/token-ledger.test.ts
+++ b/tests/token-ledger.test.ts
@@ -27,7 +27,7 @@
 
 test('a call is granted while its most fits, and counts what it used afterwards', () => {
 	const ledger = createTokenLedger('a');
-	assert.equal(ledger.reserve(call(1, 200), 'home', now).kind, 'granted');
+	assert.equal(ledger.reserve(call(1, 200), 'home', now).kind, 'record-first');
 	assert.equal(ledger.reserve(call(2, 200), 'home', now).kind, 'record-first');
 	assert.equal(ledger.reserve(call(3, 200), 'home', now).kind, 'exhausted');
 	use(ledger, 1, 30);
@@ -108,13 +108,13 @@
 	{weight: 1, arbitrary: fc.constant<Action>({kind: 'lose-memory'})},
 );
 
-/** Plays calls on one counting instance that loses its memory once, and returns the tokens handed out. */
+/** Plays calls on one counting instance that loses its memory now and then, and returns the tokens handed out. */
 function play(actions: readonly Action[], budget: number): number {
 	let ledger = createTokenLedger('life-0');
 	let recorded = 0;
 	let total = 0;
 	let number = 0;
-	let losses = 0;
+	let lives = 0;
 	const reserve = () => {
 		const decision = ledger.reserve(call(++number, budget), 'home', now);
 		if (decision.kind === 'record-first') {
@@ -127,11 +127,9 @@
 
 	for (const step of actions) {
 		if (step.kind === 'lose-memory') {
-			if (losses++ === 0) {
-				ledger = createTokenLedger('life-1');
-				if (recorded > 0) {
-					ledger.restore(program, as<Tokens>(recorded), as<Milliseconds>(60_000), now);
-				}
+			ledger = createTokenLedger(`life-${++lives}`);
+			if (recorded > 0) {
+				ledger.restore(program, as<Tokens>(recorded), as<Milliseconds>(60_000), now);
 			}
 		} else {
 			const used = step.kind === 'call' ? step.used : most;
@@ -146,8 +144,8 @@
 	return total;
 }
 
-test('a budget is overrun by no more than one call when all memory is lost once', () => {
+test('a budget holds when all memory is lost, as often as it may be', () => {
 	fc.assert(fc.property(fc.array(action, {maxLength: 60}), fc.integer({min: most, max: 10 * most}), (actions, budget) => {
-		assert.ok(play(actions, budget) <= budget + most);
+		assert.ok(play(actions, budget) <= budget);
 	}), {seed: 20_261_204, numRuns: 2000});
 });
