Count a program as heard of whenever it is asked for

Found by the cut tests with 60 s between calls: a data centre forgot where a program's home was although it kept asking there, and claimed it.

--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -67,7 +67,7 @@
 	/** Reserves unless the budget does not cover the call. A second request of one attempt counts once. */
 	readonly reserve: (request: ReservationRequest, entitlement: Entitlement, now: Milliseconds) => LedgerDecision;
 	readonly home: (program: ProgramId) => DataCentreId | undefined;
-	/** Makes a data centre the home of a program that has none. */
+	/** Makes a data centre the home of a program that has none; the program counts as heard of. */
 	readonly claim: (request: ReservationRequest, home: DataCentreId, now: Milliseconds) => void;
 	readonly settle: (program: ProgramId, attempt: AttemptId, used: Tokens, now: Milliseconds) => void;
 	/** The store holds a record for the program. */
--- a/src/zones/budget-keepers.ts
+++ b/src/zones/budget-keepers.ts
@@ -168,8 +168,9 @@
 
 	/** Makes this data centre the home of a program that nobody here has heard of, and says so at once. */
 	function claim(request: ReservationRequest): void {
-		if (ledger.home(request.program) === undefined) {
-			ledger.claim(request, options.self().dataCentre, clock.now());
+		const isNew = ledger.home(request.program) === undefined;
+		ledger.claim(request, options.self().dataCentre, clock.now());
+		if (isNew) {
 			dirty.add(request.program);
 			share();
 		}
