--- a/src/links/log.ts
+++ b/src/links/log.ts
@@ -1,5 +1,5 @@
 /**
-Log as JSON lines. docs/OPERATING.md lists every event.
+Log as JSON lines. docs/OPERATIONS.md lists every event.
 */
 import process from 'node:process';
 import bunyan from 'bunyan';
--- a/src/links/metrics.ts
+++ b/src/links/metrics.ts
@@ -1,5 +1,5 @@
 /**
-Metrics in the Prometheus text format. docs/OPERATING.md explains each.
+Metrics in the Prometheus text format. docs/OPERATIONS.md explains each.
 */
 import {
 	collectDefaultMetrics, Counter, Gauge, Histogram, Registry,
--- a/src/links/relay-log.ts
+++ b/src/links/relay-log.ts
@@ -5,6 +5,7 @@
 import {type RelayInstanceEvent} from '../machines/relay-instance.js';
 import {type RelayEvent} from '../machines/relay-event.js';
 import {type SharedTablesEvent} from '../zones/shared-tables.js';
+import {type RelayResult} from '../contracts/relay-attempt.js';
 import {type RelayRequest} from '../contracts/relay-request.js';
 import {type Log} from './log.js';
 
@@ -18,9 +19,9 @@
 function logRelay(log: Log, event: RelayEvent): void {
 	switch (event.kind) {
 		case 'attempted': {
-			const {result} = event;
+			const {result, endpoint, load, expected, generation, took} = event.attempt;
 			log.info({
-				event: 'attempt', ...requestOf(event.request), endpoint: event.endpoint, result: result.kind, load: event.load, tookMs: Math.round(event.took),
+				event: 'attempt', ...requestOf(event.request), endpoint, result: result.kind, load, expectedMs: expected, generation, tookMs: Math.round(took),
 				...(result.kind === 'answered' && {status: result.head.status}),
 				...(result.kind === 'rejected' && {status: result.status}),
 				...('reason' in result && {reason: result.reason}),
@@ -96,13 +97,17 @@
 	}
 }
 
+function isWhole(result: RelayResult): boolean {
+	return result.kind === 'answered' || result.kind === 'finished';
+}
+
 function isOrdinary(event: RelayInstanceEvent): boolean {
 	if (event.kind !== 'relay') {
 		return false;
 	}
 
 	const {relay} = event;
-	return relay.kind === 'served' || (relay.kind === 'attempted' && (relay.result.kind === 'answered' || relay.result.kind === 'finished'));
+	return relay.kind === 'served' || (relay.kind === 'attempted' && isWhole(relay.attempt.result));
 }
 
 function logOne(log: Log, event: RelayInstanceEvent): void {
--- a/src/links/relay-metrics.ts
+++ b/src/links/relay-metrics.ts
@@ -67,7 +67,7 @@
 	function observe(event: RelayEvent): void {
 		switch (event.kind) {
 			case 'attempted': {
-				attempts.observe({result: event.result.kind}, event.took / 1000);
+				attempts.observe({result: event.attempt.result.kind}, event.attempt.took / 1000);
 				return;
 			}
 
--- a/src/machines/relay-event.ts
+++ b/src/machines/relay-event.ts
@@ -1,13 +1,24 @@
 /**
 Decisions of the relay about one request, for logs and metrics.
 */
-import {type EndpointId, type Milliseconds} from '../contracts/id.js';
+import {type ConfigurationGeneration, type EndpointId, type Milliseconds} from '../contracts/id.js';
 import {type RelayResult} from '../contracts/relay-attempt.js';
 import {type Refusal, type RelayRequest} from '../contracts/relay-request.js';
 
+/** How an attempt ended, and what it was decided on. */
+export type AttemptOutcome = {
+	readonly endpoint: EndpointId;
+	readonly result: RelayResult;
+	/** Requests known at the endpoint when it was chosen. */
+	readonly load: number;
+	/** Expected time by which it was chosen; undefined where there was no choice. */
+	readonly expected: Milliseconds | undefined;
+	readonly generation: ConfigurationGeneration;
+	readonly took: Milliseconds;
+};
+
 export type RelayEvent
-	/** An attempt ended; `load` counts the requests that were known at the endpoint. */
-	= | {readonly kind: 'attempted'; readonly request: RelayRequest; readonly endpoint: EndpointId; readonly result: RelayResult; readonly load: number; readonly took: Milliseconds}
+	= | {readonly kind: 'attempted'; readonly request: RelayRequest; readonly attempt: AttemptOutcome}
 		| {readonly kind: 'served'; readonly request: RelayRequest; readonly attempts: number; readonly elapsed: Milliseconds}
 		| {readonly kind: 'refused'; readonly request: RelayRequest; readonly refusal: Refusal; readonly attempts: number; readonly elapsed: Milliseconds}
 		| {readonly kind: 'cancelled'; readonly request: RelayRequest; readonly attempts: number; readonly elapsed: Milliseconds}
--- a/src/machines/relay-job.ts
+++ b/src/machines/relay-job.ts
@@ -4,7 +4,7 @@
 */
 import {type Clock} from '../contracts/clock.js';
 import {
-	as, type DataCentreId, type EndpointId, type Milliseconds,
+	as, type ConfigurationGeneration, type DataCentreId, type EndpointId, type Milliseconds,
 } from '../contracts/id.js';
 import {type ListedEndpoint, type RelayRoute} from '../contracts/relay.js';
 import {type RelayAttempt, type RelayProgress, type RelayResult} from '../contracts/relay-attempt.js';
@@ -37,6 +37,8 @@
 	readonly clock: Clock;
 	readonly signal: AbortSignal;
 	readonly dataCentre: DataCentreId;
+	/** Configuration that the request is handled by. */
+	readonly generation: ConfigurationGeneration;
 	readonly onCrash: (endpoint: EndpointId) => void;
 };
 
@@ -155,6 +157,7 @@
 		fingerprint: options.fingerprint,
 		signal: options.signal,
 		dataCentre: options.dataCentre,
+		generation: options.generation,
 		elapsed: () => as<Milliseconds>(clock.now() - startedAt),
 		timeLeft: () => as<Milliseconds>(endsAt - clock.now()),
 		conclude,
--- a/src/machines/relay-placement.ts
+++ b/src/machines/relay-placement.ts
@@ -13,6 +13,9 @@
 /** Time to compute one prompt token on a current accelerator: about 50 tokens a ms. */
 const prefillMsPerToken = 0.02;
 
+/** Weight of computing a prompt: those that run beside the request wait for it too, one in two at a usual load. */
+const computingWeight = 1.5;
+
 /** Extra price of another data centre: bytes between data centres are scarce, and a cut loses the request. */
 const remoteMs = 150;
 
@@ -22,9 +25,6 @@
 */
 const crowdingShare = 0.1;
 
-/** A request is delayed by those that run beside it, and delays them as much. */
-const mutual = 2;
-
 /** Share of the prompt's first part that counts as cached where its hash points first. */
 const homeShare = 0.6;
 
@@ -94,10 +94,9 @@
 	const load = endpoint.load(query.now);
 	const distance = dataCentre === query.dataCentre ? 0 : remoteMs;
 	const pace = endpoint.pace(typical, query.now);
-	const running = pace * (1 + (crowdingShare * mutual * load));
+	const running = pace * (1 + (crowdingShare * load));
 	const waiting = pace * (Math.max(0, load + 1 - slots) / slots);
-	// Whatever runs there waits while the prompt is computed.
-	const computing = missingTokens(endpoint, query, isHome) * prefillMsPerToken * (1 + load);
+	const computing = missingTokens(endpoint, query, isHome) * prefillMsPerToken * computingWeight;
 	return running + waiting + computing + distance;
 }
 
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -8,7 +8,6 @@
 import {
 	as, type EndpointId, type Milliseconds, type PoolName, type Tokens,
 } from '../contracts/id.js';
-import {type RelayRoute} from '../contracts/relay.js';
 import {nextRelayStep, type RelayLink, type RelayResult} from '../contracts/relay-attempt.js';
 import {
 	type Caller, pathOf, type Refusal, type RelayRequest,
@@ -43,6 +42,8 @@
 	readonly onEvent: (event: RelayEvent) => void;
 };
 
+type Choice = {readonly endpoint: RelayEndpoint; readonly expected: Milliseconds | undefined};
+
 export type Relay = {
 	/** Serves one request; resolves when the caller has its answer or has gone. */
 	readonly serve: (request: RelayRequest, caller: Caller, signal: AbortSignal) => Promise<void>;
@@ -87,29 +88,34 @@
 		refuse(job, {kind: 'not-run', retryAfter: as<Milliseconds>(retryAfter)});
 	}
 
-	function choose(job: RelayJob, pool: PoolName): RelayEndpoint | undefined {
+	function choose(job: RelayJob, pool: PoolName): Choice | undefined {
 		const bound = job.boundTo();
-		if (bound !== undefined && fleet.isServing(bound)) {
-			return fleet.endpoint(bound);
+		const only = bound !== undefined && fleet.isServing(bound) ? fleet.endpoint(bound) : undefined;
+		if (only) {
+			return {endpoint: only, expected: undefined};
 		}
 
-		return fleet.choose(pool, {
+		const placement = fleet.choose(pool, {
 			prompt: job.request.prompt, dataCentre: options.dataCentre, excluded: job.excluded(), now: clock.now(),
-		})?.endpoint;
+		});
+		return placement && {endpoint: placement.endpoint, expected: as<Milliseconds>(Math.round(placement.cost))};
 	}
 
-	async function attempt(job: RelayJob, endpoint: RelayEndpoint): Promise<RelayResult> {
-		const {id} = endpoint.listed();
+	async function attempt(job: RelayJob, {endpoint, expected}: Choice): Promise<RelayResult> {
+		const listed = endpoint.listed();
 		const startedAt = clock.now();
-		const release = endpoint.occupy();
 		const load = endpoint.load(startedAt);
+		const release = endpoint.occupy();
 		endpoint.remember(job.request.prompt);
-		const result = await options.link.send(job.describe(endpoint.listed()));
+		const result = await options.link.send(job.describe(listed));
+		const took = as<Milliseconds>(clock.now() - startedAt);
 		release();
-		job.conclude(id, result);
-		learn(endpoint, result, idleTime(clock.now() - startedAt, load));
+		job.conclude(listed.id, result);
+		learn(endpoint, result, idleTime(took, load));
 		options.onEvent({
-			kind: 'attempted', request: job.request, endpoint: id, result, load, took: as<Milliseconds>(clock.now() - startedAt),
+			kind: 'attempted', request: job.request, attempt: {
+				endpoint: listed.id, result, load, expected, generation: job.generation, took,
+			},
 		});
 		return result;
 	}
@@ -153,8 +159,8 @@
 	async function run(job: RelayJob, pool: PoolName): Promise<void> {
 		let last: RelayResult | undefined;
 		for (;;) {
-			const endpoint = job.timeLeft() > 0 && !job.signal.aborted ? choose(job, pool) : undefined;
-			if (!endpoint) {
+			const choice = job.timeLeft() > 0 && !job.signal.aborted ? choose(job, pool) : undefined;
+			if (!choice) {
 				if (job.timeLeft() <= 0 || job.signal.aborted || !mayWait(job)) {
 					giveUp(job, last);
 					return;
@@ -165,7 +171,8 @@
 				continue;
 			}
 
-			last = await attempt(job, endpoint);
+			last = await attempt(job, choice);
+			const {id} = choice.endpoint.listed();
 			const step = nextRelayStep(last, job.progress());
 			switch (step.kind) {
 				case 'deliver': {
@@ -179,7 +186,7 @@
 				}
 
 				case 'elsewhere': {
-					job.exclude(endpoint.listed().id);
+					job.exclude(id);
 					if (last.kind === 'rejected' && job.boundTo() !== undefined) {
 						await clock.sleep(as<Milliseconds>(retryPauseMs), job.signal);
 					}
@@ -188,7 +195,7 @@
 				}
 
 				case 'same': {
-					job.bind(endpoint.listed().id);
+					job.bind(id);
 					break;
 				}
 			}
@@ -239,29 +246,25 @@
 		}
 	}
 
-	function routeOf(request: RelayRequest): RelayRoute | Refusal {
-		const table = options.table();
-		if (!table) {
-			return {kind: 'not-ready'};
-		}
-
-		return table.routeOf(request.host, pathOf(request)) ?? {kind: 'no-route'};
+	function refuseAtOnce(request: RelayRequest, caller: Caller, refusal: Refusal): void {
+		options.onEvent({
+			kind: 'refused', request, refusal, attempts: 0, elapsed: as<Milliseconds>(0),
+		});
+		caller.refuse(refusal);
 	}
 
 	async function admit(request: RelayRequest, caller: Caller, signal: AbortSignal): Promise<void> {
-		const route = routeOf(request);
-		if ('kind' in route) {
-			options.onEvent({
-				kind: 'refused', request, refusal: route, attempts: 0, elapsed: as<Milliseconds>(0),
-			});
-			caller.refuse(route);
+		const table = options.table();
+		const route = table?.routeOf(request.host, pathOf(request));
+		if (!table || !route) {
+			refuseAtOnce(request, caller, {kind: table ? 'no-route' : 'not-ready'});
 			return;
 		}
 
 		const pool = choosePool(route, options.random.fraction());
 		const fingerprint = fingerprintOf(request);
 		const job = createRelayJob({
-			request, route, caller, fingerprint, clock, signal, dataCentre: options.dataCentre, onCrash(endpoint: EndpointId) {
+			request, route, caller, fingerprint, clock, signal, generation: table.configuration.generation, dataCentre: options.dataCentre, onCrash(endpoint: EndpointId) {
 				if (quarantine.record({fingerprint, endpoint}, clock.now())) {
 					options.onEvent({
 						kind: 'crash-suspected', request, endpoint, fingerprint,
@@ -277,7 +280,7 @@
 		const settle = await reserve(job);
 		if (settle && pool !== undefined) {
 			await run(job, pool);
-			const tokensPerEvent = options.table()?.pool(pool)?.tokensPerEvent ?? 1;
+			const tokensPerEvent = table.pool(pool)?.tokensPerEvent ?? 1;
 			settle(as<Tokens>(job.eventsRelayed() * tokensPerEvent));
 		}
 	}
--- a/src/zones/budget-keepers.ts
+++ b/src/zones/budget-keepers.ts
@@ -7,7 +7,7 @@
 */
 import {type Clock} from '../contracts/clock.js';
 import {
-	as, type DataCentreId, type InstanceId, type Milliseconds, type ProgramId, type Tokens,
+	as, type AttemptId, type DataCentreId, type InstanceId, type Milliseconds, type ProgramId, type Tokens,
 } from '../contracts/id.js';
 import {
 	type Account, type Entitlement, type ReservationRequest, type TokenLedger,
@@ -27,6 +27,9 @@
 /** Keepers of one data centre that are asked in turn; several may be restarting at the same time. */
 const mostAsked = 4;
 
+/** Keepers of another data centre that do not answer before it counts as cut off for a while. */
+const mostSilent = 2;
+
 /** Time for which a keeper that did not answer is left out. */
 const unansweredMs = 1500;
 
@@ -51,11 +54,13 @@
 
 const retryAfterMs = 300;
 
+/** Decisions about the budget of one request. */
 export type BudgetEvent
-	= | {readonly kind: 'unrecorded'; readonly program: ProgramId}
-		| {readonly kind: 'keeper-silent'; readonly keeper: InstanceId; readonly program: ProgramId}
-		| {readonly kind: 'withheld'; readonly program: ProgramId; readonly entitlement: Entitlement}
-		| {readonly kind: 'exhausted'; readonly program: ProgramId; readonly used: number; readonly budget: number; readonly most: number};
+	/** The store's record took too long; the call goes on without it. */
+	= | {readonly kind: 'unrecorded'; readonly request: AttemptId; readonly program: ProgramId}
+		| {readonly kind: 'keeper-silent'; readonly request: AttemptId; readonly program: ProgramId; readonly keeper: InstanceId}
+		| {readonly kind: 'withheld'; readonly request: AttemptId; readonly program: ProgramId; readonly entitlement: Entitlement; readonly used: Tokens; readonly budget: Tokens}
+		| {readonly kind: 'exhausted'; readonly request: AttemptId; readonly program: ProgramId; readonly used: Tokens; readonly budget: Tokens; readonly most: Tokens};
 
 export type BudgetKeepers = TokenBudgets & {
 	/** Answers an entry or another keeper; undefined when the message is about something else. */
@@ -89,6 +94,7 @@
 export function createBudgetKeepers(options: BudgetKeepersOptions): BudgetKeepers {
 	const {ledger, records, clock} = options;
 	const silentUntil = new Map<InstanceId, Milliseconds>();
+	const cutOffUntil = new Map<DataCentreId, Milliseconds>();
 	const dirty = new Set<ProgramId>();
 	/** Data centres that know the home of a program which this one claimed. */
 	const confirmed = new Map<ProgramId, Set<DataCentreId>>();
@@ -204,7 +210,7 @@
 		const isInTime = await Promise.race([writing, clock.sleep(as<Milliseconds>(recordPatienceMs), waiting.signal).then(() => false)]);
 		waiting.abort();
 		if (!isInTime) {
-			options.onEvent({kind: 'unrecorded', program: request.program});
+			options.onEvent({kind: 'unrecorded', request: request.attempt, program: request.program});
 		}
 	}
 
@@ -253,13 +259,15 @@
 
 			case 'exhausted': {
 				options.onEvent({
-					kind: 'exhausted', program, used: decision.used, budget: request.budget, most: request.most,
+					kind: 'exhausted', request: request.attempt, program, used: decision.used, budget: request.budget, most: request.most,
 				});
 				return {kind: 'exhausted'};
 			}
 
 			case 'withheld': {
-				options.onEvent({kind: 'withheld', program, entitlement});
+				options.onEvent({
+					kind: 'withheld', request: request.attempt, program, entitlement, used: decision.used, budget: request.budget,
+				});
 				return {kind: 'withheld'};
 			}
 		}
@@ -279,7 +287,9 @@
 		}
 
 		silentUntil.set(keeper.id, as<Milliseconds>(clock.now() + unansweredMs));
-		options.onEvent({kind: 'keeper-silent', keeper: keeper.id, program: request.program});
+		options.onEvent({
+			kind: 'keeper-silent', request: request.attempt, program: request.program, keeper: keeper.id,
+		});
 		// It may have reserved all the same.
 		settler(keeper, request)(as<Tokens>(0));
 		return undefined;
@@ -289,6 +299,11 @@
 	async function askDataCentre(dataCentre: DataCentreId, request: ReservationRequest, isHomeUnreachable: boolean): Promise<Word | undefined> {
 		const self = options.self();
 		const now = clock.now();
+		if ((cutOffUntil.get(dataCentre) ?? 0) > now) {
+			return undefined;
+		}
+
+		let silent = 0;
 		const keepers = ranked(dataCentre, request.program).filter(member => (silentUntil.get(member.id) ?? 0) <= now);
 		for (const keeper of keepers.slice(0, mostAsked)) {
 			const isSelf = keeper.id === self.id;
@@ -296,6 +311,12 @@
 			if (outcome && outcome.kind !== 'cold') {
 				return {outcome, keeper: isSelf ? undefined : keeper};
 			}
+
+			silent += outcome ? 0 : 1;
+			if (silent >= mostSilent && dataCentre !== self.dataCentre) {
+				cutOffUntil.set(dataCentre, as<Milliseconds>(clock.now() + unansweredMs));
+				break;
+			}
 		}
 
 		return undefined;
--- a/src/zones/warm-up.ts
+++ b/src/zones/warm-up.ts
@@ -11,11 +11,11 @@
 /** Time in which peers that see this instance come send it accounts. */
 const handOverMs = 700;
 
-/** Time for finding a warm peer before the store is asked. */
-const searchMs = 500;
+/** Time for finding a warm peer before the store is asked: seeds answer within milliseconds. */
+const searchMs = 300;
 
 /** Pause between two tries. */
-const retryMs = 250;
+const retryMs = 150;
 
 /** How often an instance with peers checks that it still has some, in ms. */
 const companyMs = 2000;
@@ -83,7 +83,7 @@
 				options.announce();
 				await clock.sleep(as<Milliseconds>(handOverMs), signal);
 				finish('peers', ledger.programs().length);
-			} else if (clock.now() - startedAt > searchMs) {
+			} else if (clock.now() - startedAt >= searchMs) {
 				await loadRecords();
 			}
 		}
