Tell every instance the home of a program, through one instance of each data centre

A home told without its account now counts as a guest only; a newcomer fetches the homes before it counts.

--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -26,7 +26,7 @@
 export type Account = {
 	readonly program: ProgramId;
 	/** Data centre in which the program was first seen; it alone may grant the whole budget. */
-	readonly home: DataCentreId | undefined;
+	readonly home?: DataCentreId | undefined;
 	readonly recorded: Tokens;
 	readonly retention: Milliseconds;
 	readonly slots: readonly LedgerSlot[];
@@ -76,6 +76,8 @@
 	readonly restore: (program: ProgramId, recorded: Tokens, retention: Milliseconds, now: Milliseconds) => void;
 	readonly merge: (account: Account, now: Milliseconds) => void;
 	readonly account: (program: ProgramId) => Account | undefined;
+	/** Whether this instance has granted calls to the program. */
+	readonly hasCounted: (program: ProgramId) => boolean;
 	/** Tokens used or reserved beyond the store's record. */
 	readonly unrecorded: (program: ProgramId) => Tokens;
 	readonly programs: () => readonly ProgramId[];
@@ -228,6 +230,7 @@
 				program, home: entry.home, recorded: entry.recorded, retention: entry.retention, slots: [...entry.slots.values()],
 			};
 		},
+		hasCounted: program => entries.get(program)?.slots.has(counter) ?? false,
 		unrecorded(program) {
 			const entry = entries.get(program);
 			return as<Tokens>(entry ? Math.max(0, sum(entry.slots.values()) - entry.recorded) : 0);
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -174,7 +174,18 @@
 			const members = await greet(peer);
 			neighbourhood.learnMembers(members.unwrapOr([]));
 		},
-		announce: neighbourhood.notify,
+		async takeOver() {
+			neighbourhood.notify();
+			const warm = others().filter(member => digests.get(member.id)?.isWarm);
+			const peer = warm.find(member => member.dataCentre === dataCentre) ?? warm[0];
+			const snapshot = peer && await peers.snapshot(peer.address);
+			if (!snapshot?.isOk()) {
+				return false;
+			}
+
+			budgets.receive(snapshot.value.accounts);
+			return true;
+		},
 		records: options.records,
 		ledger,
 		clock,
@@ -256,7 +267,14 @@
 		limits: () => table?.configuration.limits,
 		isReady: () => table !== undefined && warmUp.isWarm() && !isLeaving,
 		greeting: () => ({self: membership.self(), members: membership.members(), digest: tables.digest()}),
-		snapshot: () => ({configuration: tables.configuration(), entries: tables.entries()}),
+		snapshot: () => ({
+			configuration: tables.configuration(),
+			entries: tables.entries(),
+			accounts: ledger.programs().flatMap(program => {
+				const account = ledger.account(program);
+				return account ? [{...account, slots: []}] : [];
+			}),
+		}),
 		async run(signal) {
 			await Promise.all([
 				tables.run(signal), neighbourhood.run(signal), warmUp.run(signal), budgets.run(signal), loads.run(signal),
--- a/src/zones/budget-keepers.ts
+++ b/src/zones/budget-keepers.ts
@@ -14,6 +14,7 @@
 } from '../contracts/token-ledger.js';
 import {type Reservation, type TokenBudgets} from '../machines/token-budgets.js';
 import {type BudgetRecord, type BudgetRecords} from './budget-records.js';
+import {createBudgetSharing} from './budget-sharing.js';
 import {type Member} from './membership.js';
 import {candidatesIn, rankDataCentres, rankOwners} from './ownership.js';
 import {
@@ -36,18 +37,9 @@
 /** Longest wait for the store's record before a call goes on without it. */
 const recordPatienceMs = 150;
 
-/** Time in which changes of accounts are gathered before keepers are told. */
-const shareDelayMs = 20;
-
-/** Timeout and tries of telling a keeper in whatever data centre; a call lasts longer. */
-const shareTimeoutMs = 40;
-const shareTries = 3;
-
-/** Accounts in one message, which has to fit into a datagram. */
-const accountsPerMessage = 4;
-
-/** Instances of its home that know a program's account. */
-const homeKeepers = 2;
+/** Timeout and tries of telling a keeper that a call has ended. */
+const settleTimeoutMs = 100;
+const settleTries = 4;
 
 /** How often accounts that have lapsed are dropped, and failed messages about accounts are sent again. */
 const maintenanceMs = 1000;
@@ -65,6 +57,8 @@
 export type BudgetKeepers = TokenBudgets & {
 	/** Answers an entry or another keeper; undefined when the message is about something else. */
 	readonly answer: (message: RelayMessage) => Promise<RelayReply | undefined>;
+	/** Takes accounts over from a peer. */
+	readonly receive: (accounts: readonly Account[]) => void;
 	/** Members came or went: whoever keeps a program now has to know its account. */
 	readonly rebalance: () => void;
 	readonly run: (signal: AbortSignal) => Promise<void>;
@@ -73,7 +67,7 @@
 export type BudgetKeepersOptions = {
 	readonly self: () => Member;
 	readonly members: () => readonly Member[];
-	readonly peers: Pick<RelayPeers, 'ask'>;
+	readonly peers: Pick<RelayPeers, 'ask' | 'post'>;
 	readonly ledger: TokenLedger;
 	readonly records: BudgetRecords;
 	readonly clock: Clock;
@@ -85,112 +79,51 @@
 /** A keeper's word, and who said it; undefined stands for this instance. */
 type Word = {readonly outcome: ReservationOutcome; readonly keeper: Member | undefined};
 
-/** A member between two of its restarts. */
-function lifeOf(member: Member): string {
-	return `${member.id}@${member.incarnation}`;
-}
-
 /** Creates the keepers' part of one instance. */
 export function createBudgetKeepers(options: BudgetKeepersOptions): BudgetKeepers {
 	const {ledger, records, clock} = options;
 	const silentUntil = new Map<InstanceId, Milliseconds>();
 	const cutOffUntil = new Map<DataCentreId, Milliseconds>();
-	const dirty = new Set<ProgramId>();
-	/** Data centres that know the home of a program which this one claimed. */
-	const confirmed = new Map<ProgramId, Set<DataCentreId>>();
 	const homes = new Map<ProgramId, DataCentreId>();
-	/** When lives of members were last told of a program's home; they forget it when they hear no more. */
-	const told = new Map<ProgramId, Map<string, Milliseconds>>();
-	/** Programs whose home or whose other keepers did not hear of a change. */
-	const untold = new Set<ProgramId>();
-	let isSharing = false;
+	/** Programs that this instance made this data centre the home of. */
+	const claimed = new Set<ProgramId>();
+	const sharing = createBudgetSharing(options);
+	const {markDirty} = sharing;
 
 	function ranked(dataCentre: Member['dataCentre'], program: ProgramId): readonly Member[] {
 		return rankOwners(program, candidatesIn(dataCentre, options.members()));
 	}
 
-	function isTold(program: ProgramId, member: Member): boolean {
-		const at = told.get(program)?.get(lifeOf(member));
-		return at !== undefined && clock.now() - at < (ledger.account(program)?.retention ?? 0) / 2;
-	}
-
-	/**
-	Instances that have to hear of a change: those that would count next for the program's home, and once
-	one keeper of each other data centre, which has to know where the home is.
-	*/
-	function audience(program: ProgramId): readonly Member[] {
-		const self = options.self();
-		const home = ledger.home(program) ?? self.dataCentre;
-		const dataCentres = new Set(options.members().map(member => member.dataCentre));
-		return [...dataCentres].flatMap(dataCentre => {
-			const keepers = ranked(dataCentre, program).slice(0, dataCentre === home ? homeKeepers : 1).filter(member => member.id !== self.id);
-			return dataCentre === home ? keepers : keepers.filter(member => !isTold(program, member));
-		});
-	}
-
-	/** Notes who knows of the accounts. */
-	function noteTold(target: Member, accounts: readonly Account[], isTold: boolean): void {
-		for (const {program} of accounts) {
-			if (isTold) {
-				confirmed.set(program, (confirmed.get(program) ?? new Set()).add(target.dataCentre));
-				told.set(program, (told.get(program) ?? new Map<string, Milliseconds>()).set(lifeOf(target), clock.now()));
-			} else {
-				untold.add(program);
-			}
-		}
-	}
-
-	async function tell(target: Member, accounts: readonly Account[]): Promise<void> {
-		for (let index = 0; index < accounts.length; index += accountsPerMessage) {
-			const part = accounts.slice(index, index + accountsPerMessage);
-			const reply = await options.peers.ask(target.address, {kind: 'accounts', accounts: part}, {timeout: as<Milliseconds>(shareTimeoutMs), tries: shareTries});
-			noteTold(target, part, reply !== undefined);
-		}
-	}
-
-	function share(): void {
-		isSharing = false;
-		const byTarget = new Map<Member, Account[]>();
-		for (const program of dirty) {
-			const account = ledger.account(program);
-			for (const target of account ? audience(program) : []) {
-				byTarget.set(target, [...(byTarget.get(target) ?? []), ...(account ? [account] : [])]);
-			}
-		}
-
-		dirty.clear();
-		for (const [target, accounts] of byTarget) {
-			void tell(target, accounts);
-		}
-	}
-
-	function markDirty(program: ProgramId): void {
-		dirty.add(program);
-		if (!isSharing) {
-			isSharing = true;
-			void clock.sleep(as<Milliseconds>(shareDelayMs)).then(share);
-		}
-	}
-
 	/** Makes this data centre the home of a program that nobody here has heard of, and says so at once. */
 	function claim(request: ReservationRequest): void {
 		const isNew = ledger.home(request.program) === undefined;
 		ledger.claim(request, options.self().dataCentre, clock.now());
 		if (isNew) {
-			dirty.add(request.program);
-			share();
+			claimed.add(request.program);
+			sharing.announceClaim(request.program);
 		}
 	}
 
-	/** Takes over what another keeper counted; the home makes it last. */
+	/** Takes over what another keeper counted; the home makes it last, and hears of what was counted here. */
 	function merge(account: Account): void {
 		ledger.merge(account, clock.now());
 		const {program, retention} = account;
 		const self = options.self();
-		if (ledger.home(program) === self.dataCentre && ledger.unrecorded(program) > 0 && ranked(self.dataCentre, program)[0]?.id === self.id) {
+		const home = ledger.home(program);
+		if (home === self.dataCentre && ledger.unrecorded(program) > 0 && ranked(self.dataCentre, program)[0]?.id === self.id) {
 			const used = as<Tokens>((ledger.account(program)?.recorded ?? 0) + ledger.unrecorded(program));
 			void writeRecord({program, used, retention});
 		}
+
+		if (home !== self.dataCentre && ledger.hasCounted(program)) {
+			markDirty(program);
+		}
+	}
+
+	function receive(accounts: readonly Account[]): void {
+		for (const account of accounts) {
+			merge(account);
+		}
 	}
 
 	async function writeRecord(record: BudgetRecord): Promise<boolean> {
@@ -214,18 +147,15 @@
 		}
 	}
 
-	/** Whether a data centre that does not know the program's home may claim the program too. */
-	function isContested(program: ProgramId): boolean {
-		const {dataCentre} = options.self();
-		return options.members().some(member => member.dataCentre !== dataCentre && !confirmed.get(program)?.has(member.dataCentre));
-	}
-
 	function entitlementOf(program: ProgramId): Entitlement {
-		if (ledger.home(program) !== options.self().dataCentre) {
+		const isHome = ledger.home(program) === options.self().dataCentre;
+		// A home that was heard of without its account has been counted for by another instance.
+		const hasAccount = claimed.has(program) || (ledger.account(program)?.slots.length ?? 0) > 0;
+		if (!isHome || !hasAccount) {
 			return 'guest';
 		}
 
-		return isContested(program) ? 'contested' : 'home';
+		return sharing.isKnownEverywhere(program) ? 'home' : 'contested';
 	}
 
 	/** Reserves in this instance's own ledger. */
@@ -344,7 +274,7 @@
 
 			void options.peers.ask(keeper.address, {
 				kind: 'settle', program: request.program, attempt: request.attempt, used,
-			}, {timeout: as<Milliseconds>(shareTimeoutMs), tries: shareTries});
+			}, {timeout: as<Milliseconds>(settleTimeoutMs), tries: settleTries});
 		};
 	}
 
@@ -386,13 +316,14 @@
 
 	function forgetLapsed(): void {
 		const known = new Set(ledger.programs());
-		for (const program of [...homes.keys(), ...confirmed.keys(), ...told.keys()]) {
+		for (const program of [...homes.keys(), ...claimed]) {
 			if (!known.has(program)) {
 				homes.delete(program);
-				confirmed.delete(program);
-				told.delete(program);
+				claimed.delete(program);
 			}
 		}
+
+		sharing.forgetLapsed();
 	}
 
 	return {
@@ -409,8 +340,9 @@
 				}
 
 				case 'accounts': {
-					for (const account of message.accounts) {
-						merge(account);
+					receive(message.accounts);
+					if (!message.isPassedOn) {
+						sharing.passOn(message.accounts);
 					}
 
 					return {kind: 'done'};
@@ -424,24 +356,14 @@
 				}
 			}
 		},
-		rebalance() {
-			const {dataCentre} = options.self();
-			for (const program of ledger.programs()) {
-				if (ledger.home(program) === dataCentre) {
-					markDirty(program);
-				}
-			}
-		},
+		receive,
+		rebalance: sharing.rebalance,
 		async run(signal) {
 			while (!signal.aborted) {
 				await clock.sleep(as<Milliseconds>(maintenanceMs), signal);
 				ledger.expire(clock.now());
 				forgetLapsed();
-				for (const program of untold) {
-					markDirty(program);
-				}
-
-				untold.clear();
+				sharing.retry();
 			}
 		},
 	};
--- /dev/null
+++ b/src/zones/budget-sharing.ts
@@ -0,0 +1,215 @@
+/**
+How accounts travel between keepers. All instances have to know the home of each program, so that nobody
+claims it a second time: the home tells one instance of each other data centre, which passes it on within its
+own. What was counted is told only to the instances that would count next for the home.
+*/
+import {type Clock} from '../contracts/clock.js';
+import {
+	as, type DataCentreId, type InstanceId, type Milliseconds, type ProgramId,
+} from '../contracts/id.js';
+import {type Account, type TokenLedger} from '../contracts/token-ledger.js';
+import {type Member} from './membership.js';
+import {candidatesIn, rankOwners} from './ownership.js';
+import {type RelayPeers} from './relay-peers.js';
+
+/** Time in which changes of accounts are gathered before keepers are told. */
+const shareDelayMs = 20;
+
+/** Timeout and tries of telling a keeper in whatever data centre; a call lasts longer. */
+const shareTimeoutMs = 40;
+const shareTries = 3;
+
+/** Time for which an instance that did not answer is passed over. */
+const unansweredMs = 1500;
+
+/** Accounts in one message, which has to fit into a datagram. */
+const accountsPerMessage = 4;
+
+/** Instances of its home that know a program's account. */
+const homeKeepers = 3;
+
+export type BudgetSharing = {
+	/** The account has changed. */
+	readonly markDirty: (program: ProgramId) => void;
+	/** This data centre has become the program's home. */
+	readonly announceClaim: (program: ProgramId) => void;
+	/** Whether every other data centre knows the program's home. */
+	readonly isKnownEverywhere: (program: ProgramId) => boolean;
+	/** Passes on to this data centre what another one told. */
+	readonly passOn: (accounts: readonly Account[]) => void;
+	/** Members came or went: whoever counts next has to know the accounts of this home. */
+	readonly rebalance: () => void;
+	/** Sends again what was not answered. */
+	readonly retry: () => void;
+	/** Drops what is known about programs that the ledger has dropped. */
+	readonly forgetLapsed: () => void;
+};
+
+export type BudgetSharingOptions = {
+	readonly self: () => Member;
+	readonly members: () => readonly Member[];
+	readonly peers: Pick<RelayPeers, 'ask' | 'post'>;
+	readonly ledger: TokenLedger;
+	readonly clock: Clock;
+};
+
+/** A member between two of its restarts. */
+function lifeOf(member: Member): string {
+	return `${member.id}@${member.incarnation}`;
+}
+
+/** What others need of an account: the home alone. */
+function claimOf(account: Account): Account {
+	return {...account, slots: []};
+}
+
+/** Creates the sharing of one instance. */
+export function createBudgetSharing(options: BudgetSharingOptions): BudgetSharing {
+	const {ledger, clock} = options;
+	const dirty = new Set<ProgramId>();
+	/** Programs whose accounts did not reach everyone. */
+	const untold = new Set<ProgramId>();
+	/** When lives of members were last told of a program; they forget it when they hear no more. */
+	const told = new Map<ProgramId, Map<string, Milliseconds>>();
+	const knownIn = new Map<ProgramId, Set<DataCentreId>>();
+	const silentUntil = new Map<InstanceId, Milliseconds>();
+	let isWaiting = false;
+
+	function dataCentres(): ReadonlySet<DataCentreId> {
+		return new Set(options.members().map(member => member.dataCentre));
+	}
+
+	function isTold(program: ProgramId, member: Member): boolean {
+		const at = told.get(program)?.get(lifeOf(member));
+		return at !== undefined && clock.now() - at < (ledger.account(program)?.retention ?? 0) / 2;
+	}
+
+	/** Instances of a data centre that should hear of the program, this one and silent ones left out. */
+	function targetsIn(dataCentre: DataCentreId, program: ProgramId, count: number): readonly Member[] {
+		const now = clock.now();
+		return rankOwners(program, candidatesIn(dataCentre, options.members()))
+			.filter(member => (silentUntil.get(member.id) ?? 0) <= now)
+			.slice(0, count)
+			.filter(member => member.id !== options.self().id);
+	}
+
+	function audience(program: ProgramId): readonly Member[] {
+		const home = ledger.home(program) ?? options.self().dataCentre;
+		return [...dataCentres()].flatMap(dataCentre => {
+			if (dataCentre === home) {
+				return targetsIn(dataCentre, program, homeKeepers);
+			}
+
+			if (dataCentre === options.self().dataCentre) {
+				return [];
+			}
+
+			const targets = targetsIn(dataCentre, program, 1);
+			if (targets.length === 0) {
+				untold.add(program);
+			}
+
+			return targets.filter(member => !isTold(program, member));
+		});
+	}
+
+	function noteTold(target: Member, accounts: readonly Account[], isAnswered: boolean): void {
+		if (!isAnswered) {
+			silentUntil.set(target.id, as<Milliseconds>(clock.now() + unansweredMs));
+		}
+
+		for (const {program} of accounts) {
+			if (isAnswered) {
+				knownIn.set(program, (knownIn.get(program) ?? new Set()).add(target.dataCentre));
+				told.set(program, (told.get(program) ?? new Map<string, Milliseconds>()).set(lifeOf(target), clock.now()));
+			} else {
+				untold.add(program);
+			}
+		}
+	}
+
+	async function tell(target: Member, accounts: readonly Account[]): Promise<void> {
+		for (let index = 0; index < accounts.length; index += accountsPerMessage) {
+			const part = accounts.slice(index, index + accountsPerMessage);
+			const reply = await options.peers.ask(target.address, {kind: 'accounts', accounts: part, isPassedOn: false}, {
+				timeout: as<Milliseconds>(shareTimeoutMs), tries: shareTries,
+			});
+			noteTold(target, part, reply !== undefined);
+		}
+	}
+
+	function share(): void {
+		isWaiting = false;
+		const byTarget = new Map<Member, Account[]>();
+		for (const program of dirty) {
+			const account = ledger.account(program);
+			for (const target of account ? audience(program) : []) {
+				const part = account && (target.dataCentre === account.home ? account : claimOf(account));
+				byTarget.set(target, [...(byTarget.get(target) ?? []), ...(part ? [part] : [])]);
+			}
+		}
+
+		dirty.clear();
+		for (const [target, accounts] of byTarget) {
+			void tell(target, accounts);
+		}
+	}
+
+	function markDirty(program: ProgramId): void {
+		dirty.add(program);
+		if (!isWaiting) {
+			isWaiting = true;
+			void clock.sleep(as<Milliseconds>(shareDelayMs)).then(share);
+		}
+	}
+
+	function passOn(accounts: readonly Account[]): void {
+		const self = options.self();
+		for (const member of candidatesIn(self.dataCentre, options.members())) {
+			if (member.id !== self.id) {
+				options.peers.post(member.address, {kind: 'accounts', accounts: accounts.map(account => claimOf(account)), isPassedOn: true});
+			}
+		}
+	}
+
+	return {
+		markDirty,
+		announceClaim(program) {
+			const account = ledger.account(program);
+			if (account) {
+				dirty.add(program);
+				share();
+				passOn([account]);
+			}
+		},
+		isKnownEverywhere(program) {
+			const own = options.self().dataCentre;
+			return [...dataCentres()].every(dataCentre => dataCentre === own || knownIn.get(program)?.has(dataCentre));
+		},
+		passOn,
+		rebalance() {
+			const {dataCentre} = options.self();
+			for (const program of ledger.programs()) {
+				if (ledger.home(program) === dataCentre) {
+					markDirty(program);
+				}
+			}
+		},
+		retry() {
+			for (const program of untold) {
+				markDirty(program);
+			}
+
+			untold.clear();
+		},
+		forgetLapsed() {
+			const known = new Set(ledger.programs());
+			for (const program of [...knownIn.keys(), ...told.keys()]) {
+				if (!known.has(program)) {
+					knownIn.delete(program);
+					told.delete(program);
+				}
+			}
+		},
+	};
+}
--- a/src/zones/relay-peers.ts
+++ b/src/zones/relay-peers.ts
@@ -22,7 +22,7 @@
 	= | {readonly kind: 'gossip'; readonly gossip: Gossip}
 		| {readonly kind: 'reserve'; readonly reservation: ReservationRequest; readonly isHomeUnreachable: boolean}
 		| {readonly kind: 'settle'; readonly program: ProgramId; readonly attempt: AttemptId; readonly used: Tokens}
-		| {readonly kind: 'accounts'; readonly accounts: readonly Account[]}
+		| {readonly kind: 'accounts'; readonly accounts: readonly Account[]; readonly isPassedOn: boolean}
 	/** Changes of the list of endpoints. */
 		| {readonly kind: 'endpoints'; readonly entries: readonly DirectoryEntry[]}
 	/** The sender has something newer. */
@@ -55,6 +55,8 @@
 export type RelaySnapshot = {
 	readonly configuration?: RelayConfiguration | undefined;
 	readonly entries: readonly DirectoryEntry[];
+	/** Homes of programs, without what was counted. */
+	readonly accounts: readonly Account[];
 };
 
 export type MessageOptions = {
--- a/src/zones/warm-up.ts
+++ b/src/zones/warm-up.ts
@@ -37,8 +37,11 @@
 	/** Asks seeds and known peers. */
 	readonly meet: () => Promise<void>;
 	readonly meetAt: (address: Address) => Promise<void>;
-	/** Makes this instance known to everyone in its data centre, so that they hand accounts over. */
-	readonly announce: () => void;
+	/**
+	Makes this instance known to everyone in its data centre, so that they hand accounts over, and fetches the
+	homes of programs from a warm peer. Resolves to whether it has them.
+	*/
+	readonly takeOver: () => Promise<boolean>;
 	readonly records: BudgetRecords;
 	readonly ledger: TokenLedger;
 	readonly clock: Clock;
@@ -70,6 +73,14 @@
 		await Promise.all(loaded.addresses.map(async address => options.meetAt(address)));
 	}
 
+	async function takeOver(signal: AbortSignal): Promise<void> {
+		const isComplete = await options.takeOver();
+		if (isComplete) {
+			await clock.sleep(as<Milliseconds>(handOverMs), signal);
+			finish('peers', ledger.programs().length);
+		}
+	}
+
 	async function warm(signal: AbortSignal): Promise<void> {
 		if (options.isFirstStart) {
 			finish('first-start', 0);
@@ -77,15 +88,21 @@
 		}
 
 		const startedAt = clock.now();
-		while (!isWarm && !signal.aborted) {
+		for (;;) {
 			await clock.sleep(as<Milliseconds>(retryMs), signal);
+			if (signal.aborted) {
+				return;
+			}
+
 			if (options.hasWarmPeer()) {
-				options.announce();
-				await clock.sleep(as<Milliseconds>(handOverMs), signal);
-				finish('peers', ledger.programs().length);
+				await takeOver(signal);
 			} else if (clock.now() - startedAt >= searchMs) {
 				await loadRecords();
 			}
+
+			if (isWarm) {
+				return;
+			}
 		}
 	}
 
--- a/tests/budget-keepers.test.ts
+++ b/tests/budget-keepers.test.ts
@@ -64,6 +64,12 @@
 			isWarm: () => node.isWarm,
 			onEvent: () => undefined,
 			peers: {
+				post(address, message) {
+					const target = nodes.get(address);
+					if (target?.isUp && reaches(id, address)) {
+						void target.keepers.answer(message);
+					}
+				},
 				async ask(address, message, {timeout, tries}) {
 					const target = nodes.get(address);
 					if (!target?.isUp || !reaches(id, address)) {
