--- a/src/zones/budget-keepers.ts
+++ b/src/zones/budget-keepers.ts
@@ -44,6 +44,9 @@
 /** How often accounts that have lapsed are dropped, and failed messages about accounts are sent again. */
 const maintenanceMs = 1000;
 
+/** Forwarded reservations that are remembered until they are settled; an entry that died never settles its own. */
+const mostForwarded = 2000;
+
 const retryAfterMs = 300;
 
 /** Decisions about the budget of one request. */
@@ -76,6 +79,12 @@
 	readonly onEvent: (event: BudgetEvent) => void;
 };
 
+/** How a keeper is asked: as the home or in its place, and whether by an entry or by another keeper. */
+type Asking = {readonly isHomeUnreachable: boolean; readonly isForwarded: boolean};
+
+const direct: Asking = {isHomeUnreachable: false, isForwarded: false};
+const forwarding: Asking = {isHomeUnreachable: false, isForwarded: true};
+
 /** A keeper's word, and who said it; undefined stands for this instance. */
 type Word = {readonly outcome: ReservationOutcome; readonly keeper: Member | undefined};
 
@@ -87,6 +96,9 @@
 	const homes = new Map<ProgramId, DataCentreId>();
 	/** Programs that this instance made this data centre the home of. */
 	const claimed = new Set<ProgramId>();
+	/** Keepers that granted what this instance was asked for. */
+	const forwarded = new Map<AttemptId, Member>();
+	const recording = new Set<ProgramId>();
 	const sharing = createBudgetSharing(options);
 	const {markDirty} = sharing;
 
@@ -110,7 +122,8 @@
 		const {program, retention} = account;
 		const self = options.self();
 		const home = ledger.home(program);
-		if (home === self.dataCentre && ledger.unrecorded(program) > 0 && ranked(self.dataCentre, program)[0]?.id === self.id) {
+		const isMissing = ledger.unrecorded(program) > 0 && !recording.has(program);
+		if (home === self.dataCentre && isMissing && ranked(self.dataCentre, program)[0]?.id === self.id) {
 			const used = as<Tokens>((ledger.account(program)?.recorded ?? 0) + ledger.unrecorded(program));
 			void writeRecord({program, used, retention});
 		}
@@ -127,7 +140,9 @@
 	}
 
 	async function writeRecord(record: BudgetRecord): Promise<boolean> {
+		recording.add(record.program);
 		const isWritten = await records.write(record);
+		recording.delete(record.program);
 		if (isWritten) {
 			ledger.markRecorded(record.program, record.used);
 			markDirty(record.program);
@@ -203,13 +218,22 @@
 		}
 	}
 
-	function settleHere(program: ProgramId, attempt: ReservationRequest['attempt'], used: ReservationRequest['most']): void {
+	function settleHere(program: ProgramId, attempt: AttemptId, used: Tokens): void {
+		const keeper = forwarded.get(attempt);
+		if (keeper) {
+			forwarded.delete(attempt);
+			settleAt(keeper, program, attempt, used);
+			return;
+		}
+
 		ledger.settle(program, attempt, used, clock.now());
 		markDirty(program);
 	}
 
-	async function askKeeper(keeper: Member, request: ReservationRequest, isHomeUnreachable: boolean): Promise<ReservationOutcome | undefined> {
-		const reply = await options.peers.ask(keeper.address, {kind: 'reserve', reservation: request, isHomeUnreachable}, {
+	async function askKeeper(keeper: Member, request: ReservationRequest, {isHomeUnreachable, isForwarded}: Asking): Promise<ReservationOutcome | undefined> {
+		const reply = await options.peers.ask(keeper.address, {
+			kind: 'reserve', reservation: request, isHomeUnreachable, isForwarded,
+		}, {
 			timeout: as<Milliseconds>(askTimeoutMs), tries: askTries,
 		});
 		if (reply?.kind === 'reservation') {
@@ -226,7 +250,7 @@
 	}
 
 	/** Asks the keepers of a data centre in turn; undefined when none has an answer. */
-	async function askDataCentre(dataCentre: DataCentreId, request: ReservationRequest, isHomeUnreachable: boolean): Promise<Word | undefined> {
+	async function askDataCentre(dataCentre: DataCentreId, request: ReservationRequest, asking: Asking): Promise<Word | undefined> {
 		const self = options.self();
 		const now = clock.now();
 		if ((cutOffUntil.get(dataCentre) ?? 0) > now) {
@@ -237,7 +261,7 @@
 		const keepers = ranked(dataCentre, request.program).filter(member => (silentUntil.get(member.id) ?? 0) <= now);
 		for (const keeper of keepers.slice(0, mostAsked)) {
 			const isSelf = keeper.id === self.id;
-			const outcome = isSelf ? await keep(request, isHomeUnreachable) : await askKeeper(keeper, request, isHomeUnreachable);
+			const outcome = isSelf ? await keep(request, asking.isHomeUnreachable) : await askKeeper(keeper, request, asking);
 			if (outcome && outcome.kind !== 'cold') {
 				return {outcome, keeper: isSelf ? undefined : keeper};
 			}
@@ -255,29 +279,68 @@
 	/** Finds the program's home and asks it; undefined when it cannot be reached. */
 	async function askHome(request: ReservationRequest): Promise<Word | undefined> {
 		const first = homes.get(request.program) ?? options.self().dataCentre;
-		const word = await askDataCentre(first, request, false);
+		const word = await askDataCentre(first, request, direct);
 		if (word?.outcome.kind !== 'elsewhere') {
 			return word;
 		}
 
 		homes.set(request.program, word.outcome.home);
-		const second = await askDataCentre(word.outcome.home, request, false);
+		const second = await askDataCentre(word.outcome.home, request, direct);
 		return second?.outcome.kind === 'elsewhere' ? undefined : second;
 	}
 
-	function settler(keeper: Member | undefined, request: ReservationRequest): Extract<Reservation, {kind: 'granted'}>['settle'] {
+	function settleAt(keeper: Member, program: ProgramId, attempt: AttemptId, used: Tokens): void {
+		void options.peers.ask(keeper.address, {
+			kind: 'settle', program, attempt, used,
+		}, {timeout: as<Milliseconds>(settleTimeoutMs), tries: settleTries});
+	}
+
+	function settler(keeper: Member | undefined, {program, attempt}: ReservationRequest): Extract<Reservation, {kind: 'granted'}>['settle'] {
 		return used => {
-			if (!keeper) {
-				settleHere(request.program, request.attempt, used);
-				return;
+			if (keeper) {
+				settleAt(keeper, program, attempt, used);
+			} else {
+				settleHere(program, attempt, used);
 			}
-
-			void options.peers.ask(keeper.address, {
-				kind: 'settle', program: request.program, attempt: request.attempt, used,
-			}, {timeout: as<Milliseconds>(settleTimeoutMs), tries: settleTries});
 		};
 	}
 
+	function rememberForward(attempt: AttemptId, {outcome, keeper}: Word): void {
+		if (outcome.kind !== 'granted' || !keeper) {
+			return;
+		}
+
+		forwarded.set(attempt, keeper);
+		const [oldest] = forwarded.keys();
+		if (forwarded.size > mostForwarded && oldest !== undefined) {
+			forwarded.delete(oldest);
+		}
+	}
+
+	/**
+	Answers an entry. Views differ after a cut: the entry may have asked an instance that is not the keeper, or
+	one that reaches the home although the entry does not. Such an instance asks in the entry's place.
+	*/
+	async function answerEntry(request: ReservationRequest, isHomeUnreachable: boolean): Promise<ReservationOutcome> {
+		const self = options.self();
+		const home = ledger.home(request.program) ?? self.dataCentre;
+		const isKeeper = ranked(self.dataCentre, request.program)[0]?.id === self.id;
+		const isHome = home === self.dataCentre;
+		if (options.isWarm() && (isHome ? !isKeeper : isHomeUnreachable)) {
+			const word = await askDataCentre(home, request, forwarding);
+			if (word?.keeper && word.outcome.kind !== 'elsewhere') {
+				rememberForward(request.attempt, word);
+				return word.outcome;
+			}
+
+			if (word && !word.keeper) {
+				return word.outcome;
+			}
+		}
+
+		return keep(request, isHomeUnreachable);
+	}
+
 	function toReservation({outcome, keeper}: Word, request: ReservationRequest): Reservation {
 		switch (outcome.kind) {
 			case 'granted': {
@@ -301,7 +364,7 @@
 		const home = homes.get(request.program) ?? ledger.home(request.program);
 		const dataCentres = [...new Set(options.members().map(member => member.dataCentre))].filter(dataCentre => dataCentre !== home);
 		for (const dataCentre of rankDataCentres(request.program, dataCentres)) {
-			const word = await askDataCentre(dataCentre, request, true);
+			const word = await askDataCentre(dataCentre, request, {isHomeUnreachable: true, isForwarded: false});
 			if (word) {
 				return word;
 			}
@@ -331,7 +394,8 @@
 		async answer(message) {
 			switch (message.kind) {
 				case 'reserve': {
-					return {kind: 'reservation', outcome: await keep(message.reservation, message.isHomeUnreachable)};
+					const {reservation, isHomeUnreachable, isForwarded} = message;
+					return {kind: 'reservation', outcome: isForwarded ? await keep(reservation, isHomeUnreachable) : await answerEntry(reservation, isHomeUnreachable)};
 				}
 
 				case 'settle': {
--- a/src/zones/relay-peers.ts
+++ b/src/zones/relay-peers.ts
@@ -20,7 +20,7 @@
 /** A short message that expects a reply. */
 export type RelayMessage
 	= | {readonly kind: 'gossip'; readonly gossip: Gossip}
-		| {readonly kind: 'reserve'; readonly reservation: ReservationRequest; readonly isHomeUnreachable: boolean}
+		| {readonly kind: 'reserve'; readonly reservation: ReservationRequest; readonly isHomeUnreachable: boolean; readonly isForwarded: boolean}
 		| {readonly kind: 'settle'; readonly program: ProgramId; readonly attempt: AttemptId; readonly used: Tokens}
 		| {readonly kind: 'accounts'; readonly accounts: readonly Account[]; readonly isPassedOn: boolean}
 	/** Changes of the list of endpoints. */
