Leave half of the allowed overrun to guests, and let a keeper that took over confirm its home

With the smaller share a test found that a keeper which took over and could grant nothing yet never told the other data centres, and so stayed contested (200 of 500 granted).

--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -46,14 +46,17 @@
 What a counting instance may grant:
 - `home`: the whole budget.
 - `contested`: another data centre cannot be told about the program and may grant it too. Each side grants
-  half of the budget and half a call, together the budget and the one call by which it may be overrun.
-- `guest`: the home cannot be reached and may grant the whole budget. Half a call beyond the one by which a
-  budget may be overrun, as ended calls use a fraction of their most.
+  half of the budget and a quarter of a call, together half of the call by which a budget may be overrun.
+- `guest`: the home cannot be reached and may grant the whole budget. One call, and as much more as an ended
+  call usually leaves of its most: the other half of the overrun, and what ended calls do not use.
 */
 export type Entitlement = 'home' | 'contested' | 'guest';
 
-/** Calls at their most that a guest may grant at a time. */
-const guestCalls = 1.5;
+/** Calls at their most that a guest may grant; ended calls use about a quarter of it. */
+const guestCalls = 1.25;
+
+/** Share of a call that each side of a contest may grant beyond half of the budget. */
+const contestedShare = 0.25;
 
 export type LedgerDecision
 	= | {readonly kind: 'granted'}
@@ -148,7 +151,7 @@
 			}
 
 			case 'contested': {
-				return {used, limit: (budget + most) / 2};
+				return {used, limit: (budget / 2) + (most * contestedShare)};
 			}
 
 			case 'guest': {
--- a/src/zones/budget-counter.ts
+++ b/src/zones/budget-counter.ts
@@ -158,6 +158,8 @@
 			}
 
 			case 'withheld': {
+				// A keeper that has taken over is entitled to more once it has told everyone.
+				markDirty(program);
 				options.onEvent({
 					kind: 'withheld', request: request.attempt, program, entitlement, used: decision.used, budget: request.budget,
 				});
