--- a/src/contracts/id.ts
+++ b/src/contracts/id.ts
@@ -39,6 +39,12 @@
 	return value as Branded;
 }
 
+/** Host and port that an address names. */
+export function splitAddress(address: Address): {readonly host: string; readonly port: number} {
+	const [host = '', port = '0'] = address.split(':');
+	return {host, port: Number(port)};
+}
+
 /** Number of shards that the programs of one data centre are spread over. */
 export const shardsPerDataCentre = 32;
 
--- a/src/links/datagrams.ts
+++ b/src/links/datagrams.ts
@@ -6,7 +6,9 @@
 import {createSocket} from 'node:dgram';
 import {once} from 'node:events';
 import {describeError} from '../contracts/failure.js';
-import {as, type Address, type Milliseconds} from '../contracts/id.js';
+import {
+	as, type Address, type Milliseconds, splitAddress,
+} from '../contracts/id.js';
 import {
 	type MessageOptions, type RelayMessage, type RelayReply,
 } from '../zones/relay-peers.js';
@@ -30,24 +32,18 @@
 	readonly signal: AbortSignal;
 };
 
-function split(address: Address): {readonly host: string; readonly port: number} {
-	const [host = '', port = '0'] = address.split(':');
-	return {host, port: Number(port)};
-}
-
 /** Opens the socket. Resolves once the port is bound; the socket closes when the signal aborts. */
 export async function openDatagrams(options: DatagramsOptions): Promise<Datagrams> {
 	const socket = createSocket('udp4');
 	const waiting = new Map<number, (reply: RelayReply) => void>();
 	let lastNumber = 0;
-	let isClosed = false;
 
 	function send(address: Address, packet: Packet): void {
-		if (isClosed) {
+		if (options.signal.aborted) {
 			return;
 		}
 
-		const {host, port} = split(address);
+		const {host, port} = splitAddress(address);
 		socket.send(Buffer.from(JSON.stringify(packet)), port, host, error => {
 			if (error) {
 				options.onProblem(`datagram to ${address}: ${describeError(error)}`);
@@ -106,7 +102,6 @@
 	socket.bind(options.port, options.host);
 	await once(socket, 'listening');
 	options.signal.addEventListener('abort', () => {
-		isClosed = true;
 		socket.close();
 	}, {once: true});
 	return {
--- a/src/links/log.ts
+++ b/src/links/log.ts
@@ -3,7 +3,9 @@
 */
 import process from 'node:process';
 import bunyan from 'bunyan';
+import {type Milliseconds} from '../contracts/id.js';
 import {type InstanceEvent} from '../machines/instance.js';
+import {type Member} from '../zones/membership.js';
 
 export type Log = bunyan;
 
@@ -14,6 +16,18 @@
 	});
 }
 
+/** Writes that another instance came, went or is in doubt. */
+export function logMember(log: Log, member: Member): void {
+	log.info({
+		event: 'member', member: member.id, status: member.status, incarnation: member.incarnation,
+	}, 'member changed');
+}
+
+/** Writes that this process stood still. */
+export function logPause(log: Log, gap: Milliseconds): void {
+	log.warn({event: 'paused', gapMs: Math.round(gap)}, 'process was paused');
+}
+
 /** Writes an event of an instance. */
 export function logEvent(log: Log, event: InstanceEvent): void {
 	switch (event.kind) {
@@ -23,14 +37,12 @@
 		}
 
 		case 'member': {
-			log.info({
-				event: 'member', member: event.member.id, status: event.member.status, incarnation: event.member.incarnation,
-			}, 'member changed');
+			logMember(log, event.member);
 			return;
 		}
 
 		case 'paused': {
-			log.warn({event: 'paused', gapMs: Math.round(event.gap)}, 'process was paused');
+			logPause(log, event.gap);
 			return;
 		}
 
--- a/src/links/relay-operator.ts
+++ b/src/links/operator-server.ts
@@ -1,23 +1,26 @@
 /**
-Link to operators of a relaying instance: metrics and a state dump, on an address that callers do not reach.
+What every process serves to its operators: metrics and a state dump. Served on an address of its own,
+which callers do not reach.
 */
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
-import polka from 'polka';
+import polka, {type Router} from 'polka';
 import {describeError, failure} from '../contracts/failure.js';
-import {type RelayInstance} from '../machines/relay-instance.js';
 import {sendFailure, sendJson} from './reply.js';
-import {type RelayMetrics} from './relay-metrics.js';
 
-export type RelayOperatorOptions = {
-	readonly instance: Pick<RelayInstance, 'dump'>;
-	readonly metrics: RelayMetrics;
+export type OperatorListener = {
+	/** Names this process in failures. */
+	readonly id: string;
 	readonly host: string;
 	readonly port: number;
+	readonly metrics: {readonly text: () => Promise<string>};
+	readonly dump: () => unknown;
+	/** Adds what this process serves beside. */
+	readonly define?: (app: Router) => void;
 };
 
 /** Serves operators. Resolves once the port is bound. */
-export async function serveRelayOperators(options: RelayOperatorOptions): Promise<Server> {
+export async function openOperatorServer(listener: OperatorListener): Promise<Server> {
 	const server = createServer();
 	const app = polka({
 		server,
@@ -26,17 +29,18 @@
 		},
 	});
 	app.get('/metrics', (_request, response) => {
-		options.metrics.text().then(text => {
+		listener.metrics.text().then(text => {
 			response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
 			response.end(text);
 		}, (error: unknown) => {
-			sendFailure(response, failure('internal', describeError(error), {step: 'validate', peer: 'operator'}));
+			sendFailure(response, failure('internal', describeError(error), {step: 'validate', peer: listener.id}));
 		});
 	});
 	app.get('/dump', (_request, response) => {
-		sendJson(response, 200, options.instance.dump());
+		sendJson(response, 200, listener.dump());
 	});
-	app.listen(options.port, options.host);
+	listener.define?.(app);
+	app.listen(listener.port, listener.host);
 	await once(server, 'listening');
 	return server;
 }
--- a/src/links/relay-log.ts
+++ b/src/links/relay-log.ts
@@ -7,7 +7,7 @@
 import {type SharedTablesEvent} from '../zones/shared-tables.js';
 import {type RelayResult} from '../contracts/relay-attempt.js';
 import {type RelayRequest} from '../contracts/relay-request.js';
-import {type Log} from './log.js';
+import {type Log, logMember, logPause} from './log.js';
 
 /** Lines a second about requests that were served as expected; failures are always written. */
 const ordinaryLinesPerSecond = 50;
@@ -135,14 +135,12 @@
 		}
 
 		case 'member': {
-			log.info({
-				event: 'member', member: event.member.id, status: event.member.status, incarnation: event.member.incarnation,
-			}, 'member changed');
+			logMember(log, event.member);
 			return;
 		}
 
 		case 'paused': {
-			log.warn({event: 'paused', gapMs: Math.round(event.gap)}, 'process was paused');
+			logPause(log, event.gap);
 		}
 	}
 }
--- a/src/machines/fleet.ts
+++ b/src/machines/fleet.ts
@@ -9,6 +9,7 @@
 import {
 	as, type DataCentreId, type EndpointId, type Milliseconds, type PoolName, type RouteName,
 } from '../contracts/id.js';
+import {median} from '../contracts/median.js';
 import {type Pool} from '../contracts/pool.js';
 import {type Route} from '../contracts/route.js';
 import {
@@ -69,11 +70,6 @@
 	return backEnd.endpoint.address === endpoint?.address && backEnd.endpoint.checksFencing === endpoint.checksFencing;
 }
 
-function median(values: readonly number[]): number {
-	const sorted = values.toSorted((left, right) => left - right);
-	return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
-}
-
 /** Creates a fleet without back ends. */
 export function createFleet(options: FleetOptions): Fleet {
 	const {clock, dataCentre} = options;
@@ -107,7 +103,7 @@
 	/** Medians over the endpoints that were observed from here. */
 	function observedPace(group: Group): Pace {
 		const paces = group.backEnds.map(backEnd => backEnd.pace());
-		const typical = (value: (pace: Pace) => number) => median(paces.map(pace => value(pace)).filter(time => time > 0));
+		const typical = (value: (pace: Pace) => number) => median(paces.map(pace => value(pace)).filter(time => time > 0)) ?? 0;
 		return {call: typical(pace => pace.call), firstToken: typical(pace => pace.firstToken), token: typical(pace => pace.token)};
 	}
 
--- a/src/machines/relay-placement.ts
+++ b/src/machines/relay-placement.ts
@@ -3,11 +3,12 @@
 currency, expected milliseconds. Part of the price of a prompt depends only on a hash of its first part,
 so that instances choose alike without talking.
 */
-import {createHash} from 'node:crypto';
 import {
 	type DataCentreId, type EndpointId, type Milliseconds,
 } from '../contracts/id.js';
+import {median} from '../contracts/median.js';
 import {type PromptPart} from '../contracts/relay-request.js';
+import {ownerByRendezvous} from '../contracts/rendezvous.js';
 import {type RelayEndpoint} from './relay-endpoint.js';
 
 /** Time to compute one prompt token on a current accelerator: about 50 tokens a ms. */
@@ -49,17 +50,8 @@
 	return tookMs / (1 + (crowdingShare * load));
 }
 
-function weigh(endpoint: EndpointId, key: string): number {
-	return createHash('sha1').update(`${endpoint}|${key}`).digest().readUInt32BE();
-}
-
-function median(values: readonly number[]): number | undefined {
-	const sorted = values.toSorted((left, right) => left - right);
-	return sorted[Math.floor((sorted.length - 1) / 2)];
-}
-
 /** Median of the paces that were observed lately, in ms. */
-export function typicalPace(endpoints: readonly RelayEndpoint[], now: Milliseconds): number {
+function typicalPace(endpoints: readonly RelayEndpoint[], now: Milliseconds): number {
 	return median(endpoints.flatMap(endpoint => endpoint.recentPace(now) ?? [])) ?? assumedPaceMs;
 }
 
@@ -71,15 +63,7 @@
 	}
 
 	const local = endpoints.filter(endpoint => endpoint.listed().dataCentre === query.dataCentre);
-	let best: {readonly endpoint: RelayEndpoint; readonly weight: number} | undefined;
-	for (const endpoint of local) {
-		const weight = weigh(endpoint.listed().id, first.id);
-		if (!best || weight > best.weight) {
-			best = {endpoint, weight};
-		}
-	}
-
-	return best?.endpoint;
+	return ownerByRendezvous(local, endpoint => endpoint.listed().id, first.id);
 }
 
 function missingTokens(endpoint: RelayEndpoint, query: RelayQuery, isHome: boolean): number {
