Pass a program's home on once, not with each call

Cause: each account that a keeper shares within its home was passed on again to everyone there, by each of two receivers, on every reservation and settlement. What other data centres tell is passed on as before.

--- a/src/zones/budget-sharing.ts
+++ b/src/zones/budget-sharing.ts
@@ -44,7 +44,7 @@
 	readonly announceClaim: (program: ProgramId) => void;
 	/** Whether every other data centre knows the program's home, and none can have granted calls that are not known here. */
 	readonly isUncontested: (program: ProgramId) => boolean;
-	/** Passes on to this data centre what another one told. */
+	/** Passes on to this data centre the homes that another one told; its own it has announced itself. */
 	readonly passOn: (accounts: readonly Account[]) => void;
 	/** Members came or went: whoever counts next has to know the accounts of this home. */
 	readonly rebalance: () => void;
@@ -199,7 +199,8 @@
 		}
 	}
 
-	function passOn(accounts: readonly Account[]): void {
+	/** Tells everyone in this data centre where programs are at home. */
+	function tellNeighbours(accounts: readonly Account[]): void {
 		const self = options.self();
 		for (const member of candidatesIn(self.dataCentre, options.members())) {
 			if (member.id !== self.id) {
@@ -216,7 +217,7 @@
 				noteClaim(program);
 				dirty.add(program);
 				share();
-				passOn([account]);
+				tellNeighbours([account]);
 			}
 		},
 		isUncontested(program) {
@@ -227,7 +228,13 @@
 
 			return claim.knownAt - claim.at <= promptMs || clock.now() - claim.knownAt >= reconcileMs;
 		},
-		passOn,
+		passOn(accounts) {
+			const {dataCentre} = options.self();
+			const foreign = accounts.filter(account => account.home !== dataCentre);
+			if (foreign.length > 0) {
+				tellNeighbours(foreign);
+			}
+		},
 		rebalance() {
 			const {dataCentre} = options.self();
 			for (const program of ledger.programs()) {
--- a/tests/budget-keepers.test.ts
+++ b/tests/budget-keepers.test.ts
@@ -26,6 +26,8 @@
 
 type Cluster = {
 	readonly clock: FakeClock;
+	/** Messages so far that expect no reply. */
+	readonly posts: () => number;
 	readonly node: (id: string) => Node;
 	readonly isCut: Set<string>;
 	/** Members that an instance believes to be dead. */
@@ -43,6 +45,7 @@
 	const isCut = new Set<string>();
 	const believedDead = new Map<string, readonly string[]>();
 	let lives = 0;
+	let posts = 0;
 
 	function zoneOf(id: string): string {
 		return id.slice(0, 1);
@@ -68,6 +71,7 @@
 			onEvent: () => undefined,
 			peers: {
 				post(address, message) {
+					posts++;
 					const target = nodes.get(address);
 					if (target?.isUp && reaches(id, address)) {
 						void target.keepers.answer(message);
@@ -106,6 +110,7 @@
 
 	return {
 		clock,
+		posts: () => posts,
 		isCut,
 		believedDead,
 		node: nodeOf,
@@ -295,3 +300,11 @@
 		assert.ok(before + after <= 500 + most, `${before + after} of 500`);
 	});
 }
+
+test('the home of a program is passed on once, not with each call', async () => {
+	const cluster = createCluster(instances);
+	await spend(cluster, ['a1'], 2000, 1);
+	const claimed = cluster.posts();
+	await spend(cluster, ['a1', 'b1', 'c1'], 2000, 6);
+	assert.equal(cluster.posts(), claimed);
+});
