Derive state where it can be derived, and drop what nothing uses

Unused: connections opened, the stale-read option, a data centre in each job, a guard on a release that is called once. Events were turned into text twice each. Loading records answers with a Result, as the rest does. Behaviour as it was.

--- a/src/contracts/object-store.ts
+++ b/src/contracts/object-store.ts
@@ -44,7 +44,7 @@
 
 /** Failures have the code `platform-unavailable`. */
 export type ObjectStore = {
-	readonly list: (kind: string, options: {readonly mayBeStale: boolean}) => Promise<Result<ObjectList, Failure>>;
+	readonly list: (kind: string) => Promise<Result<ObjectList, Failure>>;
 	/** Waits until an object of the kind has changed since the revision, at most for the time given. */
 	readonly watch: (kind: string, since: ObjectVersion, wait: Milliseconds, signal: AbortSignal) => Promise<WatchResult>;
 	readonly create: (kind: string, name: ObjectName, spec: unknown) => Promise<WriteResult>;
--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -32,6 +32,11 @@
 	readonly slots: readonly LedgerSlot[];
 };
 
+/** What instances outside its home need of an account: where the home is. */
+export function claimOf(account: Account): Account {
+	return {...account, slots: []};
+}
+
 export type ReservationRequest = {
 	readonly program: ProgramId;
 	readonly attempt: AttemptId;
@@ -84,6 +89,7 @@
 	/** Tokens used or reserved beyond the store's record. */
 	readonly unrecorded: (program: ProgramId) => Tokens;
 	readonly programs: () => readonly ProgramId[];
+	readonly accounts: () => readonly Account[];
 	/** Drops programs that were not heard of for their retention. */
 	readonly expire: (now: Milliseconds) => void;
 };
@@ -112,6 +118,12 @@
 	return total;
 }
 
+function toAccount(program: ProgramId, entry: Entry): Account {
+	return {
+		program, home: entry.home, recorded: entry.recorded, retention: entry.retention, slots: [...entry.slots.values()],
+	};
+}
+
 /** Creates an empty ledger; `counter` names this life of this instance. */
 export function createTokenLedger(counter: string): TokenLedger {
 	const entries = new Map<ProgramId, Entry>();
@@ -229,10 +241,9 @@
 		},
 		account(program) {
 			const entry = entries.get(program);
-			return entry && {
-				program, home: entry.home, recorded: entry.recorded, retention: entry.retention, slots: [...entry.slots.values()],
-			};
+			return entry && toAccount(program, entry);
 		},
+		accounts: () => [...entries].map(([program, entry]) => toAccount(program, entry)),
 		hasCounted: program => entries.get(program)?.slots.has(counter) ?? false,
 		unrecorded(program) {
 			const entry = entries.get(program);
--- a/src/links/connections.ts
+++ b/src/links/connections.ts
@@ -39,8 +39,6 @@
 export type Connections = {
 	/** Runs one exchange. Never rejects. */
 	readonly exchange: (address: Address, exchange: Exchange) => Promise<ExchangeEnd>;
-	/** Connections opened so far. */
-	readonly opened: () => number;
 };
 
 type Kept = {readonly client: Client; idleSince: number};
@@ -52,7 +50,6 @@
 	}, connectTimeoutMs);
 	const fail = (error: Error) => {
 		clearTimeout(timer);
-
 		callback(error, null);
 	};
 
@@ -60,7 +57,6 @@
 	socket.once('connect', () => {
 		clearTimeout(timer);
 		socket.off('error', fail);
-
 		callback(null, socket);
 	});
 }
@@ -72,10 +68,8 @@
 /** Creates an empty set of connections. They close when the signal aborts. */
 export function createConnections(signal: AbortSignal): Connections {
 	const idle = new Map<Address, Kept[]>();
-	let opened = 0;
 
 	function open(address: Address): Kept {
-		opened++;
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
 			connect: connector,
@@ -194,5 +188,5 @@
 
 		idle.clear();
 	}, {once: true});
-	return {exchange, opened: () => opened};
+	return {exchange};
 }
--- a/src/links/event-blocks.ts
+++ b/src/links/event-blocks.ts
@@ -17,28 +17,31 @@
 	readonly isPartial: () => boolean;
 };
 
-/** Length of the first block in `text`, with its blank line, or -1. */
-function blockLength(text: string): number {
-	const unix = text.indexOf('\n\n');
-	const dos = text.indexOf('\r\n\r\n');
-	if (dos !== -1 && (unix === -1 || dos < unix)) {
-		return dos + 4;
-	}
-
-	return unix === -1 ? -1 : unix + 2;
-}
+const unixBlank = '\n\n';
+const dosBlank = '\r\n\r\n';
 
 /** Creates a splitter at the start of a stream. */
 export function createEventBlocks(): EventBlocks {
 	let rest = Buffer.alloc(0);
+
+	/** Length of the first whole block, with its blank line, or -1. */
+	function blockLength(): number {
+		const unix = rest.indexOf(unixBlank);
+		const dos = rest.indexOf(dosBlank);
+		if (dos !== -1 && (unix === -1 || dos < unix)) {
+			return dos + dosBlank.length;
+		}
+
+		return unix === -1 ? -1 : unix + unixBlank.length;
+	}
+
 	return {
 		push(bytes) {
 			rest = Buffer.concat([rest, bytes]);
 			const events: StreamEvent[] = [];
-			for (let text = rest.toString('latin1'); blockLength(text) !== -1; text = rest.toString('latin1')) {
-				const length = blockLength(text);
+			for (let length = blockLength(); length !== -1; length = blockLength()) {
 				const block = rest.subarray(0, length);
-				const id = idLine.exec(text.slice(0, length))?.[1];
+				const id = idLine.exec(block.toString('latin1'))?.[1];
 				if (id === undefined) {
 					return undefined;
 				}
--- a/src/machines/relay-endpoint.ts
+++ b/src/machines/relay-endpoint.ts
@@ -28,7 +28,7 @@
 export type RelayEndpoint = {
 	readonly listed: () => ListedEndpoint;
 	readonly update: (listed: ListedEndpoint) => void;
-	/** Counts a request in flight until the returned function is called. */
+	/** Counts a request in flight until the returned function is called, once. */
 	readonly occupy: () => () => void;
 	readonly inFlight: () => number;
 	/** Requests of this instance, and of others by their fading reports. */
@@ -83,10 +83,8 @@
 		},
 		occupy() {
 			inFlight++;
-			let isHeld = true;
 			return () => {
-				inFlight -= isHeld ? 1 : 0;
-				isHeld = false;
+				inFlight--;
 			};
 		},
 		inFlight: () => inFlight,
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -14,7 +14,7 @@
 import {type RelayLink} from '../contracts/relay-attempt.js';
 import {type RelayDigest} from '../contracts/relay-digest.js';
 import {createRoutingTable, type RoutingTable} from '../contracts/routing-table.js';
-import {createTokenLedger} from '../contracts/token-ledger.js';
+import {claimOf, createTokenLedger} from '../contracts/token-ledger.js';
 import {type BudgetEvent} from '../zones/budget-event.js';
 import {createBudgetKeepers} from '../zones/budget-keepers.js';
 import {type BudgetRecords} from '../zones/budget-records.js';
@@ -96,8 +96,8 @@
 	const ledger = createTokenLedger(`${id}@${incarnation}`);
 	const digests = new Map<InstanceId, RelayDigest>();
 	let table: RoutingTable | undefined;
-	let isLeaving = false;
 
+	const isLeaving = () => membership.self().status === 'leaving';
 	const others = () => membership.members().filter(member => member.id !== id && member.status !== 'dead');
 	const tables = createSharedTables({
 		address,
@@ -266,15 +266,12 @@
 		relay,
 		answer,
 		limits: () => table?.configuration.limits,
-		isReady: () => table !== undefined && warmUp.isWarm() && !isLeaving,
+		isReady: () => table !== undefined && warmUp.isWarm() && !isLeaving(),
 		greeting: () => ({self: membership.self(), members: membership.members(), digest: tables.digest()}),
 		snapshot: () => ({
-			configuration: tables.configuration(),
+			configuration: table?.configuration,
 			entries: tables.entries(),
-			accounts: ledger.programs().flatMap(program => {
-				const account = ledger.account(program);
-				return account ? [{...account, slots: []}] : [];
-			}),
+			accounts: ledger.accounts().map(account => claimOf(account)),
 		}),
 		async run(signal) {
 			await Promise.all([
@@ -282,7 +279,6 @@
 			]);
 		},
 		async leave() {
-			isLeaving = true;
 			const left = neighbourhood.leave();
 			// Whoever counts next has to know the accounts of this instance.
 			budgets.rebalance();
@@ -298,13 +294,13 @@
 		}),
 		dump: () => ({
 			id,
-			isLeaving,
+			isLeaving: isLeaving(),
 			isWarm: warmUp.isWarm(),
 			digest: tables.digest(),
 			active: relay.active(),
 			storeCalls: store.calls(),
 			members: membership.members(),
-			programs: ledger.programs().map(program => ledger.account(program)),
+			programs: ledger.accounts(),
 			endpoints: fleet.endpoints().map(endpoint => ({
 				...endpoint.listed(), inFlight: endpoint.inFlight(), load: endpoint.load(clock.now()), pace: endpoint.recentPace(clock.now()),
 			})),
--- a/src/machines/relay-job.ts
+++ b/src/machines/relay-job.ts
@@ -4,7 +4,7 @@
 */
 import {type Clock} from '../contracts/clock.js';
 import {
-	as, type ConfigurationGeneration, type DataCentreId, type EndpointId, type Milliseconds,
+	as, type ConfigurationGeneration, type EndpointId, type Milliseconds,
 } from '../contracts/id.js';
 import {type ListedEndpoint, type RelayRoute} from '../contracts/relay.js';
 import {type RelayAttempt, type RelayProgress, type RelayResult} from '../contracts/relay-attempt.js';
@@ -36,7 +36,6 @@
 	readonly fingerprint: string;
 	readonly clock: Clock;
 	readonly signal: AbortSignal;
-	readonly dataCentre: DataCentreId;
 	/** Configuration that the request is handled by. */
 	readonly generation: ConfigurationGeneration;
 	readonly onCrash: (endpoint: EndpointId) => void;
@@ -156,7 +155,6 @@
 		caller,
 		fingerprint: options.fingerprint,
 		signal: options.signal,
-		dataCentre: options.dataCentre,
 		generation: options.generation,
 		elapsed: () => as<Milliseconds>(clock.now() - startedAt),
 		timeLeft: () => as<Milliseconds>(endsAt - clock.now()),
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -6,7 +6,7 @@
 import {createHash} from 'node:crypto';
 import {type Clock, type Random} from '../contracts/clock.js';
 import {
-	as, type EndpointId, type Milliseconds, type PoolName, type Tokens,
+	as, type DataCentreId, type EndpointId, type Milliseconds, type PoolName, type Tokens,
 } from '../contracts/id.js';
 import {nextRelayStep, type RelayLink, type RelayResult} from '../contracts/relay-attempt.js';
 import {
@@ -37,7 +37,7 @@
 	readonly quarantine: Quarantine;
 	readonly clock: Clock;
 	readonly random: Random;
-	readonly dataCentre: RelayJob['dataCentre'];
+	readonly dataCentre: DataCentreId;
 	readonly table: () => RoutingTable | undefined;
 	readonly onEvent: (event: RelayEvent) => void;
 };
@@ -264,7 +264,7 @@
 		const pool = choosePool(route, options.random.fraction());
 		const fingerprint = fingerprintOf(request);
 		const job = createRelayJob({
-			request, route, caller, fingerprint, clock, signal, generation: table.configuration.generation, dataCentre: options.dataCentre, onCrash(endpoint: EndpointId) {
+			request, route, caller, fingerprint, clock, signal, generation: table.configuration.generation, onCrash(endpoint: EndpointId) {
 				if (quarantine.record({fingerprint, endpoint}, clock.now())) {
 					options.onEvent({
 						kind: 'crash-suspected', request, endpoint, fingerprint,
--- a/src/zones/budget-keepers.ts
+++ b/src/zones/budget-keepers.ts
@@ -1,9 +1,8 @@
 /**
 Budgets of programs over all instances. The data centre in which a program is first seen becomes its home;
-there a keeper, chosen by rendezvous hashing, reserves for all entries. The home is told to one keeper in
-each other data centre, and the account to one more instance of the home, which takes over when the keeper
-is gone. Where the home cannot be reached, a local keeper grants a little, so that a cut-off data centre goes
-on serving without overrunning the budget (see `Entitlement`).
+there a keeper, chosen by rendezvous hashing, reserves for all entries. Everyone is told the home, and the
+instances that would count next are told the account. Where the home cannot be reached, another keeper grants
+a little, so that a cut-off data centre goes on serving without overrunning the budget (see `Entitlement`).
 */
 import {
 	as, type AttemptId, type Milliseconds, type ProgramId, type Tokens,
@@ -11,7 +10,7 @@
 import {type Account, type ReservationRequest} from '../contracts/token-ledger.js';
 import {type Reservation, type TokenBudgets} from '../machines/token-budgets.js';
 import {type BudgetCounterOptions, createBudgetCounter} from './budget-counter.js';
-import {createBudgetQueries, forwarding, type Word} from './budget-queries.js';
+import {createBudgetQueries, forwarding, type Ruling} from './budget-queries.js';
 import {type Member} from './membership.js';
 import {isKeeper} from './ownership.js';
 import {type RelayMessage, type RelayReply, type ReservationOutcome} from './relay-peers.js';
@@ -65,7 +64,7 @@
 		};
 	}
 
-	function rememberForward(attempt: AttemptId, {outcome, keeper}: Word): void {
+	function rememberForward(attempt: AttemptId, {outcome, keeper}: Ruling): void {
 		if (outcome.kind !== 'granted' || !keeper) {
 			return;
 		}
@@ -86,21 +85,17 @@
 		const home = ledger.home(request.program) ?? self.dataCentre;
 		const isHome = home === self.dataCentre;
 		if (options.isWarm() && (isHome ? !isKeeper(self, request.program, options.members()) : isHomeUnreachable)) {
-			const word = await queries.askDataCentre(home, request, forwarding);
-			if (word?.keeper && word.outcome.kind !== 'elsewhere') {
-				rememberForward(request.attempt, word);
-				return word.outcome;
-			}
-
-			if (word && !word.keeper) {
-				return word.outcome;
+			const ruling = await queries.askDataCentre(home, request, forwarding);
+			if (ruling && ruling.outcome.kind !== 'elsewhere') {
+				rememberForward(request.attempt, ruling);
+				return ruling.outcome;
 			}
 		}
 
 		return counter.keep(request, isHomeUnreachable);
 	}
 
-	function toReservation({outcome, keeper}: Word, request: ReservationRequest): Reservation {
+	function toReservation({outcome, keeper}: Ruling, request: ReservationRequest): Reservation {
 		switch (outcome.kind) {
 			case 'granted': {
 				return {kind: 'granted', settle: settler(keeper, request)};
--- a/src/zones/budget-queries.ts
+++ b/src/zones/budget-queries.ts
@@ -9,8 +9,11 @@
 import {type BudgetCounter} from './budget-counter.js';
 import {type BudgetEvent} from './budget-event.js';
 import {type Member} from './membership.js';
-import {candidatesIn, rankDataCentres, rankOwners} from './ownership.js';
+import {
+	candidatesIn, dataCentresOf, rankDataCentres, rankOwners,
+} from './ownership.js';
 import {type RelayPeers, type ReservationOutcome} from './relay-peers.js';
+import {createSilence} from './silence.js';
 
 /** Time after which a keeper is asked again; it answers within milliseconds, unless it is short of processor time. */
 const askTimeoutMs = 120;
@@ -22,9 +25,6 @@
 /** Keepers of another data centre that do not answer before it counts as cut off for a while. */
 const mostSilent = 2;
 
-/** Time for which a keeper that did not answer is left out. */
-const unansweredMs = 1500;
-
 /** Timeout and tries of telling a keeper that a call has ended. */
 const settleTimeoutMs = 100;
 const settleTries = 4;
@@ -35,16 +35,16 @@
 const direct: Asking = {isHomeUnreachable: false, isForwarded: false};
 export const forwarding: Asking = {isHomeUnreachable: false, isForwarded: true};
 
-/** A keeper's word, and who said it; undefined stands for this instance. */
-export type Word = {readonly outcome: ReservationOutcome; readonly keeper: Member | undefined};
+/** What a keeper decided, and which; undefined stands for this instance. */
+export type Ruling = {readonly outcome: ReservationOutcome; readonly keeper: Member | undefined};
 
 export type BudgetQueries = {
 	/** Finds the program's home and asks it; undefined when it cannot be reached. */
-	readonly askHome: (request: ReservationRequest) => Promise<Word | undefined>;
+	readonly askHome: (request: ReservationRequest) => Promise<Ruling | undefined>;
 	/** Asks for what may be granted without the home. All that reach each other ask the same keeper. */
-	readonly askGuest: (request: ReservationRequest) => Promise<Word>;
+	readonly askGuest: (request: ReservationRequest) => Promise<Ruling>;
 	/** Asks the keepers of a data centre in turn; undefined when none has an answer. */
-	readonly askDataCentre: (dataCentre: DataCentreId, request: ReservationRequest, asking: Asking) => Promise<Word | undefined>;
+	readonly askDataCentre: (dataCentre: DataCentreId, request: ReservationRequest, asking: Asking) => Promise<Ruling | undefined>;
 	/** Tells a keeper that a call has ended. */
 	readonly settleAt: (keeper: Member, program: ProgramId, attempt: AttemptId, used: Tokens) => void;
 	/** Forgets where programs were found that are not known any more. */
@@ -64,8 +64,8 @@
 /** Creates the asking side of one instance. */
 export function createBudgetQueries(options: BudgetQueriesOptions): BudgetQueries {
 	const {clock, counter} = options;
-	const silentUntil = new Map<InstanceId, Milliseconds>();
-	const cutOffUntil = new Map<DataCentreId, Milliseconds>();
+	const silent = createSilence<InstanceId>(clock);
+	const cutOff = createSilence<DataCentreId>(clock);
 	const homes = new Map<ProgramId, DataCentreId>();
 
 	function ranked(dataCentre: Member['dataCentre'], program: ProgramId): readonly Member[] {
@@ -82,7 +82,7 @@
 			return reply.outcome;
 		}
 
-		silentUntil.set(keeper.id, as<Milliseconds>(clock.now() + unansweredMs));
+		silent.note(keeper.id);
 		options.onEvent({
 			kind: 'keeper-silent', request: request.attempt, program: request.program, keeper: keeper.id,
 		});
@@ -92,15 +92,14 @@
 	}
 
 	/** Asks the keepers of a data centre in turn; undefined when none has an answer. */
-	async function askDataCentre(dataCentre: DataCentreId, request: ReservationRequest, asking: Asking): Promise<Word | undefined> {
+	async function askDataCentre(dataCentre: DataCentreId, request: ReservationRequest, asking: Asking): Promise<Ruling | undefined> {
 		const self = options.self();
-		const now = clock.now();
-		if ((cutOffUntil.get(dataCentre) ?? 0) > now) {
+		if (cutOff.has(dataCentre)) {
 			return undefined;
 		}
 
-		let silent = 0;
-		const keepers = ranked(dataCentre, request.program).filter(member => (silentUntil.get(member.id) ?? 0) <= now);
+		let unanswered = 0;
+		const keepers = ranked(dataCentre, request.program).filter(member => !silent.has(member.id));
 		for (const keeper of keepers.slice(0, mostAsked)) {
 			const isSelf = keeper.id === self.id;
 			const outcome = isSelf ? await counter.keep(request, asking.isHomeUnreachable) : await askKeeper(keeper, request, asking);
@@ -108,9 +107,9 @@
 				return {outcome, keeper: isSelf ? undefined : keeper};
 			}
 
-			silent += outcome ? 0 : 1;
-			if (silent >= mostSilent && dataCentre !== self.dataCentre) {
-				cutOffUntil.set(dataCentre, as<Milliseconds>(clock.now() + unansweredMs));
+			unanswered += outcome ? 0 : 1;
+			if (unanswered >= mostSilent && dataCentre !== self.dataCentre) {
+				cutOff.note(dataCentre);
 				break;
 			}
 		}
@@ -119,15 +118,15 @@
 	}
 
 	/** Finds the program's home and asks it; undefined when it cannot be reached. */
-	async function askHome(request: ReservationRequest): Promise<Word | undefined> {
+	async function askHome(request: ReservationRequest): Promise<Ruling | undefined> {
 		const first = homes.get(request.program) ?? options.self().dataCentre;
-		const word = await askDataCentre(first, request, direct);
-		if (word?.outcome.kind !== 'elsewhere') {
-			return word;
+		const ruling = await askDataCentre(first, request, direct);
+		if (ruling?.outcome.kind !== 'elsewhere') {
+			return ruling;
 		}
 
-		homes.set(request.program, word.outcome.home);
-		const second = await askDataCentre(word.outcome.home, request, direct);
+		homes.set(request.program, ruling.outcome.home);
+		const second = await askDataCentre(ruling.outcome.home, request, direct);
 		return second?.outcome.kind === 'elsewhere' ? undefined : second;
 	}
 
@@ -138,13 +137,13 @@
 	}
 
 	/** Asks for what may be granted without the home. All that reach each other ask the same keeper. */
-	async function askGuest(request: ReservationRequest): Promise<Word> {
+	async function askGuest(request: ReservationRequest): Promise<Ruling> {
 		const home = homes.get(request.program) ?? options.homeOf(request.program);
-		const dataCentres = [...new Set(options.members().map(member => member.dataCentre))].filter(dataCentre => dataCentre !== home);
+		const dataCentres = dataCentresOf(options.members()).filter(dataCentre => dataCentre !== home);
 		for (const dataCentre of rankDataCentres(request.program, dataCentres)) {
-			const word = await askDataCentre(dataCentre, request, {isHomeUnreachable: true, isForwarded: false});
-			if (word) {
-				return word;
+			const ruling = await askDataCentre(dataCentre, request, {isHomeUnreachable: true, isForwarded: false});
+			if (ruling) {
+				return ruling;
 			}
 		}
 
--- a/src/zones/budget-records.ts
+++ b/src/zones/budget-records.ts
@@ -2,6 +2,7 @@
 Records of used tokens in the store: one object an instance, which names the programs that it counts
 for. Requests that come together share a write.
 */
+import {err, ok, type Result} from 'neverthrow';
 import PQueue from 'p-queue';
 import {z} from 'zod';
 import {type Clock} from '../contracts/clock.js';
@@ -28,11 +29,14 @@
 
 export type BudgetRecord = {readonly program: ProgramId; readonly used: Tokens; readonly retention: Milliseconds};
 
+/** What all instances recorded, and where they were. */
+export type StoredRecords = {readonly records: readonly BudgetRecord[]; readonly addresses: readonly Address[]};
+
 export type BudgetRecords = {
 	/** Resolves when the store holds the record, or to false when it gave up. */
 	readonly write: (record: BudgetRecord) => Promise<boolean>;
-	/** Records of all instances, and where those instances were. */
-	readonly load: () => Promise<{readonly records: readonly BudgetRecord[]; readonly addresses: readonly Address[]} | Failure>;
+	/** Fails with `platform-unavailable`. */
+	readonly load: () => Promise<Result<StoredRecords, Failure>>;
 };
 
 export type BudgetRecordsOptions = {
@@ -130,9 +134,9 @@
 			return queue.add(async () => written >= ticket || writeAll());
 		},
 		async load() {
-			const list = await store.list(recordKind, {mayBeStale: false});
+			const list = await store.list(recordKind);
 			if (list.isErr()) {
-				return list.error;
+				return err(list.error);
 			}
 
 			const now = clock.wall();
@@ -148,7 +152,7 @@
 				}
 			}
 
-			return {records, addresses};
+			return ok({records, addresses});
 		},
 	};
 }
--- a/src/zones/budget-sharing.ts
+++ b/src/zones/budget-sharing.ts
@@ -7,10 +7,11 @@
 import {
 	as, type DataCentreId, type InstanceId, type Milliseconds, type ProgramId,
 } from '../contracts/id.js';
-import {type Account, type TokenLedger} from '../contracts/token-ledger.js';
+import {type Account, claimOf, type TokenLedger} from '../contracts/token-ledger.js';
 import {type Member} from './membership.js';
-import {candidatesIn, rankOwners} from './ownership.js';
+import {candidatesIn, dataCentresOf, rankOwners} from './ownership.js';
 import {type RelayPeers} from './relay-peers.js';
+import {createSilence} from './silence.js';
 
 /** Time in which changes of accounts are gathered before keepers are told. */
 const shareDelayMs = 20;
@@ -19,9 +20,6 @@
 const shareTimeoutMs = 40;
 const shareTries = 3;
 
-/** Time for which an instance that did not answer is passed over. */
-const unansweredMs = 1500;
-
 /** Accounts in one message, which has to fit into a datagram. */
 const accountsPerMessage = 4;
 
@@ -67,10 +65,15 @@
 	return `${member.id}@${member.incarnation}`;
 }
 
-/** What others need of an account: the home alone. */
-function claimOf(account: Account): Account {
-	return {...account, slots: []};
-}
+/** How far the news of a program has come. */
+type Telling = {
+	readonly startedAt: Milliseconds;
+	/** When lives of members were last told; they forget the program when they hear no more. */
+	readonly told: Map<string, Milliseconds>;
+	readonly knownIn: Set<DataCentreId>;
+	/** When all data centres knew it. */
+	knownAt: Milliseconds | undefined;
+};
 
 /** Creates the sharing of one instance. */
 export function createBudgetSharing(options: BudgetSharingOptions): BudgetSharing {
@@ -78,82 +81,60 @@
 	const dirty = new Set<ProgramId>();
 	/** Programs whose accounts did not reach everyone. */
 	const untold = new Set<ProgramId>();
-	/** When lives of members were last told of a program; they forget it when they hear no more. */
-	const told = new Map<ProgramId, Map<string, Milliseconds>>();
-	const knownIn = new Map<ProgramId, Set<DataCentreId>>();
-	/** When a program was first told, and when all data centres knew it. */
-	const claims = new Map<ProgramId, {readonly at: Milliseconds; knownAt: Milliseconds | undefined}>();
-	const silentUntil = new Map<InstanceId, Milliseconds>();
+	const tellings = new Map<ProgramId, Telling>();
+	const silent = createSilence<InstanceId>(clock);
 	let isWaiting = false;
 
-	function dataCentres(): ReadonlySet<DataCentreId> {
-		return new Set(options.members().map(member => member.dataCentre));
+	function tellingOf(program: ProgramId): Telling {
+		const known = tellings.get(program);
+		if (known) {
+			return known;
+		}
+
+		const telling: Telling = {
+			startedAt: clock.now(), told: new Map(), knownIn: new Set(), knownAt: undefined,
+		};
+		tellings.set(program, telling);
+		return telling;
 	}
 
 	function isTold(program: ProgramId, member: Member): boolean {
-		const at = told.get(program)?.get(lifeOf(member));
+		const at = tellingOf(program).told.get(lifeOf(member));
 		return at !== undefined && clock.now() - at < (ledger.account(program)?.retention ?? 0) / 2;
 	}
 
 	/** Instances of a data centre that should hear of the program, this one and silent ones left out. */
 	function targetsIn(dataCentre: DataCentreId, program: ProgramId, count: number): readonly Member[] {
-		const now = clock.now();
 		return rankOwners(program, candidatesIn(dataCentre, options.members()))
-			.filter(member => (silentUntil.get(member.id) ?? 0) <= now)
+			.filter(member => !silent.has(member.id))
 			.slice(0, count)
 			.filter(member => member.id !== options.self().id);
 	}
 
 	function audience(program: ProgramId): readonly Member[] {
-		const home = ledger.home(program) ?? options.self().dataCentre;
-		return [...dataCentres()].flatMap(dataCentre => {
-			if (dataCentre === home) {
-				const keepers = targetsIn(dataCentre, program, homeKeepers);
-				if (keepers.length === 0 && dataCentre !== options.self().dataCentre) {
-					untold.add(program);
-				}
-
-				return keepers;
-			}
-
-			if (dataCentre === options.self().dataCentre) {
-				return [];
-			}
-
-			const targets = targetsIn(dataCentre, program, 1);
-			if (targets.length === 0) {
+		const own = options.self().dataCentre;
+		const home = ledger.home(program) ?? own;
+		return dataCentresOf(options.members()).filter(dataCentre => dataCentre === home || dataCentre !== own).flatMap(dataCentre => {
+			const targets = targetsIn(dataCentre, program, dataCentre === home ? homeKeepers : 1);
+			if (targets.length === 0 && dataCentre !== own) {
 				untold.add(program);
 			}
 
-			return targets.filter(member => !isTold(program, member));
+			return dataCentre === home ? targets : targets.filter(member => !isTold(program, member));
 		});
 	}
 
-	function isKnownEverywhere(program: ProgramId): boolean {
+	function isKnownEverywhere({knownIn}: Telling): boolean {
 		const own = options.self().dataCentre;
-		return [...dataCentres()].every(dataCentre => dataCentre === own || knownIn.get(program)?.has(dataCentre));
+		return dataCentresOf(options.members()).every(dataCentre => dataCentre === own || knownIn.has(dataCentre));
 	}
 
-	function noteKnown(program: ProgramId): void {
-		const claim = claims.get(program);
-		if (claim && claim.knownAt === undefined && isKnownEverywhere(program)) {
-			claim.knownAt = clock.now();
-		}
-	}
-
-	function noteTold(target: Member, accounts: readonly Account[], isAnswered: boolean): void {
-		if (!isAnswered) {
-			silentUntil.set(target.id, as<Milliseconds>(clock.now() + unansweredMs));
-		}
-
-		for (const {program} of accounts) {
-			if (isAnswered) {
-				knownIn.set(program, (knownIn.get(program) ?? new Set()).add(target.dataCentre));
-				told.set(program, (told.get(program) ?? new Map<string, Milliseconds>()).set(lifeOf(target), clock.now()));
-				noteKnown(program);
-			} else {
-				untold.add(program);
-			}
+	function noteAnswered(target: Member, program: ProgramId): void {
+		const telling = tellingOf(program);
+		telling.knownIn.add(target.dataCentre);
+		telling.told.set(lifeOf(target), clock.now());
+		if (telling.knownAt === undefined && isKnownEverywhere(telling)) {
+			telling.knownAt = clock.now();
 		}
 	}
 
@@ -163,13 +144,16 @@
 			const reply = await options.peers.ask(target.address, {kind: 'accounts', accounts: part, isPassedOn: false}, {
 				timeout: as<Milliseconds>(shareTimeoutMs), tries: shareTries,
 			});
-			noteTold(target, part, reply !== undefined);
-		}
-	}
-
-	function noteClaim(program: ProgramId): void {
-		if (!claims.has(program)) {
-			claims.set(program, {at: clock.now(), knownAt: undefined});
+			if (reply) {
+				for (const {program} of part) {
+					noteAnswered(target, program);
+				}
+			} else {
+				silent.note(target.id);
+				for (const {program} of part) {
+					untold.add(program);
+				}
+			}
 		}
 	}
 
@@ -191,7 +175,7 @@
 	}
 
 	function markDirty(program: ProgramId): void {
-		noteClaim(program);
+		tellingOf(program);
 		dirty.add(program);
 		if (!isWaiting) {
 			isWaiting = true;
@@ -214,19 +198,19 @@
 		announceClaim(program) {
 			const account = ledger.account(program);
 			if (account) {
-				noteClaim(program);
+				tellingOf(program);
 				dirty.add(program);
 				share();
 				tellNeighbours([account]);
 			}
 		},
 		isUncontested(program) {
-			const claim = claims.get(program);
-			if (claim?.knownAt === undefined || !isKnownEverywhere(program)) {
+			const telling = tellingOf(program);
+			if (telling.knownAt === undefined || !isKnownEverywhere(telling)) {
 				return false;
 			}
 
-			return claim.knownAt - claim.at <= promptMs || clock.now() - claim.knownAt >= reconcileMs;
+			return telling.knownAt - telling.startedAt <= promptMs || clock.now() - telling.knownAt >= reconcileMs;
 		},
 		passOn(accounts) {
 			const {dataCentre} = options.self();
@@ -252,11 +236,9 @@
 		},
 		forgetLapsed() {
 			const known = new Set(ledger.programs());
-			for (const program of [...knownIn.keys(), ...told.keys(), ...claims.keys()]) {
+			for (const program of tellings.keys()) {
 				if (!known.has(program)) {
-					knownIn.delete(program);
-					told.delete(program);
-					claims.delete(program);
+					tellings.delete(program);
 				}
 			}
 		},
--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -71,7 +71,6 @@
 
 export type SharedTables = {
 	readonly digest: () => RelayDigest;
-	readonly configuration: () => RelayConfiguration | undefined;
 	readonly entries: () => readonly DirectoryEntry[];
 	readonly learnDigest: (peer: Address, digest: RelayDigest) => void;
 	readonly learnEntries: (entries: readonly DirectoryEntry[], source: string) => void;
@@ -301,7 +300,6 @@
 
 	return {
 		digest,
-		configuration: () => configuration,
 		entries: directory.entries,
 		learnDigest,
 		learnEntries(entries, source) {
--- a/src/zones/store-watch.ts
+++ b/src/zones/store-watch.ts
@@ -49,7 +49,7 @@
 
 	/** Lists the objects. Returns the revision to watch from. */
 	async function list(signal: AbortSignal): Promise<ObjectVersion | undefined> {
-		const result = await store.list(objects, {mayBeStale: false});
+		const result = await store.list(objects);
 		if (result.isErr()) {
 			await pause(result.error, signal);
 			return undefined;
--- a/src/zones/warm-up.ts
+++ b/src/zones/warm-up.ts
@@ -60,17 +60,18 @@
 
 	async function loadRecords(): Promise<void> {
 		const loaded = await records.load();
-		if ('code' in loaded) {
-			options.onEvent({kind: 'records-unavailable', reason: loaded.message});
+		if (loaded.isErr()) {
+			options.onEvent({kind: 'records-unavailable', reason: loaded.error.message});
 			return;
 		}
 
-		for (const record of loaded.records) {
+		const {records: stored, addresses} = loaded.value;
+		for (const record of stored) {
 			ledger.restore(record.program, record.used, record.retention, clock.now());
 		}
 
-		finish('store', loaded.records.length);
-		await Promise.all(loaded.addresses.map(async address => options.meetAt(address)));
+		finish('store', stored.length);
+		await Promise.all(addresses.map(async address => options.meetAt(address)));
 	}
 
 	async function takeOver(signal: AbortSignal): Promise<void> {
--- a/tests/budget-keepers.test.ts
+++ b/tests/budget-keepers.test.ts
@@ -3,6 +3,7 @@
 */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {ok} from 'neverthrow';
 import {
 	as, type Address, type AttemptId, type DataCentreId, type Incarnation, type InstanceId, type Milliseconds, type ProgramId,
 	type Tokens,
@@ -65,7 +66,7 @@
 			self: () => node.member,
 			members: () => [...nodes.values()].map(other => believedDead.get(id)?.includes(other.member.id) ? {...other.member, status: 'dead' as const} : other.member),
 			ledger: createTokenLedger(`${id}@${incarnation}`),
-			records: {write: async () => true, load: async () => ({records: [], addresses: []})},
+			records: {write: async () => true, load: async () => ok({records: [], addresses: []})},
 			clock,
 			isWarm: () => node.isWarm,
 			onEvent: () => undefined,
--- a/tests/endpoint-protocol.test.ts
+++ b/tests/endpoint-protocol.test.ts
@@ -21,7 +21,7 @@
 import {serveIngress} from '../platform/ingress.js';
 import {createSeededRandom} from './fixtures/fake-clock.js';
 import {
-	configurationWith, dataCentre, endpointWith, routeWith,
+	configurationWith, dataCentre, endpointWith, routeWith, unlimited,
 } from './fixtures/relay-world.js';
 
 const closing = new AbortController();
@@ -77,7 +77,7 @@
 		fleet,
 		dataCentre,
 		link: createEndpointLink(createConnections(closing.signal)),
-		budgets: {reserve: async () => ({kind: 'granted', settle: () => undefined})},
+		budgets: unlimited,
 		quarantine: createQuarantine(),
 		clock: systemClock,
 		random: createSeededRandom(1),
--- a/tests/object-store-contract.test.ts
+++ b/tests/object-store-contract.test.ts
@@ -80,7 +80,7 @@
 		standIn.put('paged', `object-${String(index).padStart(2, '0')}`, index);
 	}
 
-	const list = await store.list('paged', {mayBeStale: false});
+	const list = await store.list('paged');
 	assert.deepEqual(list._unsafeUnwrap().objects.map(object => object.spec), Array.from({length: 12}, (_, index) => index));
 });
 
@@ -117,8 +117,8 @@
 
 async function loaded(): Promise<Record<string, number>> {
 	const result = await recordsOf('reader').load();
-	assert.ok('records' in result);
-	return Object.fromEntries(result.records.map(record => [record.program, record.used]));
+	assert.ok(result.isOk());
+	return Object.fromEntries(result.value.records.map(record => [record.program, record.used]));
 }
 
 test('records that come together share a write, and a later life adds to them', async () => {
