Split what held two jobs, and end the circle between executor and recovery

caller: requests and answers have modules of their own; executor: attempts, and what an execution is; shard: the calls under way; instance: which programs are over; ledger: its events. executor and recovery each had refuse and append, which zones/execution has once. isChosen and the load reports ask isOwner. The proofs name the moved code.

--- a/bench/proofs.ts
+++ b/bench/proofs.ts
@@ -23,7 +23,7 @@
 		name: 'The calls of one program run in their order',
 		tests: ['calls of one program that arrive together', 'its history grows in order'],
 		mutation: {
-			without: 'a queue of one call for each program', file: 'src/zones/shard.js', find: 'new PQueue({ concurrency: 1 })', replace: 'new PQueue({ concurrency: 9 })',
+			without: 'a queue of one call for each program', file: 'src/zones/running-calls.js', find: 'new PQueue({ concurrency: 1 })', replace: 'new PQueue({ concurrency: 9 })',
 		},
 	},
 	{
@@ -71,7 +71,7 @@
 		name: 'The whole answer to one\'s own request, late or crossed',
 		tests: ['without a missing or doubled token', 'is continued by another engine', 'is resumed from the engine', 'answer under way is whole'],
 		mutation: {
-			without: 'positions in a continued answer', file: 'src/zones/executor.js', find: 'index + attempt.prefix.length === transcript', replace: 'index === transcript',
+			without: 'positions in a continued answer', file: 'src/zones/call-attempts.js', find: 'index + attempt.prefix.length === transcript', replace: 'index === transcript',
 		},
 	},
 	{
@@ -85,7 +85,7 @@
 		name: 'A request that may not be repeated runs at most once: intent first',
 		tests: ['a reservation whose sender dies', 'is not run, and model calls go on'],
 		mutation: {
-			without: 'the wait for the intent', file: 'src/zones/executor.js', find: 'if (isRepeatable(job.route)) {', replace: 'if (job) {',
+			without: 'the wait for the intent', file: 'src/zones/call-attempts.js', find: 'if (isRepeatable(job.route)) {', replace: 'if (job) {',
 		},
 	},
 	{
@@ -116,7 +116,7 @@
 		name: 'Every planned stop cuts off no request',
 		tests: ['a planned stop finishes', 'SIGTERM: the answer under way'],
 		mutation: {
-			without: 'the wait for running calls', file: 'src/zones/shard.js', find: 'sequence.onIdle()', replace: 'undefined',
+			without: 'the wait for running calls', file: 'src/zones/running-calls.js', find: 'sequence.onIdle()', replace: 'undefined',
 		},
 	},
 	{
--- /dev/null
+++ b/src/contracts/ledger-event.ts
@@ -0,0 +1,48 @@
+/**
+What happens to a shard's ledger, and what it asks for in answer.
+*/
+import {type FencingNumber, type Milliseconds, type ObjectVersion} from './id.js';
+import {type Update} from './platform.js';
+import {type Batch, type JournalRecord} from './record.js';
+
+/** First batch of the ring that a reader has to replay, and the segments that hold everything before it. */
+export type Head = {
+	readonly base: number;
+	readonly segments: readonly string[];
+};
+
+export type Slot = {readonly version: ObjectVersion; readonly batch: Batch | undefined};
+
+/**
+When records are written: `immediate` ones at once, `windowed` ones within the commit window,
+`deferred` ones with the next write, since nobody waits for them.
+*/
+export type Urgency = 'immediate' | 'windowed' | 'deferred';
+
+export type LedgerEvent
+	/** Take or take back ownership. */
+	= | {readonly kind: 'claim'}
+		| {readonly kind: 'ring'; readonly base: number; readonly slots: readonly Slot[]}
+		| {readonly kind: 'ring-unavailable'}
+		| {readonly kind: 'append'; readonly ticket: number; readonly records: readonly JournalRecord[]; readonly bytes: number; readonly urgency: Urgency}
+		| {readonly kind: 'window-over'}
+		| {readonly kind: 'updated'; readonly update: Update}
+		| {readonly kind: 'slot-read'; readonly slot: Slot}
+		| {readonly kind: 'slot-unavailable'}
+		| {readonly kind: 'checkpointed'; readonly base: number}
+	/** Find out whether the shard is still owned; asked after a pause. */
+		| {readonly kind: 'verify'}
+		| {readonly kind: 'retry'};
+
+export type LedgerEffect
+	= | {readonly kind: 'read-ring'}
+		| {readonly kind: 'write'; readonly slot: number; readonly expected: ObjectVersion; readonly batch: Batch}
+		| {readonly kind: 'read-slot'; readonly slot: number}
+		/** The shard is owned; the batches of the ring have to be replayed behind the segments. */
+		| {readonly kind: 'opened'; readonly epoch: FencingNumber; readonly batches: readonly Batch[]}
+		| {readonly kind: 'committed'; readonly tickets: readonly number[]; readonly sequence: number}
+		| {readonly kind: 'wait-for-window'; readonly delay: Milliseconds}
+		| {readonly kind: 'stalled'}
+		| {readonly kind: 'checkpoint'; readonly sequence: number}
+		| {readonly kind: 'deposed'}
+		| {readonly kind: 'retry-later'; readonly delay: Milliseconds};
--- /dev/null
+++ b/src/links/caller-reply.ts
@@ -0,0 +1,137 @@
+/**
+Answers to callers: programs as JSON, calls as chat completions, whole or as an event stream.
+*/
+import {type ServerResponse} from 'node:http';
+import {type CallEvent} from '../contracts/call.js';
+import {type ProgramId} from '../contracts/id.js';
+import {type Outcome} from '../contracts/outcome.js';
+import {type ProgramReply} from '../zones/peers.js';
+import {
+	errorBody, openEventStream, sendFailure, sendJson, sendOutcome,
+} from './reply.js';
+
+/** Writes what the home says of a program. */
+export function sendReply(response: ServerResponse, reply: ProgramReply, status: number): void {
+	switch (reply.kind) {
+		case 'view': {
+			const {view} = reply;
+			sendJson(response, status, {
+				id: view.id,
+				parent: view.parent,
+				status: view.status,
+				turns: view.turns,
+				budget: {tokens: view.budget.tokens, calls: view.budget.calls, duration_ms: view.budget.duration},
+				spent: view.spent,
+				reserved: view.reserved,
+				expires_at_ms: view.expiresAt,
+			});
+			return;
+		}
+
+		case 'history': {
+			sendJson(response, status, {turns: reply.turns});
+			return;
+		}
+
+		case 'failed': {
+			sendFailure(response, reply.failure);
+		}
+	}
+}
+
+/** The event that ends a call. */
+export async function lastEvent(events: AsyncIterable<CallEvent>): Promise<CallEvent | undefined> {
+	let last: CallEvent | undefined;
+	for await (const event of events) {
+		last = event;
+	}
+
+	return last;
+}
+
+/** Writes how a call ended. */
+export function sendEnding(response: ServerResponse, event: CallEvent | undefined, send: (outcome: Outcome) => void): void {
+	if (event?.kind === 'settled') {
+		send(event.outcome);
+	} else if (event?.kind === 'refused') {
+		sendFailure(response, event.failure);
+	}
+}
+
+function finishOf(outcome: Outcome) {
+	if (outcome.kind !== 'completed' || outcome.answer.kind !== 'message') {
+		return undefined;
+	}
+
+	const {finish, usage} = outcome.answer;
+	return {
+		finish,
+		usage: {
+			prompt_tokens: usage.prompt,
+			completion_tokens: usage.completion,
+			total_tokens: usage.prompt + usage.completion,
+			prompt_tokens_details: {cached_tokens: usage.cached},
+		},
+	};
+}
+
+/** Writes the events of a call as they come. */
+export async function streamAnswer(response: ServerResponse, events: AsyncIterable<CallEvent>, signal: AbortSignal): Promise<void> {
+	const iterator = events[Symbol.asyncIterator]();
+	let next = await iterator.next();
+	if (next.done !== true && next.value.kind === 'refused') {
+		sendFailure(response, next.value.failure);
+		return;
+	}
+
+	const stream = openEventStream(response, signal);
+	while (next.done !== true) {
+		await sendEvent(stream, next.value);
+		next = await iterator.next();
+	}
+
+	stream.end();
+}
+
+async function sendEvent(stream: ReturnType<typeof openEventStream>, event: CallEvent): Promise<void> {
+	switch (event.kind) {
+		case 'token': {
+			const data = JSON.stringify({object: 'chat.completion.chunk', choices: [{index: 0, delta: {content: event.text}, finish_reason: null}]});
+			await stream.send({id: `${event.stream}.${event.index}`, data});
+			return;
+		}
+
+		case 'settled': {
+			const end = finishOf(event.outcome);
+			if (end) {
+				await stream.send({data: JSON.stringify({object: 'chat.completion.chunk', choices: [{index: 0, delta: {}, finish_reason: end.finish}], usage: end.usage})});
+				await stream.send({data: '[DONE]'});
+			} else if (event.outcome.kind !== 'completed') {
+				await stream.send({name: 'error', data: JSON.stringify(errorBody(event.outcome.failure))});
+			}
+
+			return;
+		}
+
+		case 'refused': {
+			await stream.send({name: 'error', data: JSON.stringify(errorBody(event.failure))});
+		}
+	}
+}
+
+/** Writes a whole completion. */
+export function sendCompletion(response: ServerResponse, outcome: Outcome, program: ProgramId): void {
+	const end = finishOf(outcome);
+	if (!end || outcome.kind !== 'completed' || outcome.answer.kind !== 'message') {
+		sendOutcome(response, outcome);
+		return;
+	}
+
+	response.setHeader('hickoryfork-outcome', 'completed');
+	sendJson(response, 200, {
+		object: 'chat.completion',
+		program,
+		choices: [{index: 0, message: {role: 'assistant', content: outcome.answer.tokens.join('')}, finish_reason: end.finish}],
+		usage: end.usage,
+	});
+}
--- a/src/links/caller.ts
+++ b/src/links/caller.ts
@@ -9,50 +9,30 @@
 import {once} from 'node:events';
 import {err, ok, type Result} from 'neverthrow';
 import polka, {type Routed} from 'polka';
-import {z} from 'zod';
 import {type Budget} from '../contracts/budget.js';
-import {
-	type Call, type CallEvent, type Position, start,
-} from '../contracts/call.js';
+import {type Call, start} from '../contracts/call.js';
 import {type Random} from '../contracts/clock.js';
 import {describeError, type Failure, failure} from '../contracts/failure.js';
 import {
-	as, type AttemptId, type CallId, type CustomerId, type IdempotencyKey, type Milliseconds, parseProgramId,
-	type ProgramId, type RouteName, type Tokens,
+	as, type CallId, type CustomerId, type IdempotencyKey, type Milliseconds, parseProgramId, type ProgramId,
+	type RouteName, type Tokens,
 } from '../contracts/id.js';
-import {type Outcome} from '../contracts/outcome.js';
 import {type Instance} from '../machines/instance.js';
-import {type ProgramReply} from '../zones/peers.js';
 import {readBody, readText} from './body.js';
 import {
-	errorBody, openEventStream, sendFailure, sendJson, sendOutcome,
+	lastEvent, sendCompletion, sendEnding, sendReply, streamAnswer,
+} from './caller-reply.js';
+import {
+	budgetBody, type CallHeaders, completionBody, defaultCallTimeoutMs, defaultTokens, headerOf, invalid, methods, positionOf,
+	readHeaders, servicePathOf,
+} from './caller-request.js';
+import {
+	errorBody, sendFailure, sendJson, sendOutcome,
 } from './reply.js';
 
-const defaultTokens = 100_000;
-const defaultCalls = 600;
-const defaultDurationMs = 3_600_000;
-const defaultCallTimeoutMs = 120_000;
-const defaultCompletionTokens = 1024;
-const longestKey = 128;
+/** How often a stopping server looks for connections that have become idle. */
 const idleCheckMs = 50;
 
-const budgetBody = z.strictObject({
-	budget: z.strictObject({
-		tokens: z.number().int().positive().max(100_000_000).default(defaultTokens),
-		calls: z.number().int().positive().max(100_000).default(defaultCalls),
-		duration_ms: z.number().int().positive().max(86_400_000).default(defaultDurationMs),
-	}).prefault({}),
-});
-
-const completionBody = z.object({
-	model: z.string().min(1).max(63),
-	messages: z.array(z.object({role: z.enum(['system', 'user', 'assistant', 'tool']), content: z.string()})).min(1),
-	max_tokens: z.number().int().positive().max(100_000).default(defaultCompletionTokens),
-	stream: z.boolean().default(false),
-});
-
-const methods = z.enum(['GET', 'POST', 'PUT', 'DELETE']);
-
 /** Customers by the SHA-256 digest of their key, in hexadecimal. */
 export type Customers = ReadonlyMap<string, CustomerId>;
 
@@ -79,43 +59,6 @@
 	readonly drain: () => Promise<void>;
 };
 
-type Headers = {readonly key: IdempotencyKey; readonly timeout: Milliseconds; readonly turn?: number};
-
-function invalid(message: string): Failure {
-	return failure('invalid-request', message, {step: 'validate', peer: 'caller'});
-}
-
-function headerOf(request: IncomingMessage, name: string): string | undefined {
-	const value = request.headers[name];
-	return typeof value === 'string' ? value : undefined;
-}
-
-function numberHeader(request: IncomingMessage, name: string, maximum: number): Result<number | undefined, Failure> {
-	const text = headerOf(request, name);
-	if (text === undefined) {
-		return ok(undefined);
-	}
-
-	const value = Number(text);
-	const isValid = Number.isInteger(value) && value >= 0 && value <= maximum;
-	return isValid ? ok(value) : err(invalid(`Header ${name} must be a whole number from 0 to ${maximum}`));
-}
-
-function positionOf(request: IncomingMessage): Result<Position, Failure> {
-	const last = headerOf(request, 'last-event-id');
-	if (last === undefined) {
-		return ok(start);
-	}
-
-	const match = /^([a-z\d]{1,64})\.(\d{1,9})$/v.exec(last);
-	return match ? ok({stream: as<AttemptId>(match[1] ?? ''), index: Number(match[2]) + 1}) : err(invalid('Last-Event-ID is malformed'));
-}
-
-/** The part of the path that is meant for the service: all behind `/v1/programs/ID/services/ROUTE`. */
-function servicePathOf(request: Routed): string {
-	return `/${request.path.split('/').slice(6).join('/')}`;
-}
-
 /** Serves callers. Resolves once the port is bound. */
 export async function serveCallers(options: CallerServerOptions): Promise<CallerServer> {
 	const {instance, random} = options;
@@ -126,48 +69,6 @@
 		return customer ? ok(customer) : err(failure('unauthenticated', 'The key is not known', {step: 'authenticate', peer: 'caller'}));
 	}
 
-	function readHeaders(request: IncomingMessage): Result<Headers, Failure> {
-		const key = headerOf(request, 'idempotency-key');
-		if (key !== undefined && (key.length === 0 || key.length > longestKey)) {
-			return err(invalid(`Idempotency-Key must have 1 to ${longestKey} characters`));
-		}
-
-		return numberHeader(request, 'hickoryfork-timeout-ms', 3_600_000).andThen(timeout =>
-			numberHeader(request, 'hickoryfork-turn', 1_000_000).map(turn => ({
-				key: as<IdempotencyKey>(key ?? random.unique()),
-				timeout: as<Milliseconds>(timeout ?? defaultCallTimeoutMs),
-				...(turn !== undefined && {turn}),
-			})));
-	}
-
-	function sendReply(response: ServerResponse, reply: ProgramReply, status: number): void {
-		switch (reply.kind) {
-			case 'view': {
-				const {view} = reply;
-				sendJson(response, status, {
-					id: view.id,
-					parent: view.parent,
-					status: view.status,
-					turns: view.turns,
-					budget: {tokens: view.budget.tokens, calls: view.budget.calls, duration_ms: view.budget.duration},
-					spent: view.spent,
-					reserved: view.reserved,
-					expires_at_ms: view.expiresAt,
-				});
-				return;
-			}
-
-			case 'history': {
-				sendJson(response, status, {turns: reply.turns});
-				return;
-			}
-
-			case 'failed': {
-				sendFailure(response, reply.failure);
-			}
-		}
-	}
-
 	async function openProgram(request: IncomingMessage, response: ServerResponse, parent?: ProgramId): Promise<void> {
 		const customer = authenticate(request);
 		const body = await readBody(request, budgetBody);
@@ -210,99 +111,6 @@
 		return controller.signal;
 	}
 
-	async function lastEvent(events: AsyncIterable<CallEvent>): Promise<CallEvent | undefined> {
-		let last: CallEvent | undefined;
-		for await (const event of events) {
-			last = event;
-		}
-
-		return last;
-	}
-
-	function sendEnding(response: ServerResponse, event: CallEvent | undefined, send: (outcome: Outcome) => void): void {
-		if (event?.kind === 'settled') {
-			send(event.outcome);
-		} else if (event?.kind === 'refused') {
-			sendFailure(response, event.failure);
-		}
-	}
-
-	function finishOf(outcome: Outcome) {
-		if (outcome.kind !== 'completed' || outcome.answer.kind !== 'message') {
-			return undefined;
-		}
-
-		const {finish, usage} = outcome.answer;
-		return {
-			finish,
-			usage: {
-				prompt_tokens: usage.prompt,
-				completion_tokens: usage.completion,
-				total_tokens: usage.prompt + usage.completion,
-				prompt_tokens_details: {cached_tokens: usage.cached},
-			},
-		};
-	}
-
-	async function streamAnswer(response: ServerResponse, events: AsyncIterable<CallEvent>, signal: AbortSignal): Promise<void> {
-		const iterator = events[Symbol.asyncIterator]();
-		let next = await iterator.next();
-		if (next.done !== true && next.value.kind === 'refused') {
-			sendFailure(response, next.value.failure);
-			return;
-		}
-
-		const stream = openEventStream(response, signal);
-		while (next.done !== true) {
-			await sendEvent(stream, next.value);
-			next = await iterator.next();
-		}
-
-		stream.end();
-	}
-
-	async function sendEvent(stream: ReturnType<typeof openEventStream>, event: CallEvent): Promise<void> {
-		switch (event.kind) {
-			case 'token': {
-				const data = JSON.stringify({object: 'chat.completion.chunk', choices: [{index: 0, delta: {content: event.text}, finish_reason: null}]});
-				await stream.send({id: `${event.stream}.${event.index}`, data});
-				return;
-			}
-
-			case 'settled': {
-				const end = finishOf(event.outcome);
-				if (end) {
-					await stream.send({data: JSON.stringify({object: 'chat.completion.chunk', choices: [{index: 0, delta: {}, finish_reason: end.finish}], usage: end.usage})});
-					await stream.send({data: '[DONE]'});
-				} else if (event.outcome.kind !== 'completed') {
-					await stream.send({name: 'error', data: JSON.stringify(errorBody(event.outcome.failure))});
-				}
-
-				return;
-			}
-
-			case 'refused': {
-				await stream.send({name: 'error', data: JSON.stringify(errorBody(event.failure))});
-			}
-		}
-	}
-
-	function sendCompletion(response: ServerResponse, outcome: Outcome, program: ProgramId): void {
-		const end = finishOf(outcome);
-		if (!end || outcome.kind !== 'completed' || outcome.answer.kind !== 'message') {
-			sendOutcome(response, outcome);
-			return;
-		}
-
-		response.setHeader('hickoryfork-outcome', 'completed');
-		sendJson(response, 200, {
-			object: 'chat.completion',
-			program,
-			choices: [{index: 0, message: {role: 'assistant', content: outcome.answer.tokens.join('')}, finish_reason: end.finish}],
-			usage: end.usage,
-		});
-	}
-
 	/** The program that a completion belongs to; without one, a program is opened for this call alone. */
 	async function programOf(request: IncomingMessage, customer: CustomerId): Promise<Result<{readonly id: ProgramId; readonly isOwn: boolean}, Failure>> {
 		const named = headerOf(request, 'hickoryfork-program');
@@ -331,7 +139,7 @@
 
 	async function complete(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const customer = authenticate(request);
-		const headers = readHeaders(request);
+		const headers = readHeaders(request, random.unique);
 		const position = positionOf(request);
 		const body = await readBody(request, completionBody);
 		const refusal = [customer, headers, position, body].find(part => part.isErr());
@@ -373,13 +181,13 @@
 		}
 	}
 
-	function createCall(parts: Omit<Call, 'id' | keyof Headers>, headers: Headers): Call {
+	function createCall(parts: Omit<Call, 'id' | keyof CallHeaders>, headers: CallHeaders): Call {
 		return {id: as<CallId>(random.unique()), ...parts, ...headers};
 	}
 
 	async function callService(request: Routed, response: ServerResponse): Promise<void> {
 		await withProgram(request, response, async (customer, program) => {
-			const headers = readHeaders(request);
+			const headers = readHeaders(request, random.unique);
 			const method = methods.safeParse(request.method);
 			const body = await readText(request);
 			if (headers.isErr() || !method.success || body.isErr()) {
--- a/src/machines/event-log.ts
+++ b/src/machines/event-log.ts
@@ -4,7 +4,7 @@
 */
 import {type Clock} from '../contracts/clock.js';
 import {type Milliseconds, type ProgramId} from '../contracts/id.js';
-import {type ExecutionEvent} from '../zones/executor.js';
+import {type ExecutionEvent} from '../zones/execution.js';
 
 /** Events that one instance remembers. */
 const capacity = 20_000;
--- a/src/machines/instance.ts
+++ b/src/machines/instance.ts
@@ -14,10 +14,12 @@
 import {type Listing, type Platform} from '../contracts/platform.js';
 import {createConfigurationWatch} from '../zones/configuration-watch.js';
 import {createDataCentre} from '../zones/data-centre.js';
-import {createExecutor, type ExecutionEvent} from '../zones/executor.js';
+import {type ExecutionEvent} from '../zones/execution.js';
+import {createEndedPrograms} from '../zones/ended-programs.js';
+import {createExecutor} from '../zones/executor.js';
 import {createMembership, type Member} from '../zones/membership.js';
 import {createNeighbourhood} from '../zones/neighbourhood.js';
-import {candidatesIn, ownerOf, shardKey} from '../zones/ownership.js';
+import {isOwner} from '../zones/ownership.js';
 import {
 	type EndpointNews, type Gossip, type Peers, type ProgramReply, type ProgramRequest, type ShardReply, type ShardRequest,
 	type StreamRequest,
@@ -41,8 +43,6 @@
 const ownTrialMs = 5000;
 const foreignTrialMs = 20_000;
 
-const livingTimeoutMs = 1000;
-
 /** Something worth a line in the log. */
 export type InstanceEvent
 	= | {readonly kind: 'execution'; readonly execution: ExecutionEvent}
@@ -121,16 +121,6 @@
 	}
 }
 
-function groupByHome(programs: readonly ProgramId[]): Map<string, ProgramId[]> {
-	const groups = new Map<string, ProgramId[]>();
-	for (const program of programs) {
-		const key = shardKey(homeOf(program));
-		groups.set(key, [...(groups.get(key) ?? []), program]);
-	}
-
-	return groups;
-}
-
 /** Creates an instance. Nothing runs before `run`. */
 export function createInstance(options: InstanceOptions): Instance {
 	const {clock, random, platform, peers, dispatch} = options;
@@ -217,8 +207,9 @@
 		},
 	});
 
+	const ended = createEndedPrograms({id, dataCentre: () => dataCentre, peers});
 	const memory = createMemoryKeeper({
-		fleet, dispatch, clock, isResponsible, ended,
+		fleet, dispatch, clock, isResponsible, ended: ended.among,
 	});
 
 	const probe = createEndpointProbe({
@@ -269,7 +260,7 @@
 
 	/** Whether this instance does a piece of control work for its data centre. */
 	function isChosen(work: string): boolean {
-		return isJoined && ownerOf(work, candidatesIn(options.dataCentre, membership.members()))?.id === options.id;
+		return isJoined && isOwner(membership.self(), work, membership.members());
 	}
 
 	/** One instance tries a slow endpoint early; the others wait to hear of it. */
@@ -290,25 +281,6 @@
 		}
 	}
 
-	/** Programs whose home says that they are over. Those whose home cannot be asked are left alone. */
-	async function ended(programs: readonly ProgramId[]): Promise<readonly ProgramId[]> {
-		const groups = groupByHome(programs);
-		const results = await Promise.all([...groups.values()].map(async group => endedOf(group)));
-		return results.flat();
-	}
-
-	async function endedOf(programs: readonly ProgramId[]): Promise<readonly ProgramId[]> {
-		const [first] = programs;
-		const owner = first === undefined ? undefined : dataCentre.owner(homeOf(first));
-		if (first === undefined || !owner) {
-			return [];
-		}
-
-		const request: ShardRequest = {kind: 'living', home: homeOf(first), programs};
-		const reply = owner.id === options.id ? await dataCentre.answer(request) : await peers.shard(owner, request, as<Milliseconds>(livingTimeoutMs));
-		return reply.kind === 'living' ? programs.filter(program => !reply.programs.includes(program)) : [];
-	}
-
 	/** Learns who is there before anything is owned. Goes on alone when neither platform nor peers answer. */
 	async function join(): Promise<void> {
 		const listing = await platform.instances();
--- a/src/machines/load-reports.ts
+++ b/src/machines/load-reports.ts
@@ -6,7 +6,7 @@
 import {type Clock} from '../contracts/clock.js';
 import {as, type Milliseconds} from '../contracts/id.js';
 import {type Member} from '../zones/membership.js';
-import {candidatesIn, ownerOf} from '../zones/ownership.js';
+import {isOwner} from '../zones/ownership.js';
 import {type EndpointLoad, type RelayMessage, type RelayPeers} from '../zones/relay-peers.js';
 import {type RelayEndpoint} from './relay-endpoint.js';
 import {type RelayFleet} from './relay-fleet.js';
@@ -63,8 +63,7 @@
 	/** Tells the other data centres what this one has in flight, if it falls to this instance. */
 	function tellOthers(): void {
 		const self = options.self();
-		const local = candidatesIn(self.dataCentre, [self, ...options.others()]);
-		if (ownerOf('loads', local)?.id !== self.id) {
+		if (!isOwner(self, 'loads', [self, ...options.others()])) {
 			return;
 		}
 
--- a/src/zones/budget-counter.ts
+++ b/src/zones/budget-counter.ts
@@ -13,7 +13,7 @@
 import {type BudgetRecord, type BudgetRecords} from './budget-records.js';
 import {createBudgetSharing} from './budget-sharing.js';
 import {type Member} from './membership.js';
-import {isKeeper} from './ownership.js';
+import {isOwner} from './ownership.js';
 import {type RelayPeers, type ReservationOutcome} from './relay-peers.js';
 
 /** Longest wait for the store's record before a call goes on without it. */
@@ -71,7 +71,7 @@
 		const self = options.self();
 		const home = ledger.home(program);
 		const isMissing = ledger.unrecorded(program) > 0 && !recording.has(program);
-		if (home === self.dataCentre && isMissing && isKeeper(self, program, options.members())) {
+		if (home === self.dataCentre && isMissing && isOwner(self, program, options.members())) {
 			const used = as<Tokens>((ledger.account(program)?.recorded ?? 0) + ledger.unrecorded(program));
 			void writeRecord({program, used, retention});
 		}
--- a/src/zones/budget-keepers.ts
+++ b/src/zones/budget-keepers.ts
@@ -12,7 +12,7 @@
 import {type BudgetCounterOptions, createBudgetCounter} from './budget-counter.js';
 import {createBudgetQueries, forwarding, type Ruling} from './budget-queries.js';
 import {type Member} from './membership.js';
-import {isKeeper} from './ownership.js';
+import {isOwner} from './ownership.js';
 import {type RelayMessage, type RelayReply, type ReservationOutcome} from './relay-peers.js';
 
 /** How often accounts that have lapsed are dropped, and failed messages about accounts are sent again. */
@@ -84,7 +84,7 @@
 		const self = options.self();
 		const home = ledger.home(request.program) ?? self.dataCentre;
 		const isHome = home === self.dataCentre;
-		if (options.isWarm() && (isHome ? !isKeeper(self, request.program, options.members()) : isHomeUnreachable)) {
+		if (options.isWarm() && (isHome ? !isOwner(self, request.program, options.members()) : isHomeUnreachable)) {
 			const ruling = await queries.askDataCentre(home, request, forwarding);
 			if (ruling && ruling.outcome.kind !== 'elsewhere') {
 				rememberForward(request.attempt, ruling);
--- /dev/null
+++ b/src/zones/call-attempts.ts
@@ -0,0 +1,263 @@
+/**
+Attempts of a call: the intent is recorded, the request sent, and what came of it is learned.
+*/
+import {type Spend} from '../contracts/budget.js';
+import {type Call, type Message} from '../contracts/call.js';
+import {type Attempt, type AttemptResult} from '../contracts/attempt.js';
+import {
+	describeError, type Execution as Certainty, type Failure, failure, type FailureCode, type Step,
+} from '../contracts/failure.js';
+import {
+	as, type AttemptId, type EndpointId, type Milliseconds,
+} from '../contracts/id.js';
+import {type Urgency} from '../contracts/ledger-event.js';
+import {countTokens} from '../contracts/prompt.js';
+import {isRepeatable, type Route} from '../contracts/route.js';
+import {type BackEnd, type Pace} from '../machines/back-end.js';
+import {type Place} from '../machines/fleet.js';
+import {createEngineAttempts} from './engine-attempts.js';
+import {
+	append, type Execution, type ExecutionEvent, type ExecutorOptions,
+} from './execution.js';
+
+/** Attempts that one call may take. */
+const maximumAttempts = 3;
+
+/** Time that a call which may not be repeated waits for its intent to be recorded. */
+export const commitTimeoutMs = 2000;
+
+/** A call with everything that is fixed before its first attempt. */
+export type Job = {
+	readonly execution: Execution;
+	readonly call: Call;
+	readonly digest: string;
+	readonly fingerprint: string;
+	readonly route: Route;
+	readonly prompt: readonly Message[];
+	readonly reservation: Spend;
+	readonly deadline: Milliseconds;
+	readonly signal: AbortSignal;
+	readonly excluded: Set<EndpointId>;
+	stream: AttemptId | undefined;
+	mayHaveRun: boolean;
+	attempts: number;
+};
+
+/** A repeatable service call shows nothing before its settlement, so its intent can wait for that. */
+function urgencyOf(route: Route): Urgency {
+	if (!isRepeatable(route)) {
+		return 'immediate';
+	}
+
+	return route.kind === 'model' ? 'windowed' : 'deferred';
+}
+
+/** A failure of a call that was stopped from outside. */
+export function stop(step: Step, reason: unknown, certainty: Certainty): Failure {
+	const code: FailureCode = describeError(reason).includes('deadline') ? 'deadline-exceeded' : 'cancelled';
+	return failure(code, `The call was stopped: ${describeError(reason)}`, {step, peer: 'home', execution: certainty});
+}
+
+export type CallAttempts = {
+	/** Whether time, tries and quarantine allow another attempt. */
+	readonly canTryAgain: (job: Job) => boolean;
+	/** Runs one attempt in a place, which is released afterwards. */
+	readonly run: (job: Job, place: Place) => Promise<AttemptResult>;
+	readonly emit: (job: Job, kind: ExecutionEvent['kind'], detail: string, endpoint?: EndpointId) => void;
+};
+
+/** Creates the attempts of an instance's calls. */
+export function createCallAttempts(options: ExecutorOptions): CallAttempts {
+	const {fleet, dispatch, quarantine, clock, random, scheduler} = options;
+	const engineAttempts = createEngineAttempts({fleet, dispatch, clock});
+
+	function canTryAgain(job: Job): boolean {
+		const isStopped = job.signal.aborted || clock.now() >= job.deadline;
+		return job.attempts < maximumAttempts && !isStopped && !quarantine.isBlocked(job.fingerprint, clock.now());
+	}
+
+	async function run(job: Job, place: Place): Promise<AttemptResult> {
+		const {backEnd} = place;
+		const attempt = createAttempt(job);
+		job.attempts++;
+		job.excluded.add(backEnd.endpoint.id);
+		emit(job, 'placed', `attempt ${job.attempts} after ${backEnd.queue.size} waiting`, backEnd.endpoint.id);
+		const committed = await recordIntent(job, attempt, backEnd);
+		if (committed) {
+			place.release();
+			return {kind: 'not-started', failure: committed, isLeaving: false};
+		}
+
+		const result = await send(job, attempt, backEnd);
+		place.release();
+		learn(job, result, backEnd);
+		return result;
+	}
+
+	function createAttempt(job: Job): Attempt {
+		const attempt: Attempt = {
+			id: as<AttemptId>(random.unique()),
+			program: job.call.program,
+			route: job.call.route,
+			key: job.call.key,
+			request: job.call.request,
+			isRepeatable: isRepeatable(job.route),
+			prompt: job.prompt,
+			priority: Math.round(scheduler.urgency(clock.wall(), job.execution.program.account.spent().tokens)),
+			prefix: [...job.execution.transcript.tokens()],
+		};
+		job.stream ??= attempt.id;
+		return attempt;
+	}
+
+	/** Records the intent. Returns a failure when the attempt must not be sent. */
+	async function recordIntent(job: Job, attempt: Attempt, backEnd: BackEnd): Promise<Failure | undefined> {
+		const {execution, call} = job;
+		const appended = append(execution, {
+			kind: 'intent',
+			program: call.program,
+			call: call.id,
+			key: call.key,
+			route: call.route,
+			digest: job.digest,
+			request: call.request,
+			attempt: attempt.id,
+			stream: job.stream ?? attempt.id,
+			prefix: attempt.prefix,
+			endpoint: backEnd.endpoint.id,
+			repeatable: isRepeatable(job.route),
+			reservation: job.reservation,
+		}, urgencyOf(job.route));
+		if (isRepeatable(job.route)) {
+			void appended.durable.then(() => {
+				execution.transcript.name(job.stream ?? attempt.id);
+			});
+			return undefined;
+		}
+
+		const timer = new AbortController();
+		const waiting = clock.sleep(as<Milliseconds>(Math.min(commitTimeoutMs, job.deadline - clock.now())), timer.signal)
+			.then(() => 'late' as const);
+		const first = await Promise.race([appended.committed, waiting]);
+		timer.abort();
+		if (first === 'late') {
+			return failure('platform-unavailable', 'The intent could not be recorded in time, so the request was not sent', {
+				step: 'commit', peer: 'platform', retryAfter: as<Milliseconds>(commitTimeoutMs),
+			});
+		}
+
+		if (job.signal.aborted) {
+			return stop('commit', job.signal.reason, 'not-run');
+		}
+
+		execution.transcript.name(job.stream ?? attempt.id);
+		return first.match(() => undefined, reason => ({...reason, execution: 'not-run' as const}));
+	}
+
+	async function send(job: Job, attempt: Attempt, backEnd: BackEnd): Promise<AttemptResult> {
+		switch (attempt.request.kind) {
+			case 'model': {
+				const sent = await engineAttempts.send(backEnd, attempt, {
+					...dispatchOptions(job, attempt, backEnd),
+					mayMove: () => canTryAgain(job) && fleet.hasAlternative(job.route.pool, job.excluded) && fleet.retryBudget(job.route.pool).withdraw(),
+				});
+				if (sent.pace) {
+					observe(job, backEnd, sent.pace);
+				}
+
+				return sent.result;
+			}
+
+			case 'service': {
+				const startedAt = clock.now();
+				const result = await dispatch.send(backEnd.endpoint, attempt, dispatchOptions(job, attempt, backEnd));
+				if (result.kind === 'answered') {
+					observe(job, backEnd, {call: clock.now() - startedAt, firstToken: 0, token: 0});
+				}
+
+				return result;
+			}
+		}
+	}
+
+	function dispatchOptions(job: Job, attempt: Attempt, backEnd: BackEnd) {
+		const {transcript} = job.execution;
+		return {
+			timeout: as<Milliseconds>(Math.max(1, Math.ceil(job.deadline - clock.now()))),
+			signal: job.signal,
+			onToken(text: string, index: number) {
+				if (index + attempt.prefix.length === transcript.tokens().length) {
+					transcript.push(text);
+				}
+			},
+			onLoad(total: number) {
+				backEnd.reportLoad(total, clock.now());
+			},
+		};
+	}
+
+	function observe(job: Job, backEnd: BackEnd, pace: Pace): void {
+		const wasSlow = backEnd.health().kind === 'slow';
+		if (wasSlow) {
+			// The trial is judged by itself, not by what made the endpoint slow.
+			backEnd.forgetPace();
+		}
+
+		backEnd.observe(pace);
+		const endpoint = backEnd.endpoint.id;
+		const typical = fleet.typicalPace(endpoint);
+		const own = backEnd.pace();
+		const [observed, usual] = backEnd.kind === 'engine' ? [own.token, typical.token] : [own.call, typical.call];
+		backEnd.report({
+			kind: 'succeeded', pace: observed, typical: usual, trialAfter: options.trialDelay(endpoint),
+		}, clock.now());
+		if (wasSlow && backEnd.health().kind === 'healthy') {
+			emit(job, 'restored', 'answered in its usual time', endpoint);
+		}
+	}
+
+	function learn(job: Job, result: AttemptResult, backEnd: BackEnd): void {
+		const endpoint = backEnd.endpoint.id;
+		switch (result.kind) {
+			case 'answered': {
+				backEnd.remember(job.call.program, countTokens(job.prompt));
+				quarantine.absolve(job.fingerprint);
+				return;
+			}
+
+			case 'not-started': {
+				backEnd.report(result.isLeaving ? {kind: 'reported-leaving'} : {kind: 'failed'}, clock.now());
+				return;
+			}
+
+			case 'rejected': {
+				return;
+			}
+
+			case 'stalled': {
+				backEnd.report({kind: 'stalled', trialAfter: options.trialDelay(endpoint)}, clock.now());
+				emit(job, 'stalled', result.failure.message, endpoint);
+				return;
+			}
+
+			case 'broken': {
+				if (job.signal.aborted) {
+					return;
+				}
+
+				backEnd.report({kind: 'failed'}, clock.now());
+				if (result.failure.code === 'endpoint-failed' && quarantine.record({fingerprint: job.fingerprint, endpoint}, clock.now())) {
+					emit(job, 'crashed', job.fingerprint, endpoint);
+				}
+			}
+		}
+	}
+
+	function emit(job: Job, kind: ExecutionEvent['kind'], detail: string, endpoint?: EndpointId): void {
+		options.onEvent({
+			kind, call: job.call.id, program: job.call.program, ...(endpoint !== undefined && {endpoint}), detail,
+		});
+	}
+
+	return {canTryAgain, run, emit};
+}
--- a/src/zones/journal.ts
+++ b/src/zones/journal.ts
@@ -10,9 +10,10 @@
 	as, type FencingNumber, type Home, type Incarnation, type InstanceId, type Milliseconds, type Nonce,
 	type ObjectName,
 } from '../contracts/id.js';
+import {createLedger, type LedgerState, slotsPerShard} from '../contracts/ledger.js';
 import {
-	createLedger, type LedgerEffect, type LedgerEvent, type LedgerState, type Slot, slotsPerShard, type Urgency,
-} from '../contracts/ledger.js';
+	type LedgerEffect, type LedgerEvent, type Slot, type Urgency,
+} from '../contracts/ledger-event.js';
 import {type Platform, type StoredObject} from '../contracts/platform.js';
 import {
 	isKnown, type Programs, replayRecord,
--- a/src/zones/ownership.ts
+++ b/src/zones/ownership.ts
@@ -31,7 +31,7 @@
 }
 
 /** Whether the member would own a key in its own data centre. */
-export function isKeeper(member: Member, key: string, members: readonly Member[]): boolean {
+export function isOwner(member: Member, key: string, members: readonly Member[]): boolean {
 	return ownerOf(key, candidatesIn(member.dataCentre, members))?.id === member.id;
 }
 
--- a/src/zones/recovery.ts
+++ b/src/zones/recovery.ts
@@ -4,14 +4,15 @@
 */
 import {type Dispatch} from '../contracts/attempt.js';
 import {type Clock} from '../contracts/clock.js';
-import {type Failure, failure} from '../contracts/failure.js';
+import {failure} from '../contracts/failure.js';
 import {as, type IdempotencyKey, type Tokens} from '../contracts/id.js';
 import {type Outcome, outcomeOf} from '../contracts/outcome.js';
-import {applyRecord, type CallState} from '../contracts/program.js';
-import {type JournalRecord} from '../contracts/record.js';
+import {type CallState} from '../contracts/program.js';
 import {usedBy} from '../contracts/usage.js';
 import {type Fleet} from '../machines/fleet.js';
-import {type Execution, type ExecutionEvent} from './executor.js';
+import {
+	append, type Execution, type ExecutionEvent, refuse,
+} from './execution.js';
 import {endingOf} from './transcript.js';
 
 export type Recovery = {
@@ -32,15 +33,6 @@
 export function createRecovery(options: RecoveryOptions): Recovery {
 	const {fleet, dispatch, clock} = options;
 
-	function refuse(execution: Execution, reason: Failure): void {
-		execution.transcript.end({kind: 'refused', failure: reason});
-	}
-
-	function append(execution: Execution, record: JournalRecord) {
-		applyRecord(execution.programs, record);
-		return execution.journal.append([record]);
-	}
-
 	async function recover(execution: Execution, key: IdempotencyKey): Promise<void> {
 		const state = execution.program.calls.get(key);
 		if (state?.kind !== 'intended') {
--- a/src/zones/shard.ts
+++ b/src/zones/shard.ts
@@ -3,13 +3,10 @@
 calls in order and their budgets, and answers for what its journal has recorded.
 */
 import {err, ok, type Result} from 'neverthrow';
-import PQueue from 'p-queue';
 import {type Budget, type Spend} from '../contracts/budget.js';
 import {type Call, type CallEvent, type Position} from '../contracts/call.js';
 import {type Clock, type Random} from '../contracts/clock.js';
-import {
-	describeError, type Failure, failure, type FailureCode,
-} from '../contracts/failure.js';
+import {type Failure, failure, type FailureCode} from '../contracts/failure.js';
 import {digestOf} from '../contracts/fingerprint.js';
 import {
 	createProgramId, type CustomerId, type EndpointId, type Home, type IdempotencyKey, type Milliseconds,
@@ -19,9 +16,10 @@
 	expiryOf, applyRecord, type Program, type Programs, turnsOf, type Turn,
 } from '../contracts/program.js';
 import {type Closing, type JournalRecord} from '../contracts/record.js';
-import {type Execution as CallExecution, type Executor} from './executor.js';
+import {type Executor} from './executor.js';
 import {type Journal} from './journal.js';
-import {createTranscript, type Transcript} from './transcript.js';
+import {createRunningCalls} from './running-calls.js';
+import {replayTranscript, type Transcript} from './transcript.js';
 
 /** How long the outcome of an ended program can still be read, in ms. */
 export const retentionMs = 600_000;
@@ -87,17 +85,10 @@
 	readonly release: (program: ProgramId, holders: readonly EndpointId[]) => void;
 };
 
-type Running = {
-	readonly transcript: Transcript;
-	readonly controller: AbortController;
-	readonly digest: string;
-};
-
 /** Creates a shard over programs that its journal has replayed. */
 export function createShard(options: ShardOptions): Shard {
 	const {home, programs, journal, clock, signal} = options;
-	const running = new Map<ProgramId, Map<IdempotencyKey, Running>>();
-	const sequences = new Map<ProgramId, PQueue>();
+	const running = createRunningCalls(options);
 	const recording = new Set<Promise<unknown>>();
 	let isDraining = false;
 
@@ -182,34 +173,15 @@
 			return err(refuse('conflict', `Program ${program.id} has had ${turnsOf(program)} calls, not ${call.turn}`));
 		}
 
-		if ((running.get(program.id)?.size ?? 0) >= maximumWaitingCalls) {
+		if (running.count(program.id) >= maximumWaitingCalls) {
 			return err(refuse('overloaded', `Program ${program.id} has ${maximumWaitingCalls} calls waiting`));
 		}
 
 		return ok();
 	}
 
-	/** A transcript of what the journal has recorded about a call. */
-	function replayTranscript(program: Program, key: IdempotencyKey): Transcript | undefined {
-		const state = program.calls.get(key);
-		if (state?.kind !== 'settled') {
-			return undefined;
-		}
-
-		const transcript = createTranscript();
-		if (state.outcome.kind === 'completed' && state.outcome.answer.kind === 'message') {
-			for (const token of state.outcome.answer.tokens) {
-				transcript.push(token);
-			}
-		}
-
-		transcript.name(state.stream);
-		transcript.end({kind: 'settled', outcome: state.outcome});
-		return transcript;
-	}
-
 	function knownTranscript(program: Program, key: IdempotencyKey, digest: string | undefined): Result<Transcript | undefined, Failure> {
-		const current = running.get(program.id)?.get(key);
+		const current = running.callOf(program.id, key);
 		const state = program.calls.get(key);
 		const recorded = current?.digest ?? state?.digest;
 		if (digest !== undefined && recorded !== undefined && recorded !== digest) {
@@ -222,54 +194,7 @@
 
 		// A call that certainly did not run may be made again under its key.
 		const isOver = state?.kind === 'settled' && (state.outcome.kind !== 'not-run' || digest === undefined);
-		return ok(isOver ? replayTranscript(program, key) : undefined);
-	}
-
-	function sequenceOf(program: ProgramId): PQueue {
-		const existing = sequences.get(program);
-		if (existing) {
-			return existing;
-		}
-
-		const created = new PQueue({concurrency: 1});
-		sequences.set(program, created);
-		return created;
-	}
-
-	function begin(program: Program, key: IdempotencyKey, digest: string): Running {
-		const entry = {transcript: createTranscript(), controller: new AbortController(), digest};
-		const calls = running.get(program.id) ?? new Map<IdempotencyKey, Running>();
-		running.set(program.id, calls);
-		calls.set(key, entry);
-		return entry;
-	}
-
-	function finish(program: ProgramId, key: IdempotencyKey): void {
-		const calls = running.get(program);
-		calls?.delete(key);
-		if (calls?.size === 0) {
-			running.delete(program);
-			sequences.delete(program);
-		}
-	}
-
-	/** Runs a call behind the calls of its program that came before. */
-	function start(program: Program, key: IdempotencyKey, digest: string, execute: (execution: CallExecution) => Promise<void>): Transcript {
-		const entry = begin(program, key, digest);
-		const execution: CallExecution = {
-			program, programs, journal, transcript: entry.transcript, lost: signal,
-			signal: AbortSignal.any([signal, entry.controller.signal]),
-		};
-		void sequenceOf(program.id).add(async () => {
-			try {
-				await execute(execution);
-			} catch (error) {
-				entry.transcript.end({kind: 'refused', failure: failure('internal', describeError(error), {step: 'admit', peer: 'home', execution: 'unknown'})});
-			} finally {
-				finish(program.id, key);
-			}
-		});
-		return entry.transcript;
+		return ok(isOver ? replayTranscript(state) : undefined);
 	}
 
 	function obtain(program: Program, call: Call): Result<Transcript, Failure> {
@@ -287,12 +212,12 @@
 			return ok(recover(program, call.key, digest));
 		}
 
-		return checkCall(program, call).map(() => start(program, call.key, digest, async execution => options.executor.run(execution, call, digest)));
+		return checkCall(program, call).map(() => running.start(program, call.key, digest, async execution => options.executor.run(execution, call, digest)));
 	}
 
 	/** Continues a call whose intent was recorded by an earlier owner. */
 	function recover(program: Program, key: IdempotencyKey, digest: string): Transcript {
-		return start(program, key, digest, async execution => options.executor.recover(execution, key));
+		return running.start(program, key, digest, async execution => options.executor.recover(execution, key));
 	}
 
 	async function * deliver(transcript: Result<Transcript, Failure>, position: Position, reader: AbortSignal): AsyncGenerator<CallEvent, void, undefined> {
@@ -327,13 +252,6 @@
 		return members;
 	}
 
-	function abortCalls(program: ProgramId, closing: Closing): void {
-		const code = closing === 'expired' ? 'deadline-exceeded' : 'cancelled';
-		for (const entry of running.get(program)?.values() ?? []) {
-			entry.controller.abort(new Error(code));
-		}
-	}
-
 	async function endOne(program: Program, closing: Closing): Promise<Result<void, Failure>> {
 		if (program.status !== 'open') {
 			return ok();
@@ -341,7 +259,7 @@
 
 		const recorded = record({kind: 'closed', program: program.id, closing});
 		program.endedAt = clock.wall();
-		abortCalls(program.id, closing);
+		running.abort(program.id, closing);
 		options.release(program.id, [...program.holders]);
 		return recorded;
 	}
@@ -377,7 +295,7 @@
 
 	async function drain(): Promise<void> {
 		isDraining = true;
-		await Promise.all([...sequences.values()].map(async sequence => sequence.onIdle()));
+		await running.idle();
 		await Promise.all(recording);
 	}
 
@@ -393,7 +311,7 @@
 		sweep,
 		drain,
 		programs: () => programs.size,
-		running: () => [...running.values()].reduce((sum, calls) => sum + calls.size, 0),
+		running: running.total,
 		journal,
 	};
 }
--- a/src/zones/transcript.ts
+++ b/src/zones/transcript.ts
@@ -7,6 +7,7 @@
 import {type Failure, failure} from '../contracts/failure.js';
 import {type AttemptId} from '../contracts/id.js';
 import {type Outcome} from '../contracts/outcome.js';
+import {type CallState} from '../contracts/program.js';
 
 type Ending = Extract<CallEvent, {kind: 'settled' | 'refused'}>;
 
@@ -105,3 +106,17 @@
 		read,
 	};
 }
+
+/** A transcript of what the journal has recorded about a call. */
+export function replayTranscript(state: Extract<CallState, {kind: 'settled'}>): Transcript {
+	const transcript = createTranscript();
+	if (state.outcome.kind === 'completed' && state.outcome.answer.kind === 'message') {
+		for (const token of state.outcome.answer.tokens) {
+			transcript.push(token);
+		}
+	}
+
+	transcript.name(state.stream);
+	transcript.end({kind: 'settled', outcome: state.outcome});
+	return transcript;
+}
--- a/tests/ledger-exploration.test.ts
+++ b/tests/ledger-exploration.test.ts
@@ -9,9 +9,8 @@
 	as, type AttemptId, type CallId, type EndpointId, type IdempotencyKey, type Incarnation, type InstanceId, type Milliseconds, type Nonce,
 	type ObjectVersion, type ProgramId, type RouteName, type Tokens,
 } from '../src/contracts/id.js';
-import {
-	createLedger, type Ledger, type LedgerEffect, type LedgerEvent, type Slot, slotsPerShard,
-} from '../src/contracts/ledger.js';
+import {createLedger, type Ledger, slotsPerShard} from '../src/contracts/ledger.js';
+import {type LedgerEffect, type LedgerEvent, type Slot} from '../src/contracts/ledger-event.js';
 import {type JournalRecord} from '../src/contracts/record.js';
 
 /** Steps of the longest interleaving; `npm run prove` goes deeper. */
