Write no refusal into an answer that is under way

Found by reading: on bytes that are no request, the front end wrote a 400 although an earlier request on the same connection was being answered, so the refusal stood inside that answer.

--- a/tests/endpoint-protocol.test.ts
+++ b/tests/endpoint-protocol.test.ts
@@ -251,3 +251,27 @@
 	await systemClock.sleep(as<Milliseconds>(200));
 	assert.ok(isClosed);
 });
+
+test('bytes that are no request, sent behind one that is being answered, put nothing into its answer', async () => {
+	const endpoint = await startEndpoint((_request, socket) => {
+		socket.write(`HTTP/1.1 200 OK\r\n${sealed}Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n`);
+	});
+	const route = routeWith({
+		isStream: true, repetition: 'resumable', maxEndpoints: 1, latencyGoal: as<Milliseconds>(250),
+	});
+	const front = await startFront(route, [endpoint.port]);
+	const socket = connect(front.port, '127.0.0.1');
+	let text = '';
+	socket.on('error', () => undefined);
+	socket.on('data', chunk => {
+		const isFirst = text === '';
+		text += chunk.toString();
+		if (isFirst) {
+			socket.write('nonsense\r\n\r\n');
+		}
+	});
+	socket.write(call().replace('Connection: close\r\n', ''));
+	await once(socket, 'close');
+	assert.match(text, /^HTTP\/1\.1 200 /v);
+	assert.equal(text.match(/HTTP\/1\.1/gv)?.length, 1);
+});
