--- /dev/null
+++ b/src/links/relay-metrics.ts
@@ -0,0 +1,100 @@
+/**
+Metrics of a relaying instance in the Prometheus text format. docs/OPERATIONS.md explains each.
+*/
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import {type RelayInstance, type RelayInstanceEvent} from '../machines/relay-instance.js';
+import {type RelayEvent} from '../machines/relay-event.js';
+
+const bucketsSeconds = [0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10];
+
+export type RelayMetrics = {
+	readonly count: (event: RelayInstanceEvent) => void;
+	readonly text: () => Promise<string>;
+};
+
+function detailOf(event: RelayInstanceEvent): string {
+	switch (event.kind) {
+		case 'relay': {
+			return event.relay.kind;
+		}
+
+		case 'tables': {
+			return event.tables.kind;
+		}
+
+		case 'budget': {
+			return event.budget.kind;
+		}
+
+		case 'warm-up': {
+			return event.warmUp.kind;
+		}
+
+		case 'member': {
+			return event.member.status;
+		}
+
+		case 'paused': {
+			return '';
+		}
+	}
+}
+
+/** Creates the metrics of one process; gauges are read when metrics are asked for. */
+export function createRelayMetrics(instance: () => Pick<RelayInstance, 'gauges'>): RelayMetrics {
+	const registry = new Registry();
+	const registers = [registry];
+	const events = new Counter({
+		name: 'hickoryfork_events_total', help: 'Decisions by kind and detail', labelNames: ['kind', 'detail'], registers,
+	});
+	const requests = new Histogram({
+		name: 'hickoryfork_request_seconds', help: 'Time from a request to the end of its answer, by how it ended', labelNames: ['ending'], buckets: bucketsSeconds, registers,
+	});
+	const attempts = new Histogram({
+		name: 'hickoryfork_attempt_seconds', help: 'Time of an attempt at an endpoint, by its result', labelNames: ['result'], buckets: bucketsSeconds, registers,
+	});
+	const gauge = new Gauge({
+		name: 'hickoryfork_state', help: 'Current counts', labelNames: ['of'], registers,
+		collect() {
+			for (const [name, value] of Object.entries(instance().gauges())) {
+				gauge.set({of: name}, value);
+			}
+		},
+	});
+
+	function observe(event: RelayEvent): void {
+		switch (event.kind) {
+			case 'attempted': {
+				attempts.observe({result: event.result.kind}, event.took / 1000);
+				return;
+			}
+
+			case 'served':
+			case 'cancelled': {
+				requests.observe({ending: event.kind}, event.elapsed / 1000);
+				return;
+			}
+
+			case 'refused': {
+				requests.observe({ending: event.refusal.kind}, event.elapsed / 1000);
+				break;
+			}
+
+			case 'crash-suspected': {
+				break;
+			}
+		}
+	}
+
+	return {
+		count(event) {
+			events.inc({kind: event.kind, detail: detailOf(event)});
+			if (event.kind === 'relay') {
+				observe(event.relay);
+			}
+		},
+		text: async () => registry.metrics(),
+	};
+}
--- a/src/links/snapshots.ts
+++ b/src/links/snapshots.ts
@@ -10,22 +10,21 @@
 import {fetch as undiciFetch} from 'undici';
 import {describeError, type Failure, failure} from '../contracts/failure.js';
 import {type Address} from '../contracts/id.js';
-import {type Member} from '../zones/membership.js';
-import {type RelayPeers, type RelaySnapshot} from '../zones/relay-peers.js';
+import {type Greeting, type RelayPeers, type RelaySnapshot} from '../zones/relay-peers.js';
 
-/** Time for a whole snapshot, in ms. */
-const snapshotTimeoutMs = 1500;
+/** Time for an answer, in ms; a snapshot of some hundred kilobytes takes a few dozen. */
+const answerTimeoutMs = 800;
 
 const trpc = initTRPC.create();
 
 export type SnapshotSource = {
-	readonly members: () => readonly Member[];
+	readonly greeting: () => Greeting;
 	readonly snapshot: () => RelaySnapshot;
 };
 
 function createRouter(source: SnapshotSource) {
 	return trpc.router({
-		members: trpc.procedure.query((): readonly Member[] => source.members()),
+		greeting: trpc.procedure.query((): Greeting => source.greeting()),
 		snapshot: trpc.procedure.query((): RelaySnapshot => source.snapshot()),
 	});
 }
@@ -50,18 +49,18 @@
 const sendRequest = undiciFetch as unknown as typeof fetch;
 
 /** Creates the client side. Queries end when the signal aborts. */
-export function createSnapshots(signal: AbortSignal): Pick<RelayPeers, 'members' | 'snapshot'> {
+export function createSnapshots(signal: AbortSignal): Pick<RelayPeers, 'greet' | 'snapshot'> {
 	async function query<Value>(address: Address, ask: (client: TRPCClient<Router>, limit: AbortSignal) => Promise<Value>): Promise<Result<Value, Failure>> {
 		const client = createTRPCClient<Router>({links: [httpLink({url: `http://${address}`, fetch: sendRequest})]});
 		try {
-			return ok(await ask(client, AbortSignal.any([signal, AbortSignal.timeout(snapshotTimeoutMs)])));
+			return ok(await ask(client, AbortSignal.any([signal, AbortSignal.timeout(answerTimeoutMs)])));
 		} catch (error) {
 			return err(failure('peer-unreachable', `${address} did not answer: ${describeError(error)}`, {step: 'configure', peer: address}));
 		}
 	}
 
 	return {
-		members: async address => query(address, async (client, limit) => client.members.query(undefined, {signal: limit})),
+		greet: async address => query(address, async (client, limit) => client.greeting.query(undefined, {signal: limit})),
 		snapshot: async address => query(address, async (client, limit) => client.snapshot.query(undefined, {signal: limit})),
 	};
 }
--- a/src/machines/load-reports.ts
+++ b/src/machines/load-reports.ts
@@ -9,7 +9,7 @@
 import {type RelayFleet} from './relay-fleet.js';
 
 /** Time between two reports; most requests last as long or longer. */
-const reportMs = 400;
+const reportMs = 500;
 
 /** Peers that one report goes to, so that its cost does not grow with the data centre. */
 const mostPeers = 8;
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -20,7 +20,7 @@
 import {createMembership, type Member} from '../zones/membership.js';
 import {createNeighbourhood} from '../zones/neighbourhood.js';
 import {
-	type RelayMessage, type RelayPeers, type RelayReply, type RelaySnapshot,
+	type Greeting, type RelayMessage, type RelayPeers, type RelayReply, type RelaySnapshot,
 } from '../zones/relay-peers.js';
 import {createSharedTables, type SharedObjects, type SharedTablesEvent} from '../zones/shared-tables.js';
 import {isStoreWatcher} from '../zones/store-watchers.js';
@@ -69,12 +69,14 @@
 	readonly isReady: () => boolean;
 	/** Answers a peer. */
 	readonly answer: (message: RelayMessage) => Promise<RelayReply>;
-	readonly members: () => readonly Member[];
+	readonly greeting: () => Greeting;
 	readonly snapshot: () => RelaySnapshot;
 	readonly run: (signal: AbortSignal) => Promise<void>;
 	/** Says that no new callers should come, and tells peers. */
 	readonly leave: () => Promise<void>;
 	readonly dump: () => unknown;
+	/** Current counts for metrics. */
+	readonly gauges: () => Readonly<Record<string, number>>;
 };
 
 const done: RelayReply = {kind: 'done'};
@@ -138,7 +140,7 @@
 					? ok(reply.gossip)
 					: err(failure('peer-unreachable', `${peer.id} did not answer a probe`, {step: 'forward', peer: peer.id}));
 			},
-			members: async peer => peers.members(peer.address),
+			members: async peer => greet(peer.address),
 		},
 		generation: () => table?.configuration.generation ?? as<ConfigurationGeneration>(0),
 		onMember(member) {
@@ -169,7 +171,7 @@
 		hasWarmPeer: () => others().some(member => digests.get(member.id)?.isWarm),
 		meet: neighbourhood.meet,
 		async meetAt(peer) {
-			const members = await peers.members(peer);
+			const members = await greet(peer);
 			neighbourhood.learnMembers(members.unwrapOr([]));
 		},
 		records: options.records,
@@ -204,6 +206,16 @@
 		tables.learnDigest(peer.address, digest);
 	}
 
+	/** Asks a peer for its view, and takes from it whom it knows and how far it is. */
+	async function greet(peer: Address) {
+		const result = await peers.greet(peer);
+		return result.map(greeting => {
+			neighbourhood.learnMembers([greeting.self]);
+			learnDigest(greeting.self, greeting.digest);
+			return greeting.members;
+		});
+	}
+
 	async function answer(message: RelayMessage): Promise<RelayReply> {
 		switch (message.kind) {
 			case 'gossip': {
@@ -242,7 +254,7 @@
 		answer,
 		limits: () => table?.configuration.limits,
 		isReady: () => table !== undefined && warmUp.isWarm() && !isLeaving,
-		members: membership.members,
+		greeting: () => ({self: membership.self(), members: membership.members(), digest: tables.digest()}),
 		snapshot: () => ({configuration: tables.configuration(), entries: tables.entries()}),
 		async run(signal) {
 			await Promise.all([
@@ -253,6 +265,14 @@
 			isLeaving = true;
 			await neighbourhood.leave();
 		},
+		gauges: () => ({
+			activeRequests: relay.active(),
+			members: membership.members().filter(member => member.status === 'alive').length,
+			endpoints: fleet.endpoints().length,
+			programs: ledger.programs().length,
+			storeCalls: store.calls(),
+			generation: tables.digest().generation,
+		}),
 		dump: () => ({
 			id,
 			isLeaving,
--- a/src/zones/relay-peers.ts
+++ b/src/zones/relay-peers.ts
@@ -43,6 +43,13 @@
 		| {readonly kind: 'gossip'; readonly gossip: Gossip}
 		| {readonly kind: 'reservation'; readonly outcome: ReservationOutcome};
 
+/** What a newcomer is told first. */
+export type Greeting = {
+	readonly self: Member;
+	readonly members: readonly Member[];
+	readonly digest: RelayDigest;
+};
+
 /** Everything that an instance knows of the shared tables. */
 export type RelaySnapshot = {
 	readonly configuration?: RelayConfiguration | undefined;
@@ -62,7 +69,7 @@
 	/** Sends without waiting for a reply. */
 	readonly post: (address: Address, message: RelayMessage) => void;
 	/** Both fail with `peer-unreachable`. */
-	readonly members: (address: Address) => Promise<Result<readonly Member[], Failure>>;
+	readonly greet: (address: Address) => Promise<Result<Greeting, Failure>>;
 	readonly snapshot: (address: Address) => Promise<Result<RelaySnapshot, Failure>>;
 };
 
--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -31,7 +31,7 @@
 const watchMs = 2500;
 
 /** How often removals that were held back are looked at. */
-const expiryMs = 250;
+const expiryMs = 500;
 
 /** Time after which an instance that could not reach the store may be tried as a watcher again. */
 const unreachableMs = 4000;
--- a/src/zones/store-watch.ts
+++ b/src/zones/store-watch.ts
@@ -12,7 +12,7 @@
 const longestPauseMs = 1000;
 
 /** How often an instance that need not watch asks whether it has to, in ms. */
-const idleCheckMs = 200;
+const idleCheckMs = 500;
 
 export type StoreWatchEvent
 	= | {readonly kind: 'listed'; readonly list: ObjectList}
--- a/src/zones/warm-up.ts
+++ b/src/zones/warm-up.ts
@@ -17,6 +17,9 @@
 /** Pause between two tries. */
 const retryMs = 250;
 
+/** How often an instance with peers checks that it still has some, in ms. */
+const companyMs = 2000;
+
 export type WarmUpEvent
 	= | {readonly kind: 'warm'; readonly source: 'first-start' | 'peers' | 'store'; readonly records: number}
 		| {readonly kind: 'records-unavailable'; readonly reason: string};
@@ -73,32 +76,31 @@
 
 		const startedAt = clock.now();
 		while (!isWarm && !signal.aborted) {
-			if (options.isAlone()) {
-				await options.meet();
-			}
-
+			await clock.sleep(as<Milliseconds>(retryMs), signal);
 			if (options.hasWarmPeer()) {
 				await clock.sleep(as<Milliseconds>(handOverMs), signal);
 				finish('peers', ledger.programs().length);
 			} else if (clock.now() - startedAt > searchMs) {
 				await loadRecords();
 			}
+		}
+	}
 
-			await clock.sleep(as<Milliseconds>(retryMs), signal);
+	/** Looks for other instances while none is known. */
+	async function findPeers(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			if (options.isAlone()) {
+				await options.meet();
+			}
+
+			await clock.sleep(as<Milliseconds>(options.isAlone() ? retryMs : companyMs), signal);
 		}
 	}
 
 	return {
 		isWarm: () => isWarm,
 		async run(signal) {
-			await warm(signal);
-			while (!signal.aborted) {
-				if (options.isAlone()) {
-					await options.meet();
-				}
-
-				await clock.sleep(as<Milliseconds>(retryMs), signal);
-			}
+			await Promise.all([warm(signal), findPeers(signal)]);
 		},
 	};
 }
--- /dev/null
+++ b/tests/endpoint-directory.test.ts
@@ -0,0 +1,62 @@
+/**
+The directory of endpoints over a list that lags, lapses and comes from several sources.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	as, type EndpointId, type Milliseconds, type ObjectVersion,
+} from '../src/contracts/id.js';
+import {createEndpointDirectory, type DirectoryEntry, doubtMs} from '../src/zones/endpoint-directory.js';
+import {endpointWith} from './fixtures/relay-world.js';
+
+const at = (ms: number) => as<Milliseconds>(ms);
+const revision = (number: number) => as<ObjectVersion>(number);
+
+function listed(id: string, number: number, isLeaving = false): DirectoryEntry {
+	return {kind: 'listed', revision: revision(number), endpoint: endpointWith(id, {isLeaving})};
+}
+
+function removed(id: string, number: number): DirectoryEntry {
+	return {kind: 'removed', revision: revision(number), id: as<EndpointId>(id)};
+}
+
+function idsOf(entries: readonly DirectoryEntry[]): string[] {
+	return entries.filter(entry => entry.kind === 'listed').map(entry => entry.endpoint.id);
+}
+
+test('the newer of two changes wins in whatever order they come', () => {
+	const directory = createEndpointDirectory();
+	directory.merge([listed('a', 5, true)], at(0));
+	assert.deepEqual(directory.merge([listed('a', 4)], at(0)), []);
+	directory.merge([removed('b', 8)], at(0));
+	assert.deepEqual(directory.merge([listed('b', 7)], at(0)), []);
+	assert.deepEqual(idsOf(directory.merge([listed('b', 9)], at(0))), ['b']);
+});
+
+test('an entry that a whole list lacks is removed', () => {
+	const directory = createEndpointDirectory();
+	directory.replace([listed('a', 1), listed('b', 2)], revision(3), at(10_000));
+	directory.replace([listed('a', 1)], revision(6), at(20_000));
+	assert.deepEqual(idsOf(directory.entries()), ['a']);
+});
+
+test('a list that is older than an entry does not remove it', () => {
+	const directory = createEndpointDirectory();
+	directory.merge([listed('a', 9)], at(10_000));
+	directory.replace([], revision(6), at(20_000));
+	assert.deepEqual(idsOf(directory.entries()), ['a']);
+});
+
+test('entries that lapse around an outage of the store are kept, and go when they do not return', () => {
+	const directory = createEndpointDirectory();
+	directory.replace([listed('a', 1), listed('b', 2)], revision(3), at(10_000));
+	directory.noteTrouble(at(20_000));
+	directory.learn(removed('a', 4), at(20_100));
+	directory.learn(removed('b', 5), at(20_100));
+	assert.deepEqual(idsOf(directory.entries()), ['a', 'b']);
+	directory.learn(listed('b', 6), at(21_000));
+	directory.expire(at(20_000 + doubtMs - 1));
+	assert.deepEqual(idsOf(directory.entries()), ['a', 'b']);
+	directory.expire(at(20_000 + doubtMs));
+	assert.deepEqual(idsOf(directory.entries()), ['b']);
+});
--- /dev/null
+++ b/tests/endpoint-protocol.test.ts
@@ -0,0 +1,253 @@
+/**
+The platform's front end and endpoint protocol from end to end on loopback: fault cases of endpoints and
+callers in tables.
+*/
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {connect, createServer, type Socket} from 'node:net';
+import {after, test} from 'node:test';
+import {createConnections} from '../src/links/connections.js';
+import {
+	as, type Address, type Milliseconds, type ObjectVersion,
+} from '../src/contracts/id.js';
+import {type RelayRoute} from '../src/contracts/relay.js';
+import {createRoutingTable} from '../src/contracts/routing-table.js';
+import {createQuarantine} from '../src/machines/quarantine.js';
+import {createRelay} from '../src/machines/relay.js';
+import {createRelayFleet} from '../src/machines/relay-fleet.js';
+import {systemClock} from '../src/programs/runtime.js';
+import {createEndpointLink} from '../platform/endpoint-link.js';
+import {serveIngress} from '../platform/ingress.js';
+import {createSeededRandom} from './fixtures/fake-clock.js';
+import {
+	configurationWith, dataCentre, endpointWith, routeWith,
+} from './fixtures/relay-world.js';
+
+const closing = new AbortController();
+const closers: Array<() => void> = [];
+
+after(() => {
+	closing.abort();
+	for (const close of closers) {
+		close();
+	}
+});
+
+type Answer = (request: string, socket: Socket) => void;
+
+/** Starts an endpoint that answers each request head with raw bytes. */
+async function startEndpoint(answer: Answer): Promise<{readonly port: number; readonly requests: string[]}> {
+	const requests: string[] = [];
+	const server = createServer(socket => {
+		let text = '';
+		socket.on('error', () => undefined);
+		socket.on('data', chunk => {
+			text += chunk.toString();
+			const end = text.indexOf('\r\n\r\n');
+			const length = Number(/content-length: (\d+)/iv.exec(text)?.[1] ?? 0);
+			if (end !== -1 && text.length >= end + 4 + length) {
+				requests.push(text);
+				answer(text, socket);
+				text = '';
+			}
+		});
+		closers.push(() => {
+			socket.destroy();
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	closers.push(() => {
+		server.close();
+	});
+	const bound = server.address() ?? undefined;
+	return {port: typeof bound === 'object' ? bound.port : 0, requests};
+}
+
+/** Starts a front end before endpoints and returns a function that sends raw bytes and reads until the other end closes. */
+async function startFront(route: RelayRoute, ports: readonly number[]) {
+	const fleet = createRelayFleet();
+	for (const [index, port] of ports.entries()) {
+		fleet.apply({kind: 'listed', revision: as<ObjectVersion>(1), endpoint: endpointWith(`e${index}`, {address: as<Address>(`127.0.0.1:${port}`)})});
+	}
+
+	const table = createRoutingTable(configurationWith([route]));
+	const relay = createRelay({
+		fleet,
+		dataCentre,
+		link: createEndpointLink(createConnections(closing.signal)),
+		budgets: {reserve: async () => ({kind: 'granted', settle: () => undefined})},
+		quarantine: createQuarantine(),
+		clock: systemClock,
+		random: createSeededRandom(1),
+		table: () => table,
+		onEvent: () => undefined,
+	});
+	const ingress = await serveIngress({
+		relay, host: '127.0.0.1', port: 0, limits: () => table.configuration.limits, onProblem: () => undefined,
+	});
+	closers.push(() => {
+		ingress.server.close();
+		ingress.server.closeAllConnections();
+	});
+	const bound = ingress.server.address() ?? undefined;
+	const port = typeof bound === 'object' ? bound.port : 0;
+	return {
+		port,
+		async send(bytes: string): Promise<string> {
+			const socket = connect(port, '127.0.0.1');
+			socket.write(bytes);
+			let text = '';
+			socket.on('error', () => undefined);
+			socket.on('data', chunk => {
+				text += chunk.toString();
+			});
+			await once(socket, 'close');
+			return text;
+		},
+	};
+}
+
+const sealed = 'Attempt-Id: t1\r\nServer-Seal: seal\r\n';
+const whole = `HTTP/1.1 200 OK\r\n${sealed}Content-Length: 5\r\n\r\nwhole`;
+
+function call(extra = ''): string {
+	return `GET /work/1 HTTP/1.1\r\nHost: host.example\r\nAttempt-Id: t1\r\nDeadline-Ms: 1500\r\nConnection: close\r\n${extra}\r\n`;
+}
+
+function say(text: string, isLast = false): Answer {
+	return (_request, socket) => {
+		if (isLast) {
+			socket.end(text);
+		} else {
+			socket.write(text);
+		}
+	};
+}
+
+type Case = {
+	readonly name: string;
+	readonly repetition: 'repeatable' | 'once';
+	readonly answer: Answer;
+	readonly status: number;
+};
+
+const cases: readonly Case[] = [
+	{
+		name: 'a whole answer', repetition: 'once', answer: say(whole), status: 200,
+	},
+	{
+		name: 'an answer without length that ends with its connection', repetition: 'once', answer: say(`HTTP/1.1 200 OK\r\n${sealed}\r\nwhole`, true), status: 200,
+	},
+	{
+		name: 'an answer that is cut off', repetition: 'once', answer: say(`HTTP/1.1 200 OK\r\n${sealed}Content-Length: 50\r\n\r\nwho`, true), status: 502,
+	},
+	{
+		name: 'bytes that are no answer', repetition: 'once', answer: say('nonsense\r\n\r\n', true), status: 502,
+	},
+	{
+		name: 'the answer to another request', repetition: 'once', answer: say('HTTP/1.1 200 OK\r\nAttempt-Id: t0\r\nServer-Seal: other\r\nContent-Length: 5\r\n\r\nother'), status: 502,
+	},
+	{
+		name: 'an endpoint that does not run the request', repetition: 'once', answer: say('HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'), status: 503,
+	},
+	{
+		name: 'another endpoint at the address', repetition: 'once', answer: say('HTTP/1.1 421 Misdirected\r\nInstance-Id: x\r\nContent-Length: 0\r\n\r\n'), status: 503,
+	},
+	{
+		name: 'a failure of the endpoint itself', repetition: 'once', answer: say(`HTTP/1.1 500 Failed\r\n${sealed}Content-Length: 0\r\n\r\n`), status: 500,
+	},
+	{
+		name: 'a connection that is closed without an answer', repetition: 'once', answer: say('', true), status: 502,
+	},
+];
+
+for (const {name, repetition, answer, status} of cases) {
+	test(`${name} gives the caller ${status}`, async () => {
+		const endpoint = await startEndpoint(answer);
+		const front = await startFront(routeWith({repetition}), [endpoint.port]);
+		const text = await front.send(call());
+		assert.match(text, new RegExp(String.raw`^HTTP/1\.1 ${status} `, 'v'));
+		if (status === 200) {
+			assert.ok(text.endsWith('whole') && /server-seal: seal/iv.test(text));
+		}
+	});
+}
+
+test('headers that only the system may set are dropped, and its own are added', async () => {
+	const endpoint = await startEndpoint(say(whole));
+	const front = await startFront(routeWith({repetition: 'once'}), [endpoint.port]);
+	await front.send(call('Hold: x\r\nKv-From: y\r\nPin-Ms: 9\r\nExpect-Instance: forged\r\nRequest-Urgency: 0\r\nX-Own: kept\r\n'));
+	const [request = ''] = endpoint.requests;
+	assert.doesNotMatch(request, /^(?:hold|kv-from|pin-ms|request-urgency):/imv);
+	assert.match(request, /^expect-instance: e0\r$/imv);
+	assert.match(request, /^x-own: kept\r$/imv);
+	assert.ok(Number(/^deadline-ms: (\d+)/imv.exec(request)?.[1]) <= 1500);
+});
+
+test('bytes behind a whole answer never reach the next caller', async () => {
+	const endpoint = await startEndpoint(say(`${whole}HTTP/1.1 200 OK\r\nAttempt-Id: t1\r\nContent-Length: 5\r\n\r\nextra`));
+	const front = await startFront(routeWith({repetition: 'repeatable'}), [endpoint.port]);
+	for (let round = 0; round < 3; round++) {
+		const text = await front.send(call());
+		assert.ok(text.endsWith('whole'));
+	}
+});
+
+test('a stream that breaks off inside an event goes on behind its last whole one', async () => {
+	let round = 0;
+	const endpoint = await startEndpoint((request, socket) => {
+		const head = `HTTP/1.1 200 OK\r\n${sealed}Transfer-Encoding: chunked\r\n\r\n`;
+		const chunk = (text: string) => `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
+		if (round++ === 0) {
+			socket.end(`${head}${chunk('id: 1\ndata: a\n\nid: 2\nda')}`);
+			return;
+		}
+
+		assert.match(request, /^last-event-id: 1\r$/imv);
+		socket.write(`${head}${chunk('id: 2\ndata: b\n\n')}0\r\n\r\n`);
+	});
+	const route = routeWith({
+		isStream: true, repetition: 'resumable', maxEndpoints: 1, latencyGoal: as<Milliseconds>(250),
+	});
+	const front = await startFront(route, [endpoint.port]);
+	const text = await front.send(call());
+	assert.equal([...text.matchAll(/^data: (.)/gimv)].map(match => match[1]).join(''), 'ab');
+	assert.ok(text.endsWith('0\r\n\r\n'));
+});
+
+const refusedBytes: ReadonlyArray<{readonly name: string; readonly bytes: string; readonly status: number}> = [
+	{name: 'a request with two framings', bytes: 'POST /work/1 HTTP/1.1\r\nHost: host.example\r\nAttempt-Id: t1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n', status: 400},
+	{name: 'a request without an id', bytes: 'GET /work/1 HTTP/1.1\r\nHost: host.example\r\nConnection: close\r\n\r\n', status: 400},
+	{name: 'a header that is too long', bytes: `GET /work/1 HTTP/1.1\r\nHost: host.example\r\nX: ${'x'.repeat(20_000)}\r\n\r\n`, status: 431},
+	{name: 'a path without a route', bytes: call().replace('/work/', '/none/'), status: 404},
+];
+
+for (const {name, bytes, status} of refusedBytes) {
+	test(`${name} is refused with ${status} and reaches no endpoint`, async () => {
+		const endpoint = await startEndpoint(say(whole));
+		const front = await startFront(routeWith(), [endpoint.port]);
+		assert.match(await front.send(bytes), new RegExp(String.raw`^HTTP/1\.1 ${status} `, 'v'));
+		assert.equal(endpoint.requests.length, 0);
+	});
+}
+
+test('the request of a caller that goes away ends at its endpoint', async () => {
+	let isClosed = false;
+	const endpoint = await startEndpoint((_request, socket) => {
+		socket.once('close', () => {
+			isClosed = true;
+		});
+	});
+	const front = await startFront(routeWith({repetition: 'repeatable'}), [endpoint.port]);
+	const socket = connect(front.port, '127.0.0.1');
+	socket.write(call());
+	while (endpoint.requests.length === 0) {
+		await systemClock.sleep(as<Milliseconds>(5));
+	}
+
+	socket.destroy();
+	await systemClock.sleep(as<Milliseconds>(200));
+	assert.ok(isClosed);
+});
--- /dev/null
+++ b/tests/relay.test.ts
@@ -0,0 +1,220 @@
+/**
+Relayed requests over attempts that fail: what may be sent again, where, and what the caller is told.
+*/
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import {as, type Milliseconds} from '../src/contracts/id.js';
+import {type RelayAttempt, type RelayResult} from '../src/contracts/relay-attempt.js';
+import {
+	createRelayWorld, endpointWith, eventBytes, requestWith, routeWith, turn,
+} from './fixtures/relay-world.js';
+
+const answered: RelayResult = {kind: 'answered', head: {status: 200, headers: []}, body: Buffer.from('whole')};
+const broken: RelayResult = {kind: 'broken', reason: 'reset'};
+const unreachable: RelayResult = {kind: 'unreachable', reason: 'refused'};
+const rejected: RelayResult = {kind: 'rejected', status: 503};
+const endpoints = [endpointWith('a'), endpointWith('bb'), endpointWith('ccc')];
+const stream = routeWith({isStream: true, repetition: 'resumable', maxEndpoints: 1});
+
+/** Gives the results in turn, the last one for good. */
+function inTurn(...results: readonly RelayResult[]) {
+	let next = 0;
+	return () => results[Math.min(next++, results.length - 1)] ?? answered;
+}
+
+function relayEvents(attempt: RelayAttempt, from: number, to: number): void {
+	attempt.onHead({status: 200, headers: []});
+	for (let id = from; id <= to; id++) {
+		attempt.onEvent({id, bytes: eventBytes(id)});
+	}
+}
+
+type Case = {
+	readonly name: string;
+	readonly repetition: 'repeatable' | 'once';
+	readonly results: readonly RelayResult[];
+	readonly attempts: number;
+	readonly ending: 'answered' | 'failed' | 'not-run' | 'timeout';
+};
+
+const cases: readonly Case[] = [
+	{
+		name: 'an answer is delivered', repetition: 'repeatable', results: [answered], attempts: 1, ending: 'answered',
+	},
+	{
+		name: 'a repeatable request goes on at another endpoint when a connection breaks', repetition: 'repeatable', results: [broken, answered], attempts: 2, ending: 'answered',
+	},
+	{
+		name: 'a repeatable request goes on elsewhere when nothing comes', repetition: 'repeatable', results: [{kind: 'silent'}, answered], attempts: 2, ending: 'answered',
+	},
+	{
+		name: 'a request that may run once is not sent again when its connection breaks', repetition: 'once', results: [broken, answered], attempts: 1, ending: 'failed',
+	},
+	{
+		name: 'a request that may run once is sent on when no connection came about', repetition: 'once', results: [unreachable, answered], attempts: 2, ending: 'answered',
+	},
+	{
+		name: 'a request that may run once is sent on when an endpoint says that it did not run it',
+		repetition: 'once',
+		results: [rejected, {kind: 'misdirected'}, answered],
+		attempts: 3,
+		ending: 'answered',
+	},
+	{
+		name: 'a request that timed out at an endpoint may have run', repetition: 'once', results: [{kind: 'expired'}], attempts: 1, ending: 'timeout',
+	},
+];
+
+for (const {name, repetition, results, attempts, ending} of cases) {
+	test(name, async () => {
+		const world = createRelayWorld({route: routeWith({repetition}), endpoints, script: inTurn(...results)});
+		const witness = await world.serve(requestWith());
+		assert.equal(world.attempts.length, attempts);
+		assert.equal(witness.ending() ?? witness.refusals[0]?.kind, ending);
+	});
+}
+
+test('a request that no endpoint took is refused as not run within a quarter of its goal', async () => {
+	const world = createRelayWorld({route: routeWith({repetition: 'once'}), endpoints, script: inTurn(rejected)});
+	const witness = await world.serve(requestWith());
+	assert.equal(witness.refusals[0]?.kind, 'not-run');
+	const refused = world.events.find(event => event.kind === 'refused');
+	assert.ok(refused?.kind === 'refused' && refused.elapsed <= 200);
+});
+
+test('a repeatable request runs on no more endpoints than its route allows', async () => {
+	const world = createRelayWorld({route: routeWith({maxEndpoints: 2}), endpoints, script: inTurn(broken)});
+	await world.serve(requestWith());
+	assert.equal(new Set(world.attempts.map(attempt => attempt.endpoint.id)).size, 2);
+});
+
+test('a stream goes on behind its last whole event at the same endpoint, in one answer', async () => {
+	let isFirst = true;
+	const world = createRelayWorld({
+		route: stream,
+		endpoints,
+		script(attempt) {
+			if (isFirst) {
+				isFirst = false;
+				relayEvents(attempt, 1, 3);
+				return broken;
+			}
+
+			assert.equal(attempt.resumeBehind, 3);
+			relayEvents(attempt, 3, 5);
+			return {kind: 'finished'};
+		},
+	});
+	const witness = await world.serve(requestWith(turn));
+	assert.equal(witness.body(), [1, 2, 3, 4, 5].map(id => Buffer.from(eventBytes(id)).toString()).join(''));
+	assert.equal(witness.ending(), 'finished');
+	assert.equal(world.attempts[0]?.endpoint.id, world.attempts[1]?.endpoint.id);
+});
+
+test('a stream goes on at another endpoint when its own cannot be reached any more', async () => {
+	let dead: string | undefined;
+	const world = createRelayWorld({
+		route: stream,
+		endpoints,
+		script(attempt) {
+			if (dead === undefined) {
+				dead = attempt.endpoint.id;
+				relayEvents(attempt, 1, 2);
+				return broken;
+			}
+
+			if (attempt.endpoint.id === dead) {
+				return unreachable;
+			}
+
+			relayEvents(attempt, 3, 4);
+			return {kind: 'finished'};
+		},
+	});
+	const witness = await world.serve(requestWith(turn));
+	assert.equal(witness.ending(), 'finished');
+	assert.equal(world.attempts.length, 3);
+});
+
+test('a stream that cannot go on is broken off, so that it does not look complete', async () => {
+	const world = createRelayWorld({
+		route: stream,
+		endpoints,
+		script(attempt) {
+			relayEvents(attempt, 1, 1);
+			return broken;
+		},
+	});
+	const witness = await world.serve(requestWith(turn));
+	assert.equal(witness.ending(), 'broken-off');
+});
+
+test('a program without budget left is refused before anything is sent', async () => {
+	const world = createRelayWorld({
+		route: stream, endpoints, script: inTurn(answered), budgets: {reserve: async () => ({kind: 'exhausted'})},
+	});
+	const witness = await world.serve(requestWith(turn));
+	assert.equal(witness.refusals[0]?.kind, 'budget-exhausted');
+	assert.equal(world.attempts.length, 0);
+});
+
+test('tokens are settled by the events that the caller was sent', async () => {
+	const settled: number[] = [];
+	const world = createRelayWorld({
+		route: stream,
+		endpoints,
+		script(attempt) {
+			relayEvents(attempt, 1, 4);
+			return {kind: 'finished'};
+		},
+		budgets: {
+			reserve: async () => ({
+				kind: 'granted',
+				settle(used) {
+					settled.push(used);
+				},
+			}),
+		},
+	});
+	await world.serve(requestWith(turn));
+	assert.deepEqual(settled, [12]);
+});
+
+test('a request that crashed two endpoints is quarantined', async () => {
+	const crashed = new Set<string>();
+	const world = createRelayWorld({
+		route: stream,
+		endpoints,
+		script(attempt) {
+			if (crashed.has(attempt.endpoint.id)) {
+				return unreachable;
+			}
+
+			crashed.add(attempt.endpoint.id);
+			return broken;
+		},
+	});
+	await world.serve(requestWith(turn));
+	const again = await world.serve(requestWith(turn));
+	assert.equal(again.refusals[0]?.kind, 'quarantined');
+});
+
+test('an unknown path is refused for good, and no table at all only for now', async () => {
+	const world = createRelayWorld({route: routeWith(), endpoints, script: inTurn(answered)});
+	const witness = await world.serve(requestWith({target: '/other/1'}));
+	assert.equal(witness.refusals[0]?.kind, 'no-route');
+});
+
+test('the time that is handed on shrinks with each attempt', async () => {
+	const world = createRelayWorld({
+		route: routeWith(),
+		endpoints,
+		async script(attempt) {
+			await world.clock.sleep(as<Milliseconds>(100));
+			return world.attempts.length === 1 ? broken : {...answered, took: attempt.timeLeft};
+		},
+	});
+	await world.serve(requestWith());
+	assert.ok((world.attempts[0]?.timeLeft ?? 0) - (world.attempts[1]?.timeLeft ?? 0) >= 100);
+});
--- /dev/null
+++ b/tests/token-ledger.test.ts
@@ -0,0 +1,153 @@
+/**
+The ledger of used tokens: budgets hold over several counting data centres, cuts and losses of memory.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {
+	as, type AttemptId, type DataCentreId, type Milliseconds, type ProgramId, type Tokens,
+} from '../src/contracts/id.js';
+import {
+	createTokenLedger, type Entitlement, type ReservationRequest, type TokenLedger,
+} from '../src/contracts/token-ledger.js';
+
+const most = 100;
+const now = as<Milliseconds>(0);
+const program = as<ProgramId>('program');
+
+function call(number: number, budget: number): ReservationRequest {
+	return {
+		program, attempt: as<AttemptId>(String(number)), budget: as<Tokens>(budget), most: as<Tokens>(most), retention: as<Milliseconds>(60_000),
+	};
+}
+
+function use(ledger: TokenLedger, number: number, used: number): void {
+	ledger.settle(program, as<AttemptId>(String(number)), as<Tokens>(used), now);
+}
+
+test('a call is granted while its most fits, and counts what it used afterwards', () => {
+	const ledger = createTokenLedger('a');
+	assert.equal(ledger.reserve(call(1, 200), 'home', now).kind, 'granted');
+	assert.equal(ledger.reserve(call(2, 200), 'home', now).kind, 'record-first');
+	assert.equal(ledger.reserve(call(3, 200), 'home', now).kind, 'exhausted');
+	use(ledger, 1, 30);
+	assert.equal(ledger.reserve(call(3, 200), 'home', now).kind, 'exhausted');
+	use(ledger, 2, 30);
+	assert.notEqual(ledger.reserve(call(3, 200), 'home', now).kind, 'exhausted');
+});
+
+test('the same attempt is granted once', () => {
+	const ledger = createTokenLedger('a');
+	ledger.reserve(call(1, 100), 'home', now);
+	assert.equal(ledger.reserve(call(1, 100), 'home', now).kind, 'granted');
+	assert.equal(ledger.reserve(call(2, 100), 'home', now).kind, 'exhausted');
+});
+
+test('ledgers that merge in any order count each grant once', () => {
+	const left = createTokenLedger('left');
+	const right = createTokenLedger('right');
+	left.reserve(call(1, 300), 'home', now);
+	right.reserve(call(2, 300), 'home', now);
+	for (const [from, to] of [[left, right], [right, left], [left, right]] as const) {
+		const account = from.account(program);
+		assert.ok(account);
+		to.merge(account, now);
+	}
+
+	assert.equal(left.reserve(call(3, 300), 'home', now).kind, 'record-first');
+	assert.equal(left.reserve(call(4, 300), 'home', now).kind, 'exhausted');
+});
+
+test('data centres that claim a program at the same time agree on one home', () => {
+	const left = createTokenLedger('left');
+	const right = createTokenLedger('right');
+	left.claim(call(1, 300), as<DataCentreId>('verona'), now);
+	right.claim(call(1, 300), as<DataCentreId>('padova'), now);
+	const leftAccount = left.account(program);
+	const rightAccount = right.account(program);
+	assert.ok(leftAccount && rightAccount);
+	left.merge(rightAccount, now);
+	right.merge(leftAccount, now);
+	assert.equal(left.home(program), right.home(program));
+});
+
+/** Hands out as much as two sides are entitled to, each call using its most. */
+function spendAll(entitlements: readonly [Entitlement, Entitlement], budget: number): number {
+	let total = 0;
+	for (const [index, entitlement] of entitlements.entries()) {
+		const ledger = createTokenLedger(String(index));
+		for (let number = 0; number < 50; number++) {
+			const decision = ledger.reserve(call(number, budget), entitlement, now);
+			if (decision.kind === 'granted' || decision.kind === 'record-first') {
+				total += most;
+				use(ledger, number, most);
+			}
+		}
+	}
+
+	return total;
+}
+
+test('two sides that contest a program never overrun its budget by more than one call', () => {
+	for (let budget = most; budget <= 10 * most; budget += 10) {
+		assert.ok(spendAll(['contested', 'contested'], budget) <= budget + most, `budget ${budget}`);
+	}
+});
+
+test('a guest beside the home overruns the budget by no more than one call', () => {
+	for (let budget = most; budget <= 10 * most; budget += 10) {
+		assert.ok(spendAll(['home', 'guest'], budget) <= budget + most, `budget ${budget}`);
+	}
+});
+
+type Action = {readonly kind: 'call'; readonly used: number} | {readonly kind: 'parallel'} | {readonly kind: 'lose-memory'};
+
+const action: fc.Arbitrary<Action> = fc.oneof(
+	{weight: 8, arbitrary: fc.record({kind: fc.constant<'call'>('call'), used: fc.integer({min: 0, max: most})})},
+	{weight: 2, arbitrary: fc.constant<Action>({kind: 'parallel'})},
+	{weight: 1, arbitrary: fc.constant<Action>({kind: 'lose-memory'})},
+);
+
+/** Plays calls on one counting instance that loses its memory once, and returns the tokens handed out. */
+function play(actions: readonly Action[], budget: number): number {
+	let ledger = createTokenLedger('life-0');
+	let recorded = 0;
+	let total = 0;
+	let number = 0;
+	let losses = 0;
+	const reserve = () => {
+		const decision = ledger.reserve(call(++number, budget), 'home', now);
+		if (decision.kind === 'record-first') {
+			recorded = Math.max(recorded, decision.upTo);
+			ledger.markRecorded(program, as<Tokens>(recorded));
+		}
+
+		return decision.kind === 'granted' || decision.kind === 'record-first';
+	};
+
+	for (const step of actions) {
+		if (step.kind === 'lose-memory') {
+			if (losses++ === 0) {
+				ledger = createTokenLedger('life-1');
+				if (recorded > 0) {
+					ledger.restore(program, as<Tokens>(recorded), as<Milliseconds>(60_000), now);
+				}
+			}
+		} else {
+			const used = step.kind === 'call' ? step.used : most;
+			const isGranted = reserve();
+			total += isGranted ? used : 0;
+			if (isGranted) {
+				use(ledger, number, used);
+			}
+		}
+	}
+
+	return total;
+}
+
+test('a budget is overrun by no more than one call when all memory is lost once', () => {
+	fc.assert(fc.property(fc.array(action, {maxLength: 60}), fc.integer({min: most, max: 10 * most}), (actions, budget) => {
+		assert.ok(play(actions, budget) <= budget + most);
+	}), {seed: 20_261_204, numRuns: 2000});
+});
