Let other keepers answer before a call is granted

Cause: two instances that both took themselves for the keeper of a program (one paused or cut off and back, views that differ, guests of several data centres) granted side by side, and heard of each other 20 ms or seconds later.

Change: a keeper tells the next keepers what it is about to grant, and grants when one has answered and what they have counted leaves room. Reaching nobody, it grants nothing. All guests together grant what one guest did. A spent budget is told everyone. While the store is out of reach no more than two calls go unrecorded.

--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -14,6 +14,8 @@
 export type LedgerSlot = {
 	/** Names one life of a counting instance, or the store's record. */
 	readonly counter: string;
+	/** Where the instance is; none for the store's record. */
+	readonly dataCentre?: DataCentreId | undefined;
 	/** Grows with each change. */
 	readonly version: number;
 	/** Tokens of calls that have ended. */
@@ -52,12 +54,12 @@
 - `home`: the whole budget.
 - `contested`: another data centre cannot be told about the program and may grant it too. Each side grants
   half of the budget and a quarter of a call, together half of the call by which a budget may be overrun.
-- `guest`: the home cannot be reached and may grant the whole budget. One call, and as much more as an ended
-  call usually leaves of its most: the other half of the overrun, and what ended calls do not use.
+- `guest`: the home cannot be reached and may grant the whole budget. All guests together grant one call, and as
+  much more as an ended call usually leaves of its most.
 */
 export type Entitlement = 'home' | 'contested' | 'guest';
 
-/** Calls at their most that a guest may grant; ended calls use about a quarter of it. */
+/** Calls at their most that guests may grant; ended calls use about a quarter of it. */
 const guestCalls = 1.25;
 
 /** Share of a call that each side of a contest may grant beyond half of the budget. */
@@ -69,7 +71,7 @@
 		| {readonly kind: 'record-first'; readonly upTo: Tokens}
 		| {readonly kind: 'exhausted'; readonly used: Tokens}
 	/** The budget covers the call, but this instance is not entitled to grant it. */
-		| {readonly kind: 'withheld'; readonly used: Tokens};
+		| {readonly kind: 'withheld'};
 
 export type TokenLedger = {
 	/** Reserves unless the budget does not cover the call. A second request of one attempt counts once. */
@@ -77,15 +79,25 @@
 	readonly home: (program: ProgramId) => DataCentreId | undefined;
 	/** Makes a data centre the home of a program that has none; the program counts as heard of. */
 	readonly claim: (request: ReservationRequest, home: DataCentreId, now: Milliseconds) => void;
+	/** Withdraws a claim for which nothing was granted. */
+	readonly disclaim: (program: ProgramId) => void;
+	/** Whether what was reserved and used is still within what may be granted, after accounts were merged. */
+	readonly isWithin: (request: ReservationRequest, entitlement: Entitlement) => boolean;
 	readonly settle: (program: ProgramId, attempt: AttemptId, used: Tokens, now: Milliseconds) => void;
 	/** The store holds a record for the program. */
 	readonly markRecorded: (program: ProgramId, recorded: Tokens) => void;
 	/** Counts a record that the store kept over a loss of memory as used. */
 	readonly restore: (program: ProgramId, recorded: Tokens, retention: Milliseconds, now: Milliseconds) => void;
 	readonly merge: (account: Account, now: Milliseconds) => void;
+	/** Whether this ledger knows of grants, or of a home, that the account does not show. */
+	readonly knowsMore: (account: Account) => boolean;
 	readonly account: (program: ProgramId) => Account | undefined;
 	/** Whether this instance has granted calls to the program. */
 	readonly hasCounted: (program: ProgramId) => boolean;
+	/** Whether so little is used beyond the store's record that it may be lost with all memory. */
+	readonly isBearable: (request: ReservationRequest) => boolean;
+	/** Tokens used or reserved, as far as it is known here. */
+	readonly used: (program: ProgramId) => Tokens;
 	/** Tokens used or reserved beyond the store's record. */
 	readonly unrecorded: (program: ProgramId) => Tokens;
 	readonly programs: () => readonly ProgramId[];
@@ -97,6 +109,12 @@
 /** Counter of what the store recorded. */
 const storeCounter = 'store';
 
+/**
+Calls at their most that may be granted beyond the record while the store is out of reach. One is what a budget may
+be overrun by; ended calls use about a quarter of their most, and programs that begin meanwhile need a few.
+*/
+const unrecordedCalls = 2;
+
 /** Share of a budget that the first record covers. */
 const recordedShare = 0.5;
 
@@ -124,8 +142,8 @@
 	};
 }
 
-/** Creates an empty ledger; `counter` names this life of this instance. */
-export function createTokenLedger(counter: string): TokenLedger {
+/** Creates an empty ledger; `counter` names this life of an instance in a data centre. */
+export function createTokenLedger(counter: string, dataCentre: DataCentreId): TokenLedger {
 	const entries = new Map<ProgramId, Entry>();
 
 	function entryOf(program: ProgramId, retention: Milliseconds, now: Milliseconds): Entry {
@@ -148,13 +166,14 @@
 		const slot = entry.slots.get(counter);
 		entry.slots.set(counter, {
 			counter,
+			dataCentre,
 			version: (slot?.version ?? 0) + 1,
 			settled: as<Tokens>((slot?.settled ?? 0) + settled),
 			reserved: as<Tokens>((slot?.reserved ?? 0) + reserved),
 		});
 	}
 
-	/** Tokens, this call's most included, up to which calls are granted, and those that count. */
+	/** Tokens up to which calls are granted, and those that count. */
 	function boundOf(entry: Entry, {budget, most}: ReservationRequest, entitlement: Entitlement): {readonly used: number; readonly limit: number} {
 		const used = sum(entry.slots.values());
 		switch (entitlement) {
@@ -167,12 +186,17 @@
 			}
 
 			case 'guest': {
-				const own = entry.slots.get(counter);
-				return used + most > budget ? {used, limit: budget} : {used: sum(own ? [own] : []), limit: most * guestCalls};
+				const guests = [...entry.slots.values()].filter(slot => slot.dataCentre !== undefined && slot.dataCentre !== entry.home);
+				return {used: sum(guests), limit: most * guestCalls};
 			}
 		}
 	}
 
+	function unrecorded(program: ProgramId): Tokens {
+		const entry = entries.get(program);
+		return as<Tokens>(entry ? Math.max(0, sum(entry.slots.values()) - entry.recorded) : 0);
+	}
+
 	return {
 		home: program => entries.get(program)?.home,
 		claim({program, retention}, home, now) {
@@ -187,8 +211,8 @@
 
 			const used = sum(entry.slots.values());
 			const bound = boundOf(entry, request, entitlement);
-			if (bound.used + most > bound.limit) {
-				return used + most > budget ? {kind: 'exhausted', used: as<Tokens>(used)} : {kind: 'withheld', used: as<Tokens>(used)};
+			if (bound.used + most > bound.limit || used + most > budget) {
+				return used + most > budget ? {kind: 'exhausted', used: as<Tokens>(used)} : {kind: 'withheld'};
 			}
 
 			entry.reservations.set(attempt, most);
@@ -200,6 +224,21 @@
 			// Half of the budget at once, so that most programs need one write and keep half after a loss of memory.
 			return {kind: 'record-first', upTo: as<Tokens>(Math.min(budget, Math.max(used + most, budget * recordedShare)))};
 		},
+		disclaim(program) {
+			const entry = entries.get(program);
+			if (entry && sum(entry.slots.values()) === 0) {
+				entry.home = undefined;
+			}
+		},
+		isWithin(request, entitlement) {
+			const entry = entries.get(request.program);
+			if (!entry) {
+				return false;
+			}
+
+			const bound = boundOf(entry, request, entitlement);
+			return bound.used <= bound.limit && sum(entry.slots.values()) <= request.budget;
+		},
 		settle(program, attempt, used, now) {
 			const entry = entries.get(program);
 			if (!entry) {
@@ -223,7 +262,7 @@
 			const slot = entry.slots.get(storeCounter);
 			if (!slot || slot.settled < recorded) {
 				entry.slots.set(storeCounter, {
-					counter: storeCounter, version: recorded, settled: recorded, reserved: as<Tokens>(0),
+					counter: storeCounter, dataCentre: undefined, version: recorded, settled: recorded, reserved: as<Tokens>(0),
 				});
 			}
 		},
@@ -239,16 +278,24 @@
 				}
 			}
 		},
+		knowsMore({program, home, slots}) {
+			const entry = entries.get(program);
+			if (!entry) {
+				return false;
+			}
+
+			const shown = new Map(slots.map(slot => [slot.counter, slot.version]));
+			return entry.home !== home || [...entry.slots.values()].some(slot => slot.version > (shown.get(slot.counter) ?? -1));
+		},
 		account(program) {
 			const entry = entries.get(program);
 			return entry && toAccount(program, entry);
 		},
 		accounts: () => [...entries].map(([program, entry]) => toAccount(program, entry)),
 		hasCounted: program => entries.get(program)?.slots.has(counter) ?? false,
-		unrecorded(program) {
-			const entry = entries.get(program);
-			return as<Tokens>(entry ? Math.max(0, sum(entry.slots.values()) - entry.recorded) : 0);
-		},
+		used: program => as<Tokens>(sum(entries.get(program)?.slots.values() ?? [])),
+		isBearable: ({program, most}) => unrecorded(program) <= most * unrecordedCalls,
+		unrecorded,
 		programs: () => [...entries.keys()],
 		expire(now) {
 			for (const [program, entry] of entries) {
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -93,7 +93,7 @@
 	}, random);
 	const fleet = createRelayFleet();
 	const quarantine = createQuarantine();
-	const ledger = createTokenLedger(`${id}@${incarnation}`);
+	const ledger = createTokenLedger(`${id}@${incarnation}`, dataCentre);
 	const digests = new Map<InstanceId, RelayDigest>();
 	let table: RoutingTable | undefined;
 
--- a/src/zones/budget-counter.ts
+++ b/src/zones/budget-counter.ts
@@ -9,7 +9,7 @@
 import {
 	type Account, type Entitlement, type ReservationRequest, type TokenLedger,
 } from '../contracts/token-ledger.js';
-import {type BudgetEvent} from './budget-event.js';
+import {type BudgetEvent, type WithholdReason} from './budget-event.js';
 import {type BudgetRecord, type BudgetRecords} from './budget-records.js';
 import {createBudgetSharing} from './budget-sharing.js';
 import {type Member} from './membership.js';
@@ -23,8 +23,8 @@
 	/** Reserves in this instance's own ledger. */
 	readonly keep: (request: ReservationRequest, isHomeUnreachable: boolean) => Promise<ReservationOutcome>;
 	readonly settle: (program: ProgramId, attempt: AttemptId, used: Tokens) => void;
-	/** Takes accounts over from a peer. */
-	readonly receive: (accounts: readonly Account[]) => void;
+	/** Takes accounts over from a peer. Returns what is known here beyond them. */
+	readonly receive: (accounts: readonly Account[]) => readonly Account[];
 	/** Passes on to this data centre what another one told. */
 	readonly passOn: (accounts: readonly Account[]) => void;
 	/** Members came or went: whoever keeps a program now has to know its account. */
@@ -51,17 +51,25 @@
 	/** Programs that this instance made this data centre the home of. */
 	const claimed = new Set<ProgramId>();
 	const recording = new Set<ProgramId>();
-	const sharing = createBudgetSharing(options);
+	/** Calls that are being decided, so that a question that is sent again gets the same answer. */
+	const deciding = new Map<AttemptId, Promise<ReservationOutcome>>();
+	const sharing = createBudgetSharing({
+		...options,
+		receive(accounts) {
+			receive(accounts);
+		},
+	});
 	const {markDirty} = sharing;
 
-	/** Makes this data centre the home of a program that nobody here has heard of, and says so at once. */
-	function claim(request: ReservationRequest): void {
+	/** Makes this data centre the home of a program that nobody here has heard of. Returns whether it was new. */
+	function claim(request: ReservationRequest): boolean {
 		const isNew = ledger.home(request.program) === undefined;
 		ledger.claim(request, options.self().dataCentre, clock.now());
 		if (isNew) {
 			claimed.add(request.program);
-			sharing.announceClaim(request.program);
 		}
+
+		return isNew;
 	}
 
 	/** Takes over what another keeper counted; the home makes it last, and hears of what was counted here. */
@@ -81,10 +89,12 @@
 		}
 	}
 
-	function receive(accounts: readonly Account[]): void {
+	function receive(accounts: readonly Account[]): readonly Account[] {
 		for (const account of accounts) {
 			merge(account);
 		}
+
+		return accounts.filter(account => ledger.knowsMore(account)).flatMap(({program}) => ledger.account(program) ?? []);
 	}
 
 	async function writeRecord(record: BudgetRecord): Promise<boolean> {
@@ -99,8 +109,8 @@
 		return isWritten;
 	}
 
-	/** Waits for the store's record, but not longer than a call can bear. */
-	async function record(request: ReservationRequest, upTo: Account['recorded']): Promise<void> {
+	/** Waits for the store's record, but not longer than a call can bear. Resolves to whether the call may go on. */
+	async function record(request: ReservationRequest, upTo: Account['recorded']): Promise<boolean> {
 		const writing = writeRecord({program: request.program, used: upTo, retention: request.retention});
 		const waiting = new AbortController();
 		const isInTime = await Promise.race([writing, clock.sleep(as<Milliseconds>(recordPatienceMs), waiting.signal).then(() => false)]);
@@ -108,6 +118,8 @@
 		if (!isInTime) {
 			options.onEvent({kind: 'unrecorded', request: request.attempt, program: request.program});
 		}
+
+		return isInTime || ledger.isBearable(request);
 	}
 
 	function entitlementOf(program: ProgramId): Entitlement {
@@ -121,36 +133,56 @@
 		return sharing.isUncontested(program) ? 'home' : 'contested';
 	}
 
-	/** Reserves in this instance's own ledger. */
-	async function keep(request: ReservationRequest, isHomeUnreachable: boolean): Promise<ReservationOutcome> {
-		// One that is leaving hands its accounts over and must not count any more.
-		if (!options.isWarm() || options.self().status === 'leaving') {
-			return {kind: 'cold'};
+	/** Grants what was reserved here once others and the store know of it, unless they leave too little for it. */
+	async function confirm(request: ReservationRequest, isNew: boolean, recording: Promise<boolean>): Promise<ReservationOutcome> {
+		const {program, attempt} = request;
+		const [isConfirmed, isRecorded] = await Promise.all([sharing.confirm(program), recording]);
+		const entitlement = entitlementOf(program);
+		if (isConfirmed && isRecorded && ledger.isWithin(request, entitlement)) {
+			if (isNew) {
+				sharing.announceClaim(program);
+			}
+
+			return {kind: 'granted'};
 		}
 
-		const {program} = request;
-		const {dataCentre} = options.self();
-		claim(request);
-		const home = ledger.home(program) ?? dataCentre;
-		if (home !== dataCentre && !isHomeUnreachable) {
-			return {kind: 'elsewhere', home};
+		ledger.settle(program, attempt, as<Tokens>(0), clock.now());
+		if (isNew) {
+			claimed.delete(program);
+			ledger.disclaim(program);
 		}
 
+		if (!isConfirmed) {
+			return withhold(request, entitlement, 'unconfirmed');
+		}
+
+		return withhold(request, entitlement, isRecorded ? 'spent-elsewhere' : 'unrecorded');
+	}
+
+	function withhold({program, attempt, budget}: ReservationRequest, entitlement: Entitlement, reason: WithholdReason): ReservationOutcome {
+		// A keeper that has taken over is entitled to more once it has told everyone.
+		markDirty(program);
+		options.onEvent({
+			kind: 'withheld', request: attempt, program, entitlement, reason, used: ledger.used(program), budget,
+		});
+		return {kind: 'withheld'};
+	}
+
+	async function decide(request: ReservationRequest, isNew: boolean): Promise<ReservationOutcome> {
+		const {program} = request;
 		const entitlement = entitlementOf(program);
 		const decision = ledger.reserve(request, entitlement, clock.now());
 		switch (decision.kind) {
 			case 'granted': {
-				markDirty(program);
-				return {kind: 'granted'};
+				return confirm(request, isNew, Promise.resolve(true));
 			}
 
 			case 'record-first': {
-				markDirty(program);
-				await record(request, decision.upTo);
-				return {kind: 'granted'};
+				return confirm(request, isNew, record(request, decision.upTo));
 			}
 
 			case 'exhausted': {
+				sharing.announceSpent(program);
 				options.onEvent({
 					kind: 'exhausted', request: request.attempt, program, used: decision.used, budget: request.budget, most: request.most,
 				});
@@ -158,16 +190,39 @@
 			}
 
 			case 'withheld': {
-				// A keeper that has taken over is entitled to more once it has told everyone.
-				markDirty(program);
-				options.onEvent({
-					kind: 'withheld', request: request.attempt, program, entitlement, used: decision.used, budget: request.budget,
-				});
-				return {kind: 'withheld'};
+				return withhold(request, entitlement, 'limit');
 			}
 		}
 	}
 
+	/** Reserves in this instance's own ledger. */
+	async function keep(request: ReservationRequest, isHomeUnreachable: boolean): Promise<ReservationOutcome> {
+		// One that is leaving hands its accounts over and must not count any more.
+		if (!options.isWarm() || options.self().status === 'leaving') {
+			return {kind: 'cold'};
+		}
+
+		const known = deciding.get(request.attempt);
+		if (known) {
+			return known;
+		}
+
+		const {dataCentre} = options.self();
+		const isNew = claim(request);
+		const home = ledger.home(request.program) ?? dataCentre;
+		if (home !== dataCentre && !isHomeUnreachable) {
+			return {kind: 'elsewhere', home};
+		}
+
+		const decision = decide(request, isNew);
+		deciding.set(request.attempt, decision);
+		try {
+			return await decision;
+		} finally {
+			deciding.delete(request.attempt);
+		}
+	}
+
 	return {
 		keep,
 		receive,
--- a/src/zones/budget-keepers.ts
+++ b/src/zones/budget-keepers.ts
@@ -132,12 +132,12 @@
 				}
 
 				case 'accounts': {
-					counter.receive(message.accounts);
+					const accounts = counter.receive(message.accounts);
 					if (!message.isPassedOn) {
 						counter.passOn(message.accounts);
 					}
 
-					return {kind: 'done'};
+					return accounts.length > 0 ? {kind: 'accounts', accounts} : {kind: 'done'};
 				}
 
 				case 'gossip':
@@ -148,7 +148,9 @@
 				}
 			}
 		},
-		receive: counter.receive,
+		receive(accounts) {
+			counter.receive(accounts);
+		},
 		rebalance: counter.rebalance,
 		async run(signal) {
 			while (!signal.aborted) {
--- a/src/zones/budget-sharing.ts
+++ b/src/zones/budget-sharing.ts
@@ -2,6 +2,10 @@
 How accounts travel between keepers. All instances have to know the home of each program, so that nobody
 claims it a second time: the home tells one instance of each other data centre, which passes it on within its
 own. What was counted is told only to the instances that would count next for the home.
+
+Before a call is granted, one of these has to answer, and tells what it has counted itself. Two instances that
+both take themselves for the keeper, since one was paused or their views differ, thus hear of each other, and
+one that reaches nobody grants nothing.
 */
 import {type Clock} from '../contracts/clock.js';
 import {
@@ -10,7 +14,7 @@
 import {type Account, claimOf, type TokenLedger} from '../contracts/token-ledger.js';
 import {type Member} from './membership.js';
 import {candidatesIn, dataCentresOf, rankOwners} from './ownership.js';
-import {type RelayPeers} from './relay-peers.js';
+import {type RelayPeers, type RelayReply} from './relay-peers.js';
 import {createSilence} from './silence.js';
 
 /** Time in which changes of accounts are gathered before keepers are told. */
@@ -20,6 +24,16 @@
 const shareTimeoutMs = 40;
 const shareTries = 3;
 
+/** Timeout and tries of a question on which a call waits; twice as long is still less than its asker waits. */
+const confirmTimeoutMs = 40;
+const confirmTries = 2;
+
+/** Time for the others to answer once one has; they answer within milliseconds. */
+const confirmGraceMs = 10;
+
+/** Rounds of questions; each passes over those that were silent in the one before. */
+const confirmRounds = 2;
+
 /** Accounts in one message, which has to fit into a datagram. */
 const accountsPerMessage = 4;
 
@@ -40,9 +54,16 @@
 	readonly markDirty: (program: ProgramId) => void;
 	/** This data centre has become the program's home. */
 	readonly announceClaim: (program: ProgramId) => void;
+	/**
+	Tells others what is about to be granted and takes over what they have counted. Resolves to false when this
+	instance reaches nobody, so that others may count without it.
+	*/
+	readonly confirm: (program: ProgramId) => Promise<boolean>;
+	/** The budget is spent: everyone is told, since a guest would grant another call. */
+	readonly announceSpent: (program: ProgramId) => void;
 	/** Whether every other data centre knows the program's home, and none can have granted calls that are not known here. */
 	readonly isUncontested: (program: ProgramId) => boolean;
-	/** Passes on to this data centre the homes that another one told; its own it has announced itself. */
+	/** Passes on to this data centre the accounts that another one told; its own it has announced itself. */
 	readonly passOn: (accounts: readonly Account[]) => void;
 	/** Members came or went: whoever counts next has to know the accounts of this home. */
 	readonly rebalance: () => void;
@@ -58,6 +79,8 @@
 	readonly peers: Pick<RelayPeers, 'ask' | 'post'>;
 	readonly ledger: TokenLedger;
 	readonly clock: Clock;
+	/** Takes over what a peer counted. */
+	readonly receive: (accounts: readonly Account[]) => void;
 };
 
 /** A member between two of its restarts. */
@@ -83,6 +106,8 @@
 	const untold = new Set<ProgramId>();
 	const tellings = new Map<ProgramId, Telling>();
 	const silent = createSilence<InstanceId>(clock);
+	/** Programs whose spent budget was told. */
+	const spent = new Set<ProgramId>();
 	let isWaiting = false;
 
 	function tellingOf(program: ProgramId): Telling {
@@ -138,6 +163,67 @@
 		}
 	}
 
+	function takeReply(reply: RelayReply): void {
+		if (reply.kind === 'accounts') {
+			options.receive(reply.accounts);
+		}
+	}
+
+	/** Those that may have counted as well: at home the next keepers, and for a guest one instance elsewhere too. */
+	function witnesses(program: ProgramId): readonly Member[] {
+		const own = options.self().dataCentre;
+		const home = ledger.home(program) ?? own;
+		const nearby = targetsIn(own, program, homeKeepers);
+		const isAlone = nearby.length === 0;
+		const elsewhere = dataCentresOf(options.members()).filter(dataCentre => dataCentre !== own && (isAlone || (home !== own && dataCentre !== home)));
+		return [...nearby, ...elsewhere.flatMap(dataCentre => targetsIn(dataCentre, program, 1))];
+	}
+
+	/** Whether nobody else in this data centre is known, alive or dead, that could count. */
+	function isOnlyOne(): boolean {
+		const self = options.self();
+		return !options.members().some(member => member.dataCentre === self.dataCentre && member.id !== self.id && member.status !== 'leaving');
+	}
+
+	async function askWitness(target: Member, account: Account): Promise<boolean> {
+		const reply = await options.peers.ask(target.address, {kind: 'accounts', accounts: [account], isPassedOn: true}, {
+			timeout: as<Milliseconds>(confirmTimeoutMs), tries: confirmTries,
+		});
+		if (!reply) {
+			silent.note(target.id);
+			return false;
+		}
+
+		takeReply(reply);
+		return true;
+	}
+
+	/** Resolves once all have answered, or shortly after the first; to false when none did. */
+	async function askWitnesses(targets: readonly Member[], account: Account): Promise<boolean> {
+		const asking = targets.map(async target => askWitness(target, account));
+		const all = Promise.all(asking).then(answers => answers.includes(true));
+		const first = Promise.any(asking.map(async answer => await answer || Promise.reject(new Error('silent')))).then(() => true, () => false);
+		const waiting = new AbortController();
+		const isAnswered = await first;
+		if (isAnswered) {
+			await Promise.race([all, clock.sleep(as<Milliseconds>(confirmGraceMs), waiting.signal)]);
+			waiting.abort();
+		}
+
+		return isAnswered;
+	}
+
+	async function confirm(program: ProgramId): Promise<boolean> {
+		for (let round = 0; round < confirmRounds; round++) {
+			const account = ledger.account(program);
+			if (account && await askWitnesses(witnesses(program), account)) {
+				return true;
+			}
+		}
+
+		return isOnlyOne();
+	}
+
 	async function tell(target: Member, accounts: readonly Account[]): Promise<void> {
 		for (let index = 0; index < accounts.length; index += accountsPerMessage) {
 			const part = accounts.slice(index, index + accountsPerMessage);
@@ -145,6 +231,7 @@
 				timeout: as<Milliseconds>(shareTimeoutMs), tries: shareTries,
 			});
 			if (reply) {
+				takeReply(reply);
 				for (const {program} of part) {
 					noteAnswered(target, program);
 				}
@@ -163,7 +250,7 @@
 		for (const program of dirty) {
 			const account = ledger.account(program);
 			for (const target of account ? audience(program) : []) {
-				const part = account && (target.dataCentre === account.home ? account : claimOf(account));
+				const part = account && (target.dataCentre === account.home || spent.has(program) ? account : claimOf(account));
 				byTarget.set(target, [...(byTarget.get(target) ?? []), ...(part ? [part] : [])]);
 			}
 		}
@@ -183,12 +270,11 @@
 		}
 	}
 
-	/** Tells everyone in this data centre where programs are at home. */
 	function tellNeighbours(accounts: readonly Account[]): void {
 		const self = options.self();
 		for (const member of candidatesIn(self.dataCentre, options.members())) {
 			if (member.id !== self.id) {
-				options.peers.post(member.address, {kind: 'accounts', accounts: accounts.map(account => claimOf(account)), isPassedOn: true});
+				options.peers.post(member.address, {kind: 'accounts', accounts, isPassedOn: true});
 			}
 		}
 	}
@@ -201,7 +287,15 @@
 				tellingOf(program);
 				dirty.add(program);
 				share();
-				tellNeighbours([account]);
+				tellNeighbours([claimOf(account)]);
+			}
+		},
+		confirm,
+		announceSpent(program) {
+			if (!spent.has(program)) {
+				spent.add(program);
+				tellingOf(program).told.clear();
+				markDirty(program);
 			}
 		},
 		isUncontested(program) {
@@ -239,6 +333,7 @@
 			for (const program of tellings.keys()) {
 				if (!known.has(program)) {
 					tellings.delete(program);
+					spent.delete(program);
 				}
 			}
 		},
--- a/src/zones/relay-peers.ts
+++ b/src/zones/relay-peers.ts
@@ -42,6 +42,8 @@
 export type RelayReply
 	= | {readonly kind: 'done'}
 		| {readonly kind: 'gossip'; readonly gossip: Gossip}
+	/** What the instance knows beyond the accounts that it was sent. */
+		| {readonly kind: 'accounts'; readonly accounts: readonly Account[]}
 		| {readonly kind: 'reservation'; readonly outcome: ReservationOutcome};
 
 /** What a newcomer is told first. */
--- /dev/null
+++ b/tests/budget-exploration.test.ts
@@ -0,0 +1,173 @@
+/**
+Random histories of a program that calls without end, at all instances and several at a time, while faults come
+over them. Whatever happens, no more than the budget and one call is handed out.
+
+One data centre at most is cut off at any moment: with three that reach none of each other, each could grant a
+first call, which `Entitlement` does not cover.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {as, type Milliseconds, type Tokens} from '../src/contracts/id.js';
+import {type Reservation} from '../src/machines/token-budgets.js';
+import {type Cluster, createCluster, most} from './fixtures/budget-cluster.js';
+import {createSeededRandom} from './fixtures/fake-clock.js';
+
+const instances = ['a1', 'a2', 'a3', 'a4', 'b1', 'b2', 'b3', 'b4', 'c1', 'c2', 'c3', 'c4'];
+const dataCentres = ['a', 'b', 'c'];
+const budgets = [2 * most, 3 * most, 5 * most];
+
+/** Time in which the program calls, and in which faults begin. */
+const callingMs = 8000;
+const faultsUntilMs = 6000;
+const seedsPerPair = 8;
+
+type Draw = {
+	readonly below: (limit: number) => number;
+	readonly oneOf: <Item>(items: readonly Item[]) => Item;
+};
+
+function createDraw(seed: number): Draw {
+	const random = createSeededRandom(seed);
+	const below = (limit: number) => Math.floor(random.fraction() * limit);
+	return {
+		below,
+		oneOf<Item>(items: readonly Item[]) {
+			const item = items[below(items.length)];
+			assert.ok(item !== undefined);
+			return item;
+		},
+	};
+}
+
+type Fault = 'none' | 'zone-cut' | 'instance-cut' | 'pause' | 'restart' | 'restart-in-turn' | 'store-down' | 'views-differ' | 'all-lost';
+
+const faults: readonly Fault[] = ['zone-cut', 'instance-cut', 'pause', 'restart', 'restart-in-turn', 'store-down', 'views-differ', 'all-lost'];
+
+async function strike(cluster: Cluster, fault: Fault, draw: Draw): Promise<void> {
+	const duration = as<Milliseconds>(500 + draw.below(3500));
+	const {clock} = cluster;
+	switch (fault) {
+		case 'none': {
+			return;
+		}
+
+		case 'zone-cut': {
+			const cut = draw.oneOf(dataCentres);
+			if (dataCentres.some(dataCentre => cluster.isCut.has(dataCentre))) {
+				return;
+			}
+
+			cluster.isCut.add(cut);
+			await clock.sleep(duration);
+			cluster.isCut.delete(cut);
+			return;
+		}
+
+		case 'instance-cut': {
+			const cut = draw.oneOf(instances);
+			cluster.isCut.add(cut);
+			await clock.sleep(duration);
+			cluster.isCut.delete(cut);
+			return;
+		}
+
+		case 'pause': {
+			const node = cluster.node(draw.oneOf(instances));
+			node.isUp = false;
+			await clock.sleep(duration);
+			node.isUp = true;
+			return;
+		}
+
+		case 'restart': {
+			await cluster.recover(draw.oneOf(instances));
+			return;
+		}
+
+		case 'restart-in-turn': {
+			for (const id of instances) {
+				const node = cluster.node(id);
+				node.member = {...node.member, status: 'leaving'};
+				cluster.rebalance();
+				await clock.sleep(as<Milliseconds>(200));
+				await cluster.recover(id);
+			}
+
+			return;
+		}
+
+		case 'store-down': {
+			cluster.isStoreDown = true;
+			await clock.sleep(duration);
+			cluster.isStoreDown = false;
+			return;
+		}
+
+		case 'views-differ': {
+			const id = draw.oneOf(instances);
+			cluster.believedDead.set(id, instances.filter(other => other !== id && draw.below(2) === 0));
+			await clock.sleep(duration);
+			cluster.believedDead.delete(id);
+			return;
+		}
+
+		case 'all-lost': {
+			await cluster.recover(...instances);
+		}
+	}
+}
+
+/** Plays one history. Returns the tokens handed out beyond the budget. */
+async function overrun(struck: readonly [Fault, Fault], seed: number): Promise<number> {
+	const cluster = createCluster(instances);
+	const draw = createDraw(seed);
+	const budget = draw.oneOf(budgets);
+	const calls: Array<Promise<number>> = [];
+
+	async function call(number: number): Promise<number> {
+		const reservation: Reservation = await cluster.ask(draw.oneOf(instances), 'p', `${number}`, budget);
+		if (reservation.kind !== 'granted') {
+			return 0;
+		}
+
+		await cluster.clock.sleep(as<Milliseconds>(50 + draw.below(400)));
+		reservation.settle(as<Tokens>(most));
+		return most;
+	}
+
+	const striking = struck.map(async fault => {
+		await cluster.clock.sleep(as<Milliseconds>(draw.below(faultsUntilMs)));
+		await strike(cluster, fault, draw);
+	});
+	for (let number = 0; cluster.clock.now() < callingMs; number++) {
+		calls.push(call(number));
+		await cluster.clock.advance(draw.below(100));
+	}
+
+	await cluster.clock.advance(20_000);
+	await Promise.all(striking);
+	const used = await Promise.all(calls);
+	return used.reduce((sum, tokens) => sum + tokens, 0) - budget;
+}
+
+const pairs = faults.flatMap((first, index) => faults.slice(index).map(second => [first, second] as const));
+
+for (const [first, second] of pairs) {
+	test(`a budget is overrun by no more than one call under ${first} and ${second}`, async () => {
+		const overruns = new Map<number, number>();
+		for (let seed = 1; seed <= seedsPerPair; seed++) {
+			const tokens = await overrun([first, second], seed);
+			if (tokens > most) {
+				overruns.set(seed, tokens);
+			}
+		}
+
+		assert.deepEqual([...overruns], [], 'pairs of a seed and its overrun');
+	});
+}
+
+test('a program that calls without end gets its whole budget', async () => {
+	for (let seed = 1; seed <= seedsPerPair; seed++) {
+		assert.equal(await overrun(['none', 'none'], seed), 0, `seed ${seed}`);
+	}
+});
--- a/tests/token-ledger.test.ts
+++ b/tests/token-ledger.test.ts
@@ -14,6 +14,7 @@
 const most = 100;
 const now = as<Milliseconds>(0);
 const program = as<ProgramId>('program');
+const home = as<DataCentreId>('home');
 
 function call(number: number, budget: number): ReservationRequest {
 	return {
@@ -26,7 +27,7 @@
 }
 
 test('a call is granted while its most fits, and counts what it used afterwards', () => {
-	const ledger = createTokenLedger('a');
+	const ledger = createTokenLedger('a', home);
 	assert.equal(ledger.reserve(call(1, 200), 'home', now).kind, 'record-first');
 	assert.equal(ledger.reserve(call(2, 200), 'home', now).kind, 'record-first');
 	assert.equal(ledger.reserve(call(3, 200), 'home', now).kind, 'exhausted');
@@ -37,15 +38,15 @@
 });
 
 test('the same attempt is granted once', () => {
-	const ledger = createTokenLedger('a');
+	const ledger = createTokenLedger('a', home);
 	ledger.reserve(call(1, 100), 'home', now);
 	assert.equal(ledger.reserve(call(1, 100), 'home', now).kind, 'granted');
 	assert.equal(ledger.reserve(call(2, 100), 'home', now).kind, 'exhausted');
 });
 
 test('ledgers that merge in any order count each grant once', () => {
-	const left = createTokenLedger('left');
-	const right = createTokenLedger('right');
+	const left = createTokenLedger('left', home);
+	const right = createTokenLedger('right', home);
 	left.reserve(call(1, 300), 'home', now);
 	right.reserve(call(2, 300), 'home', now);
 	for (const [from, to] of [[left, right], [right, left], [left, right]] as const) {
@@ -59,8 +60,8 @@
 });
 
 test('data centres that claim a program at the same time agree on one home', () => {
-	const left = createTokenLedger('left');
-	const right = createTokenLedger('right');
+	const left = createTokenLedger('left', home);
+	const right = createTokenLedger('right', home);
 	left.claim(call(1, 300), as<DataCentreId>('verona'), now);
 	right.claim(call(1, 300), as<DataCentreId>('padova'), now);
 	const leftAccount = left.account(program);
@@ -75,7 +76,7 @@
 function spendAll(entitlements: readonly [Entitlement, Entitlement], budget: number): number {
 	let total = 0;
 	for (const [index, entitlement] of entitlements.entries()) {
-		const ledger = createTokenLedger(String(index));
+		const ledger = createTokenLedger(String(index), as<DataCentreId>(index === 0 ? 'home' : 'away'));
 		for (let number = 0; number < 50; number++) {
 			const decision = ledger.reserve(call(number, budget), entitlement, now);
 			if (decision.kind === 'granted' || decision.kind === 'record-first') {
@@ -110,7 +111,7 @@
 
 /** Plays calls on one counting instance that loses its memory now and then, and returns the tokens handed out. */
 function play(actions: readonly Action[], budget: number): number {
-	let ledger = createTokenLedger('life-0');
+	let ledger = createTokenLedger('life-0', home);
 	let recorded = 0;
 	let total = 0;
 	let number = 0;
@@ -127,7 +128,7 @@
 
 	for (const step of actions) {
 		if (step.kind === 'lose-memory') {
-			ledger = createTokenLedger(`life-${++lives}`);
+			ledger = createTokenLedger(`life-${++lives}`, home);
 			if (recorded > 0) {
 				ledger.restore(program, as<Tokens>(recorded), as<Milliseconds>(60_000), now);
 			}
