--- a/src/zones/budget-counter.ts
+++ b/src/zones/budget-counter.ts
@@ -4,7 +4,7 @@
 */
 import {type Clock} from '../contracts/clock.js';
 import {
-	as, type AttemptId, type Milliseconds, type ProgramId, type Tokens,
+	as, type AttemptId, type InstanceId, type Milliseconds, type ProgramId, type Tokens,
 } from '../contracts/id.js';
 import {
 	type Account, type Entitlement, type ReservationRequest, type TokenLedger,
@@ -12,9 +12,11 @@
 import {type BudgetEvent, type WithholdReason} from './budget-event.js';
 import {type BudgetRecord, type BudgetRecords} from './budget-records.js';
 import {createBudgetSharing} from './budget-sharing.js';
+import {createBudgetWitnesses} from './budget-witnesses.js';
 import {type Member} from './membership.js';
 import {isOwner} from './ownership.js';
 import {type RelayPeers, type ReservationOutcome} from './relay-peers.js';
+import {createSilence} from './silence.js';
 
 /** Longest wait for the store's record before a call goes on without it. */
 const recordPatienceMs = 150;
@@ -53,12 +55,15 @@
 	const recording = new Set<ProgramId>();
 	/** Calls that are being decided, so that a question that is sent again gets the same answer. */
 	const deciding = new Map<AttemptId, Promise<ReservationOutcome>>();
-	const sharing = createBudgetSharing({
+	const others = {
 		...options,
-		receive(accounts) {
+		silent: createSilence<InstanceId>(clock),
+		receive(accounts: readonly Account[]) {
 			receive(accounts);
 		},
-	});
+	};
+	const sharing = createBudgetSharing(others);
+	const witnesses = createBudgetWitnesses(others);
 	const {markDirty} = sharing;
 
 	/** Makes this data centre the home of a program that nobody here has heard of. Returns whether it was new. */
@@ -136,7 +141,7 @@
 	/** Grants what was reserved here once others and the store know of it, unless they leave too little for it. */
 	async function confirm(request: ReservationRequest, isNew: boolean, recording: Promise<boolean>): Promise<ReservationOutcome> {
 		const {program, attempt} = request;
-		const [isConfirmed, isRecorded] = await Promise.all([sharing.confirm(program), recording]);
+		const [isConfirmed, isRecorded] = await Promise.all([witnesses.confirm(program), recording]);
 		const entitlement = entitlementOf(program);
 		if (isConfirmed && isRecorded && ledger.isWithin(request, entitlement)) {
 			if (isNew) {
--- a/src/zones/budget-sharing.ts
+++ b/src/zones/budget-sharing.ts
@@ -2,10 +2,6 @@
 How accounts travel between keepers. All instances have to know the home of each program, so that nobody
 claims it a second time: the home tells one instance of each other data centre, which passes it on within its
 own. What was counted is told only to the instances that would count next for the home.
-
-Before a call is granted, one of these has to answer, and tells what it has counted itself. Two instances that
-both take themselves for the keeper, since one was paused or their views differ, thus hear of each other, and
-one that reaches nobody grants nothing.
 */
 import {type Clock} from '../contracts/clock.js';
 import {
@@ -13,9 +9,10 @@
 } from '../contracts/id.js';
 import {type Account, claimOf, type TokenLedger} from '../contracts/token-ledger.js';
 import {type Member} from './membership.js';
-import {candidatesIn, dataCentresOf, rankOwners} from './ownership.js';
-import {type RelayPeers, type RelayReply} from './relay-peers.js';
-import {createSilence} from './silence.js';
+import {homeKeepers, nextKeepers} from './budget-witnesses.js';
+import {candidatesIn, dataCentresOf} from './ownership.js';
+import {type RelayPeers} from './relay-peers.js';
+import {type Silence} from './silence.js';
 
 /** Time in which changes of accounts are gathered before keepers are told. */
 const shareDelayMs = 20;
@@ -24,16 +21,6 @@
 const shareTimeoutMs = 40;
 const shareTries = 3;
 
-/** Timeout and tries of a question on which a call waits; twice as long is still less than its asker waits. */
-const confirmTimeoutMs = 40;
-const confirmTries = 2;
-
-/** Time for the others to answer once one has; they answer within milliseconds. */
-const confirmGraceMs = 10;
-
-/** Rounds of questions; each passes over those that were silent in the one before. */
-const confirmRounds = 2;
-
 /** Accounts in one message, which has to fit into a datagram. */
 const accountsPerMessage = 4;
 
@@ -46,19 +33,11 @@
 */
 const reconcileMs = 3000;
 
-/** Instances of its home that know a program's account. */
-const homeKeepers = 3;
-
 export type BudgetSharing = {
 	/** The account has changed. */
 	readonly markDirty: (program: ProgramId) => void;
 	/** This data centre has become the program's home. */
 	readonly announceClaim: (program: ProgramId) => void;
-	/**
-	Tells others what is about to be granted and takes over what they have counted. Resolves to false when this
-	instance reaches nobody, so that others may count without it.
-	*/
-	readonly confirm: (program: ProgramId) => Promise<boolean>;
 	/** The budget is spent: everyone is told, since a guest would grant another call. */
 	readonly announceSpent: (program: ProgramId) => void;
 	/** Whether every other data centre knows the program's home, and none can have granted calls that are not known here. */
@@ -79,6 +58,8 @@
 	readonly peers: Pick<RelayPeers, 'ask' | 'post'>;
 	readonly ledger: TokenLedger;
 	readonly clock: Clock;
+	/** Instances that did not answer lately. */
+	readonly silent: Silence<InstanceId>;
 	/** Takes over what a peer counted. */
 	readonly receive: (accounts: readonly Account[]) => void;
 };
@@ -105,7 +86,7 @@
 	/** Programs whose accounts did not reach everyone. */
 	const untold = new Set<ProgramId>();
 	const tellings = new Map<ProgramId, Telling>();
-	const silent = createSilence<InstanceId>(clock);
+	const {silent} = options;
 	/** Programs whose spent budget was told. */
 	const spent = new Set<ProgramId>();
 	let isWaiting = false;
@@ -128,12 +109,9 @@
 		return at !== undefined && clock.now() - at < (ledger.account(program)?.retention ?? 0) / 2;
 	}
 
-	/** Instances of a data centre that should hear of the program, this one and silent ones left out. */
+	/** Instances of a data centre that should hear of the program. */
 	function targetsIn(dataCentre: DataCentreId, program: ProgramId, count: number): readonly Member[] {
-		return rankOwners(program, candidatesIn(dataCentre, options.members()))
-			.filter(member => !silent.has(member.id))
-			.slice(0, count)
-			.filter(member => member.id !== options.self().id);
+		return nextKeepers(options, dataCentre, program, count);
 	}
 
 	function audience(program: ProgramId): readonly Member[] {
@@ -163,67 +141,6 @@
 		}
 	}
 
-	function takeReply(reply: RelayReply): void {
-		if (reply.kind === 'accounts') {
-			options.receive(reply.accounts);
-		}
-	}
-
-	/** Those that may have counted as well: at home the next keepers, and for a guest one instance elsewhere too. */
-	function witnesses(program: ProgramId): readonly Member[] {
-		const own = options.self().dataCentre;
-		const home = ledger.home(program) ?? own;
-		const nearby = targetsIn(own, program, homeKeepers);
-		const isAlone = nearby.length === 0;
-		const elsewhere = dataCentresOf(options.members()).filter(dataCentre => dataCentre !== own && (isAlone || (home !== own && dataCentre !== home)));
-		return [...nearby, ...elsewhere.flatMap(dataCentre => targetsIn(dataCentre, program, 1))];
-	}
-
-	/** Whether nobody else in this data centre is known, alive or dead, that could count. */
-	function isOnlyOne(): boolean {
-		const self = options.self();
-		return !options.members().some(member => member.dataCentre === self.dataCentre && member.id !== self.id && member.status !== 'leaving');
-	}
-
-	async function askWitness(target: Member, account: Account): Promise<boolean> {
-		const reply = await options.peers.ask(target.address, {kind: 'accounts', accounts: [account], isPassedOn: true}, {
-			timeout: as<Milliseconds>(confirmTimeoutMs), tries: confirmTries,
-		});
-		if (!reply) {
-			silent.note(target.id);
-			return false;
-		}
-
-		takeReply(reply);
-		return true;
-	}
-
-	/** Resolves once all have answered, or shortly after the first; to false when none did. */
-	async function askWitnesses(targets: readonly Member[], account: Account): Promise<boolean> {
-		const asking = targets.map(async target => askWitness(target, account));
-		const all = Promise.all(asking).then(answers => answers.includes(true));
-		const first = Promise.any(asking.map(async answer => await answer || Promise.reject(new Error('silent')))).then(() => true, () => false);
-		const waiting = new AbortController();
-		const isAnswered = await first;
-		if (isAnswered) {
-			await Promise.race([all, clock.sleep(as<Milliseconds>(confirmGraceMs), waiting.signal)]);
-			waiting.abort();
-		}
-
-		return isAnswered;
-	}
-
-	async function confirm(program: ProgramId): Promise<boolean> {
-		for (let round = 0; round < confirmRounds; round++) {
-			const account = ledger.account(program);
-			if (account && await askWitnesses(witnesses(program), account)) {
-				return true;
-			}
-		}
-
-		return isOnlyOne();
-	}
-
 	async function tell(target: Member, accounts: readonly Account[]): Promise<void> {
 		for (let index = 0; index < accounts.length; index += accountsPerMessage) {
 			const part = accounts.slice(index, index + accountsPerMessage);
@@ -231,7 +148,10 @@
 				timeout: as<Milliseconds>(shareTimeoutMs), tries: shareTries,
 			});
 			if (reply) {
-				takeReply(reply);
+				if (reply.kind === 'accounts') {
+					options.receive(reply.accounts);
+				}
+
 				for (const {program} of part) {
 					noteAnswered(target, program);
 				}
@@ -290,7 +210,6 @@
 				tellNeighbours([claimOf(account)]);
 			}
 		},
-		confirm,
 		announceSpent(program) {
 			if (!spent.has(program)) {
 				spent.add(program);
--- /dev/null
+++ b/src/zones/budget-witnesses.ts
@@ -0,0 +1,134 @@
+/**
+Witnesses of a grant. Before a call is granted, one of the instances that would count next has to answer, and tells
+what it has counted itself. Two instances that both take themselves for the keeper, since one was paused or their
+views differ, thus hear of each other, and one that reaches nobody grants nothing.
+*/
+import {type Clock} from '../contracts/clock.js';
+import {
+	as, type DataCentreId, type InstanceId, type Milliseconds, type ProgramId,
+} from '../contracts/id.js';
+import {type Account, type TokenLedger} from '../contracts/token-ledger.js';
+import {type Member} from './membership.js';
+import {candidatesIn, dataCentresOf, rankOwners} from './ownership.js';
+import {type RelayPeers} from './relay-peers.js';
+import {type Silence} from './silence.js';
+
+/** Instances of its home that know a program's account. */
+export const homeKeepers = 3;
+
+/** Timeout and tries of a question on which a call waits; all rounds together take less than its asker waits. */
+const confirmTimeoutMs = 40;
+const confirmTries = 2;
+
+/** Rounds of questions; each passes over those that were silent in the one before. */
+const confirmRounds = 2;
+
+/** Time for the others to answer once one has; they answer within milliseconds. */
+const graceMs = 10;
+
+export type BudgetWitnesses = {
+	/**
+	Tells others what is about to be granted and takes over what they have counted. Resolves to false when this
+	instance reaches nobody, so that others may count without it.
+	*/
+	readonly confirm: (program: ProgramId) => Promise<boolean>;
+};
+
+type View = {
+	readonly self: () => Member;
+	readonly members: () => readonly Member[];
+	/** Instances that did not answer lately. */
+	readonly silent: Silence<InstanceId>;
+};
+
+export type BudgetWitnessesOptions = View & {
+	readonly peers: Pick<RelayPeers, 'ask'>;
+	readonly ledger: TokenLedger;
+	readonly clock: Clock;
+	/** Takes over what a peer counted. */
+	readonly receive: (accounts: readonly Account[]) => void;
+};
+
+/** Those that would count next for a program in a data centre, this instance and silent ones left out. */
+export function nextKeepers(view: View, dataCentre: DataCentreId, program: ProgramId, count: number): readonly Member[] {
+	return rankOwners(program, candidatesIn(dataCentre, view.members()))
+		.filter(member => !view.silent.has(member.id))
+		.slice(0, count)
+		.filter(member => member.id !== view.self().id);
+}
+
+/** Creates the witnesses' part of one instance. */
+export function createBudgetWitnesses(options: BudgetWitnessesOptions): BudgetWitnesses {
+	const {ledger, clock, silent} = options;
+
+	/** Those that may have counted as well: at home the next keepers, and for a guest one instance elsewhere too. */
+	function witnessesOf(program: ProgramId): readonly Member[] {
+		const own = options.self().dataCentre;
+		const home = ledger.home(program) ?? own;
+		const nearby = nextKeepers(options, own, program, homeKeepers);
+		const isElsewhereAsked = nearby.length === 0 || home !== own;
+		const elsewhere = dataCentresOf(options.members()).filter(dataCentre => isElsewhereAsked && dataCentre !== own && dataCentre !== home);
+		return [...nearby, ...elsewhere.flatMap(dataCentre => nextKeepers(options, dataCentre, program, 1))];
+	}
+
+	/** Whether nobody else in this data centre is known, alive or dead, that could count. */
+	function isOnlyOne(): boolean {
+		const self = options.self();
+		return !options.members().some(member => member.dataCentre === self.dataCentre && member.id !== self.id && member.status !== 'leaving');
+	}
+
+	async function askWitness(target: Member, account: Account): Promise<boolean> {
+		const reply = await options.peers.ask(target.address, {kind: 'accounts', accounts: [account], isPassedOn: true}, {
+			timeout: as<Milliseconds>(confirmTimeoutMs), tries: confirmTries,
+		});
+		if (!reply) {
+			silent.note(target.id);
+			return false;
+		}
+
+		if (reply.kind === 'accounts') {
+			options.receive(reply.accounts);
+		}
+
+		return true;
+	}
+
+	/** Resolves once all have answered, or shortly after the first; to false when none did. */
+	async function askAll(targets: readonly Member[], account: Account): Promise<boolean> {
+		const asking = targets.map(async target => askWitness(target, account));
+		const all = Promise.all(asking);
+		const isAnswered = await new Promise<boolean>(resolve => {
+			for (const answer of asking) {
+				void answer.then(isAnswer => {
+					if (isAnswer) {
+						resolve(true);
+					}
+				});
+			}
+
+			void all.then(answers => {
+				resolve(answers.includes(true));
+			});
+		});
+		if (isAnswered) {
+			const waiting = new AbortController();
+			await Promise.race([all, clock.sleep(as<Milliseconds>(graceMs), waiting.signal)]);
+			waiting.abort();
+		}
+
+		return isAnswered;
+	}
+
+	return {
+		async confirm(program) {
+			for (let round = 0; round < confirmRounds; round++) {
+				const account = ledger.account(program);
+				if (account && await askAll(witnessesOf(program), account)) {
+					return true;
+				}
+			}
+
+			return isOnlyOne();
+		},
+	};
+}
--- a/tests/budget-exploration.test.ts
+++ b/tests/budget-exploration.test.ts
@@ -11,6 +11,7 @@
 import {type Reservation} from '../src/machines/token-budgets.js';
 import {type Cluster, createCluster, most} from './fixtures/budget-cluster.js';
 import {createSeededRandom} from './fixtures/fake-clock.js';
+import {knownRed} from './fixtures/known-red.js';
 
 const instances = ['a1', 'a2', 'a3', 'a4', 'b1', 'b2', 'b3', 'b4', 'c1', 'c2', 'c3', 'c4'];
 const dataCentres = ['a', 'b', 'c'];
@@ -166,6 +167,21 @@
 	});
 }
 
+/** Histories that failed once, or still do. */
+const found: ReadonlyArray<readonly [Fault, Fault, number]> = [
+	// Two calls went unrecorded while the store was out of reach, and all memory was lost.
+	['store-down', 'all-lost', 12],
+	// A cut-off data centre granted without a record, and all memory was lost.
+	['zone-cut', 'all-lost', 28],
+];
+
+for (const [first, second, seed] of found) {
+	const name = `a budget is overrun by no more than one call in history ${seed} of ${first} and ${second}`;
+	test(name, knownRed(name), async () => {
+		assert.ok(await overrun([first, second], seed) <= most);
+	});
+}
+
 test('a program that calls without end gets its whole budget', async () => {
 	for (let seed = 1; seed <= seedsPerPair; seed++) {
 		assert.equal(await overrun(['none', 'none'], seed), 0, `seed ${seed}`);
