Leave a request that takes long all its time at the second endpoint

In bursts the first event of a stream was waited for one second, also where more was expected. Change: only the first attempt of a repeatable request is cut short; what is expected of a busy endpoint counts.

--- a/src/machines/relay-job.ts
+++ b/src/machines/relay-job.ts
@@ -16,9 +16,12 @@
 /** Silence between events that ends an attempt, in gap goals. */
 const nextEventGoals = 2;
 
-/** Silence before a repeatable answer that ends an attempt, in latency goals. */
+/** Silence before a repeatable answer that ends the first attempt, in latency goals. */
 const answerGoals = 1.5;
 
+/** The same in expected times: an endpoint that is known to be busy is not silent yet. */
+const expectedTimes = 3;
+
 /** Idle time of a kept connection above which its other end may be closing it just now. */
 const longestIdleMs = 8000;
 
@@ -46,7 +49,8 @@
 	readonly timeLeft: () => Milliseconds;
 	/** Takes from the result of an attempt what it says about the request. */
 	readonly conclude: (endpoint: EndpointId, result: RelayResult) => void;
-	readonly describe: (endpoint: ListedEndpoint) => RelayAttempt;
+	/** `expected` is the time in which an answer is expected to begin. */
+	readonly describe: (endpoint: ListedEndpoint, expected?: Milliseconds) => RelayAttempt;
 	readonly attempts: () => number;
 	readonly progress: () => RelayProgress;
 	/** Whether an endpoint may have run the request. */
@@ -131,7 +135,11 @@
 		}
 	}
 
-	function patience(): RelayAttempt['patience'] {
+	/**
+	How long an endpoint may be silent. A repeatable request that was silent at one endpoint may just take long, so
+	the next one has all the time that is left.
+	*/
+	function patience(expected: number): RelayAttempt['patience'] {
 		const left = as<Milliseconds>(endsAt - clock.now());
 		switch (route.repetition) {
 			case 'once': {
@@ -139,12 +147,13 @@
 			}
 
 			case 'repeatable': {
-				const ms = as<Milliseconds>(route.latencyGoal * answerGoals);
+				const ms = runs > 0 ? left : as<Milliseconds>(Math.max(route.latencyGoal * answerGoals, expected * expectedTimes));
 				return {first: ms, next: ms};
 			}
 
 			case 'resumable': {
-				return {first: as<Milliseconds>(route.latencyGoal * firstEventGoals), next: as<Milliseconds>(route.gapGoal * nextEventGoals)};
+				const first = Math.max(route.latencyGoal * firstEventGoals, expected * expectedTimes);
+				return {first: as<Milliseconds>(first * (2 ** runs)), next: as<Milliseconds>(route.gapGoal * nextEventGoals)};
 			}
 		}
 	}
@@ -159,7 +168,7 @@
 		elapsed: () => as<Milliseconds>(clock.now() - startedAt),
 		timeLeft: () => as<Milliseconds>(endsAt - clock.now()),
 		conclude,
-		describe: endpoint => ({
+		describe: (endpoint, expected = as<Milliseconds>(0)) => ({
 			request,
 			endpoint,
 			isStream: route.isStream,
@@ -167,7 +176,7 @@
 			urgency: Math.min(leastUrgent, route.rank * urgencyPerRank),
 			resumeBehind: lastEvent,
 			longestIdle: as<Milliseconds>(route.repetition === 'once' ? longestIdleOnceMs : longestIdleMs),
-			patience: patience(),
+			patience: patience(expected),
 			onHead(head) {
 				if (!isOpen) {
 					isOpen = true;
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -107,7 +107,7 @@
 		const load = endpoint.load(startedAt);
 		const release = endpoint.occupy();
 		endpoint.remember(job.request.prompt);
-		const result = await options.link.send(job.describe(listed));
+		const result = await options.link.send(job.describe(listed, expected));
 		const took = as<Milliseconds>(clock.now() - startedAt);
 		release();
 		job.conclude(listed.id, result);
--- a/tests/relay.test.ts
+++ b/tests/relay.test.ts
@@ -231,6 +231,22 @@
 	assert.equal(witness.refusals[0]?.kind, 'no-route');
 });
 
+test('a request that takes long is left all its time by the second endpoint', async () => {
+	const world = createRelayWorld({
+		route: routeWith(),
+		endpoints,
+		async script(attempt) {
+			const work = 1200;
+			const isSilent = attempt.patience.first < work;
+			await world.clock.sleep(as<Milliseconds>(Math.min(work, attempt.patience.first)));
+			return isSilent ? {kind: 'silent'} : answered;
+		},
+	});
+	const witness = await world.serve(requestWith());
+	assert.equal(world.attempts.length, 2);
+	assert.equal(witness.ending(), 'answered');
+});
+
 test('the time that is handed on shrinks with each attempt', async () => {
 	const world = createRelayWorld({
 		route: routeWith(),
