--- a/src/machines/relay-placement.ts
+++ b/src/machines/relay-placement.ts
@@ -14,9 +14,6 @@
 /** Time to compute one prompt token on a current accelerator: about 50 tokens a ms. */
 const prefillMsPerToken = 0.02;
 
-/** Share of the requests beside it that wait while a prompt is computed; the others wait for a caller or a tool. */
-const delayedShare = 0.5;
-
 /** Extra price of another data centre: bytes between data centres are scarce, and a cut loses the request. */
 const remoteMs = 150;
 
@@ -80,7 +77,8 @@
 	const pace = endpoint.pace(typical, query.now);
 	const running = pace * (1 + (crowdingShare * load));
 	const waiting = pace * (Math.max(0, load + 1 - slots) / slots);
-	const computing = missingTokens(endpoint, query, isHome) * prefillMsPerToken * (1 + (load * delayedShare));
+	// All requests on the endpoint wait while a prompt is computed, this one among them.
+	const computing = missingTokens(endpoint, query, isHome) * prefillMsPerToken * (1 + load);
 	return running + waiting + computing + distance;
 }
 
