Keep connections for as long as the endpoint says

A connection was closed a second before the time that its other end states, and one that was too old for a request that may not be repeated was dropped, though others could still use it. Change: a margin of 250 ms, and those connections are left alone.

--- a/src/links/connections.ts
+++ b/src/links/connections.ts
@@ -14,8 +14,8 @@
 /** Time for which an idle connection is kept when its other end does not say, in ms. */
 const idleTimeoutMs = 6000;
 
-/** Margin by which a connection is closed before its other end would, in ms. */
-const idleMarginMs = 1000;
+/** Margin by which a connection is closed before its other end would, in ms; a message takes a few. */
+const idleMarginMs = 250;
 
 export type Exchange = {
 	readonly method: string;
@@ -97,16 +97,18 @@
 	}
 
 	function take(address: Address, longestIdle: number): Kept {
-		const kept = idle.get(address)?.pop();
-		if (!kept) {
+		const kept = idle.get(address)?.at(-1);
+		// The others have been idle for longer; they are left to requests that can be sent again.
+		if (!kept || performance.now() - kept.idleSince > longestIdle) {
 			return open(address);
 		}
 
-		if (performance.now() - kept.idleSince > longestIdle || kept.client.destroyed) {
+		if (kept.client.destroyed) {
 			drop(address, kept);
 			return take(address, longestIdle);
 		}
 
+		idle.get(address)?.pop();
 		return kept;
 	}
 
--- a/src/machines/relay-job.ts
+++ b/src/machines/relay-job.ts
@@ -25,8 +25,8 @@
 /** Idle time of a kept connection above which its other end may be closing it just now. */
 const longestIdleMs = 8000;
 
-/** The same for a request that may not be sent twice. */
-const longestIdleOnceMs = 1000;
+/** The same for a request that may not be sent twice, should the other end not keep the time that it states. */
+const longestIdleOnceMs = 3000;
 
 /** Urgency of the most important requests; each rank below adds as much. */
 const urgencyPerRank = 2;
