Let the side of a cut with most data centres grant the whole budget of new programs

Change: the side that has reached more than half of the data centres grants the whole budget, the smaller one what a guest may, and two halves share as before. While it has not reached all, a keeper asks elsewhere too before it grants.

--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -51,11 +51,13 @@
 
 /**
 What a counting instance may grant:
-- `home`: the whole budget.
-- `contested`: another data centre cannot be told about the program and may grant it too. Each side grants
+- `home`: the whole budget. At most one side of a cut is that: the one on which the program was at home before, or
+  the one with most data centres.
+- `contested`: half of the data centres cannot be told about the program and may grant it too. Each side grants
   half of the budget and a quarter of a call, together half of the call by which a budget may be overrun.
-- `guest`: the home cannot be reached and may grant the whole budget. All guests together grant one call, and as
-  much more as an ended call usually leaves of its most.
+- `guest`: others may grant the whole budget: the home, or, for a program that was first seen on the smaller side of
+  a cut, the other side. All guests together grant one call, and as much more as an ended call usually leaves of
+  its most.
 */
 export type Entitlement = 'home' | 'contested' | 'guest';
 
@@ -186,8 +188,9 @@
 			}
 
 			case 'guest': {
-				const guests = [...entry.slots.values()].filter(slot => slot.dataCentre !== undefined && slot.dataCentre !== entry.home);
-				return {used: sum(guests), limit: most * guestCalls};
+				const slots = [...entry.slots.values()];
+				const guests = slots.filter(slot => slot.dataCentre !== undefined && slot.dataCentre !== entry.home);
+				return {used: entry.home === dataCentre ? used : sum(guests), limit: most * guestCalls};
 			}
 		}
 	}
--- a/src/zones/budget-counter.ts
+++ b/src/zones/budget-counter.ts
@@ -135,13 +135,28 @@
 			return 'guest';
 		}
 
-		return sharing.isUncontested(program) ? 'home' : 'contested';
+		switch (sharing.reach(program)) {
+			case 'all':
+			case 'most': {
+				return 'home';
+			}
+
+			case 'half': {
+				return 'contested';
+			}
+
+			case 'few': {
+				return 'guest';
+			}
+		}
 	}
 
 	/** Grants what was reserved here once others and the store know of it, unless they leave too little for it. */
 	async function confirm(request: ReservationRequest, isNew: boolean, recording: Promise<boolean>): Promise<ReservationOutcome> {
 		const {program, attempt} = request;
-		const [isConfirmed, isRecorded] = await Promise.all([witnesses.confirm(program), recording]);
+		// A new claim is about to be told everywhere.
+		const isWide = !isNew && sharing.reach(program) !== 'all';
+		const [isConfirmed, isRecorded] = await Promise.all([witnesses.confirm(program, isWide), recording]);
 		const entitlement = entitlementOf(program);
 		if (isConfirmed && isRecorded && ledger.isWithin(request, entitlement)) {
 			if (isNew) {
--- a/src/zones/budget-sharing.ts
+++ b/src/zones/budget-sharing.ts
@@ -33,6 +33,9 @@
 */
 const reconcileMs = 3000;
 
+/** Share of the data centres, this one included. */
+export type Reach = 'all' | 'most' | 'half' | 'few';
+
 export type BudgetSharing = {
 	/** The account has changed. */
 	readonly markDirty: (program: ProgramId) => void;
@@ -40,8 +43,8 @@
 	readonly announceClaim: (program: ProgramId) => void;
 	/** The budget is spent: everyone is told, since a guest would grant another call. */
 	readonly announceSpent: (program: ProgramId) => void;
-	/** Whether every other data centre knows the program's home, and none can have granted calls that are not known here. */
-	readonly isUncontested: (program: ProgramId) => boolean;
+	/** How many data centres know the program's home and cannot have granted calls that are not known here. */
+	readonly reach: (program: ProgramId) => Reach;
 	/** Passes on to this data centre the accounts that another one told; its own it has announced itself. */
 	readonly passOn: (accounts: readonly Account[]) => void;
 	/** Members came or went: whoever counts next has to know the accounts of this home. */
@@ -74,9 +77,8 @@
 	readonly startedAt: Milliseconds;
 	/** When lives of members were last told; they forget the program when they hear no more. */
 	readonly told: Map<string, Milliseconds>;
-	readonly knownIn: Set<DataCentreId>;
-	/** When all data centres knew it. */
-	knownAt: Milliseconds | undefined;
+	/** When data centres first answered. */
+	readonly answeredAt: Map<DataCentreId, Milliseconds>;
 };
 
 /** Creates the sharing of one instance. */
@@ -98,7 +100,7 @@
 		}
 
 		const telling: Telling = {
-			startedAt: clock.now(), told: new Map(), knownIn: new Set(), knownAt: undefined,
+			startedAt: clock.now(), told: new Map(), answeredAt: new Map(),
 		};
 		tellings.set(program, telling);
 		return telling;
@@ -127,17 +129,18 @@
 		});
 	}
 
-	function isKnownEverywhere({knownIn}: Telling): boolean {
-		const own = options.self().dataCentre;
-		return dataCentresOf(options.members()).every(dataCentre => dataCentre === own || knownIn.has(dataCentre));
+	/** Whether a data centre was told at once, or has had the time to say what it granted meanwhile. */
+	function isInformed(dataCentre: DataCentreId, {startedAt, answeredAt}: Telling): boolean {
+		const at = answeredAt.get(dataCentre);
+		return dataCentre === options.self().dataCentre
+			|| (at !== undefined && (at - startedAt <= promptMs || clock.now() - at >= reconcileMs));
 	}
 
 	function noteAnswered(target: Member, program: ProgramId): void {
 		const telling = tellingOf(program);
-		telling.knownIn.add(target.dataCentre);
 		telling.told.set(lifeOf(target), clock.now());
-		if (telling.knownAt === undefined && isKnownEverywhere(telling)) {
-			telling.knownAt = clock.now();
+		if (!telling.answeredAt.has(target.dataCentre)) {
+			telling.answeredAt.set(target.dataCentre, clock.now());
 		}
 	}
 
@@ -217,13 +220,19 @@
 				markDirty(program);
 			}
 		},
-		isUncontested(program) {
+		reach(program) {
 			const telling = tellingOf(program);
-			if (telling.knownAt === undefined || !isKnownEverywhere(telling)) {
-				return false;
+			const dataCentres = dataCentresOf(options.members());
+			const informed = dataCentres.filter(dataCentre => isInformed(dataCentre, telling)).length;
+			if (informed === dataCentres.length) {
+				return 'all';
+			}
+
+			if (informed * 2 === dataCentres.length) {
+				return 'half';
 			}
 
-			return telling.knownAt - telling.startedAt <= promptMs || clock.now() - telling.knownAt >= reconcileMs;
+			return informed * 2 > dataCentres.length ? 'most' : 'few';
 		},
 		passOn(accounts) {
 			const {dataCentre} = options.self();
--- a/src/zones/budget-witnesses.ts
+++ b/src/zones/budget-witnesses.ts
@@ -29,9 +29,9 @@
 export type BudgetWitnesses = {
 	/**
 	Tells others what is about to be granted and takes over what they have counted. Resolves to false when this
-	instance reaches nobody, so that others may count without it.
+	instance reaches nobody, so that others may count without it. `isWide` asks in the other data centres too.
 	*/
-	readonly confirm: (program: ProgramId) => Promise<boolean>;
+	readonly confirm: (program: ProgramId, isWide: boolean) => Promise<boolean>;
 };
 
 type View = {
@@ -61,12 +61,12 @@
 export function createBudgetWitnesses(options: BudgetWitnessesOptions): BudgetWitnesses {
 	const {ledger, clock, silent} = options;
 
-	/** Those that may have counted as well: at home the next keepers, and for a guest one instance elsewhere too. */
-	function witnessesOf(program: ProgramId): readonly Member[] {
+	/** Those that may have counted as well: at home the next keepers, and otherwise one instance elsewhere too. */
+	function witnessesOf(program: ProgramId, isWide: boolean): readonly Member[] {
 		const own = options.self().dataCentre;
 		const home = ledger.home(program) ?? own;
 		const nearby = nextKeepers(options, own, program, homeKeepers);
-		const isElsewhereAsked = nearby.length === 0 || home !== own;
+		const isElsewhereAsked = isWide || nearby.length === 0 || home !== own;
 		const elsewhere = dataCentresOf(options.members()).filter(dataCentre => isElsewhereAsked && dataCentre !== own && dataCentre !== home);
 		return [...nearby, ...elsewhere.flatMap(dataCentre => nextKeepers(options, dataCentre, program, 1))];
 	}
@@ -120,10 +120,10 @@
 	}
 
 	return {
-		async confirm(program) {
+		async confirm(program, isWide) {
 			for (let round = 0; round < confirmRounds; round++) {
 				const account = ledger.account(program);
-				if (account && await askAll(witnessesOf(program), account)) {
+				if (account && await askAll(witnessesOf(program, isWide), account)) {
 					return true;
 				}
 			}
