--- a/src/links/connections.ts
+++ b/src/links/connections.ts
@@ -80,7 +80,10 @@
 		});
 		const kept: Kept = {client, idleSince: 0};
 		client.on('disconnect', () => {
-			drop(address, kept);
+			// One that was just taken connects anew for the request that waits on it.
+			if (idle.get(address)?.includes(kept)) {
+				drop(address, kept);
+			}
 		});
 		return kept;
 	}
--- a/tests/budget-keepers.test.ts
+++ b/tests/budget-keepers.test.ts
@@ -120,6 +120,35 @@
 	assert.equal(await spend(cluster, ['a1', 'a2'], 800, 4), 4 * most);
 });
 
+for (const cutOff of ['a', 'b', 'c']) {
+	test(`a program that begins while ${cutOff} is cut off gets its whole budget on the larger side`, async () => {
+		const cluster = createCluster(instances);
+		cluster.isCut.add(cutOff);
+		const larger = instances.filter(id => !id.startsWith(cutOff));
+		assert.equal(await spend(cluster, larger, 500, 16), 500);
+	});
+}
+
+test('an instance that reaches nobody grants nothing', async () => {
+	const cluster = createCluster(instances);
+	cluster.isCut.add('a1');
+	const reservation = await cluster.reserve('a1', 'p', 'x', 500);
+	assert.equal(reservation.kind, 'unknown');
+});
+
+test('a keeper that was paused hears what was granted meanwhile before it grants', async () => {
+	const cluster = createCluster(instances);
+	let total = await spend(cluster, ['a1'], 500, 1);
+	for (const id of ['a1', 'a2', 'a3']) {
+		cluster.node(id).isUp = false;
+		total += await spend(cluster, ['b1'], 500, 1);
+		cluster.node(id).isUp = true;
+	}
+
+	total += await spend(cluster, instances, 500, 16);
+	assert.equal(total, 500);
+});
+
 test('every entry is told where a turn before was served', async () => {
 	const cluster = createCluster(instances);
 	const place = {part: 'last', endpoint: as<EndpointId>('model-1')};
