Grant the second half of a budget only when everyone knows of it, and have records written by neighbours

Change: each side of a cut grants half of the budget and half of a call. Before it grants more, the home tells every data centre, and from then on nobody else grants anything. A keeper that the store does not answer asks a neighbour to write.

--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -29,14 +29,19 @@
 	readonly program: ProgramId;
 	/** Data centre in which the program was first seen; it alone may grant the whole budget. */
 	readonly home?: DataCentreId | undefined;
+	/** The home has come to the second half of the budget: nobody else may grant any more. */
+	readonly isSecondHalf: boolean;
 	readonly recorded: Tokens;
 	readonly retention: Milliseconds;
 	readonly slots: readonly LedgerSlot[];
 };
 
-/** What instances outside its home need of an account: where the home is. */
+/** Counter of what the store recorded. */
+const storeCounter = 'store';
+
+/** What instances outside its home need of an account: where the home is, what the store kept, and whether they may grant. */
 export function claimOf(account: Account): Account {
-	return {...account, slots: []};
+	return {...account, slots: account.slots.filter(slot => slot.counter === storeCounter)};
 }
 
 export type ReservationRequest = {
@@ -50,22 +55,11 @@
 };
 
 /**
-What a counting instance may grant:
-- `home`: the whole budget. At most one side of a cut is that: the one on which the program was at home before, or
-  the one with most data centres.
-- `contested`: half of the data centres cannot be told about the program and may grant it too. Each side grants
-  half of the budget and a quarter of a call, together half of the call by which a budget may be overrun.
-- `guest`: others may grant the whole budget: the home, or, for a program that was first seen on the smaller side of
-  a cut, the other side. All guests together grant one call, and as much more as an ended call usually leaves of
-  its most.
+What a counting instance may grant. While not everyone has been told that a program has come to the second half of
+its budget, each side of a cut may grant half of the budget and half of a call, together the one call by which a
+budget may be overrun. Once everyone has, the home grants the whole, and nobody else anything.
 */
-export type Entitlement = 'home' | 'contested' | 'guest';
-
-/** Calls at their most that guests may grant; ended calls use about a quarter of it. */
-const guestCalls = 1.25;
-
-/** Share of a call that each side of a contest may grant beyond half of the budget. */
-const contestedShare = 0.25;
+export type Entitlement = 'whole' | 'half';
 
 export type LedgerDecision
 	= | {readonly kind: 'granted'}
@@ -81,6 +75,7 @@
 	readonly home: (program: ProgramId) => DataCentreId | undefined;
 	/** Makes a data centre the home of a program that has none; the program counts as heard of. */
 	readonly claim: (request: ReservationRequest, home: DataCentreId, now: Milliseconds) => void;
+	readonly enterSecondHalf: (program: ProgramId) => void;
 	/** Withdraws a claim for which nothing was granted. */
 	readonly disclaim: (program: ProgramId) => void;
 	/** Whether what was reserved and used is still within what may be granted, after accounts were merged. */
@@ -108,9 +103,6 @@
 	readonly expire: (now: Milliseconds) => void;
 };
 
-/** Counter of what the store recorded. */
-const storeCounter = 'store';
-
 /**
 Calls at their most that may be granted beyond the record while the store is out of reach. One is what a budget may
 be overrun by; ended calls use about a quarter of their most, and programs that begin meanwhile need a few.
@@ -124,6 +116,7 @@
 	readonly slots: Map<string, LedgerSlot>;
 	readonly reservations: Map<AttemptId, Tokens>;
 	home: DataCentreId | undefined;
+	isSecondHalf: boolean;
 	recorded: Tokens;
 	retention: Milliseconds;
 	touchedAt: Milliseconds;
@@ -140,7 +133,7 @@
 
 function toAccount(program: ProgramId, entry: Entry): Account {
 	return {
-		program, home: entry.home, recorded: entry.recorded, retention: entry.retention, slots: [...entry.slots.values()],
+		program, home: entry.home, isSecondHalf: entry.isSecondHalf, recorded: entry.recorded, retention: entry.retention, slots: [...entry.slots.values()],
 	};
 }
 
@@ -157,7 +150,7 @@
 		}
 
 		const entry: Entry = {
-			slots: new Map(), reservations: new Map(), home: undefined, recorded: as<Tokens>(0), retention, touchedAt: now,
+			slots: new Map(), reservations: new Map(), home: undefined, isSecondHalf: false, recorded: as<Tokens>(0), retention, touchedAt: now,
 		};
 		entries.set(program, entry);
 		return entry;
@@ -175,22 +168,16 @@
 		});
 	}
 
-	/** Tokens up to which calls are granted, and those that count. */
-	function boundOf(entry: Entry, {budget, most}: ReservationRequest, entitlement: Entitlement): {readonly used: number; readonly limit: number} {
-		const used = sum(entry.slots.values());
+	/** Tokens up to which calls are granted. */
+	function limitOf(entry: Entry, {budget, most}: ReservationRequest, entitlement: Entitlement): number {
 		switch (entitlement) {
-			case 'home': {
-				return {used, limit: budget};
-			}
-
-			case 'contested': {
-				return {used, limit: (budget / 2) + (most * contestedShare)};
+			case 'whole': {
+				return budget;
 			}
 
-			case 'guest': {
-				const slots = [...entry.slots.values()];
-				const guests = slots.filter(slot => slot.dataCentre !== undefined && slot.dataCentre !== entry.home);
-				return {used: entry.home === dataCentre ? used : sum(guests), limit: most * guestCalls};
+			case 'half': {
+				const isOver = entry.isSecondHalf && entry.home !== dataCentre;
+				return isOver ? 0 : Math.min(budget, (budget + most) / 2);
 			}
 		}
 	}
@@ -213,8 +200,7 @@
 			}
 
 			const used = sum(entry.slots.values());
-			const bound = boundOf(entry, request, entitlement);
-			if (bound.used + most > bound.limit || used + most > budget) {
+			if (used + most > limitOf(entry, request, entitlement)) {
 				return used + most > budget ? {kind: 'exhausted', used: as<Tokens>(used)} : {kind: 'withheld'};
 			}
 
@@ -227,6 +213,12 @@
 			// Half of the budget at once, so that most programs need one write and keep half after a loss of memory.
 			return {kind: 'record-first', upTo: as<Tokens>(Math.min(budget, Math.max(used + most, budget * recordedShare)))};
 		},
+		enterSecondHalf(program) {
+			const entry = entries.get(program);
+			if (entry) {
+				entry.isSecondHalf = true;
+			}
+		},
 		disclaim(program) {
 			const entry = entries.get(program);
 			if (entry && sum(entry.slots.values()) === 0) {
@@ -239,8 +231,7 @@
 				return false;
 			}
 
-			const bound = boundOf(entry, request, entitlement);
-			return bound.used <= bound.limit && sum(entry.slots.values()) <= request.budget;
+			return sum(entry.slots.values()) <= limitOf(entry, request, entitlement);
 		},
 		settle(program, attempt, used, now) {
 			const entry = entries.get(program);
@@ -274,6 +265,7 @@
 			entry.recorded = as<Tokens>(Math.max(entry.recorded, account.recorded));
 			// Two data centres that could not reach each other may both have claimed it; all keep the same one.
 			entry.home = entry.home !== undefined && (account.home === undefined || entry.home < account.home) ? entry.home : account.home;
+			entry.isSecondHalf ||= account.isSecondHalf;
 			for (const slot of account.slots) {
 				const known = entry.slots.get(slot.counter);
 				if (slot.counter !== counter && (!known || slot.version > known.version)) {
@@ -281,14 +273,14 @@
 				}
 			}
 		},
-		knowsMore({program, home, slots}) {
+		knowsMore({program, home, isSecondHalf, slots}) {
 			const entry = entries.get(program);
 			if (!entry) {
 				return false;
 			}
 
 			const shown = new Map(slots.map(slot => [slot.counter, slot.version]));
-			return entry.home !== home || [...entry.slots.values()].some(slot => slot.version > (shown.get(slot.counter) ?? -1));
+			return entry.home !== home || entry.isSecondHalf !== isSecondHalf || [...entry.slots.values()].some(slot => slot.version > (shown.get(slot.counter) ?? -1));
 		},
 		account(program) {
 			const entry = entries.get(program);
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -256,6 +256,7 @@
 
 			case 'reserve':
 			case 'settle':
+			case 'record':
 			case 'accounts': {
 				return await budgets.answer(message) ?? done;
 			}
--- a/src/zones/budget-counter.ts
+++ b/src/zones/budget-counter.ts
@@ -7,7 +7,7 @@
 	as, type AttemptId, type InstanceId, type Milliseconds, type ProgramId, type Tokens,
 } from '../contracts/id.js';
 import {
-	type Account, type Entitlement, type ReservationRequest, type TokenLedger,
+	type Account, type Entitlement, type LedgerDecision, type ReservationRequest, type TokenLedger,
 } from '../contracts/token-ledger.js';
 import {type BudgetEvent, type WithholdReason} from './budget-event.js';
 import {type BudgetRecord, type BudgetRecords} from './budget-records.js';
@@ -15,6 +15,7 @@
 import {createBudgetWitnesses} from './budget-witnesses.js';
 import {type Member} from './membership.js';
 import {isOwner} from './ownership.js';
+import {createRecordWriters, type RecordWriters} from './record-writers.js';
 import {type RelayPeers, type ReservationOutcome} from './relay-peers.js';
 import {createSilence} from './silence.js';
 
@@ -25,6 +26,8 @@
 	/** Reserves in this instance's own ledger. */
 	readonly keep: (request: ReservationRequest, isHomeUnreachable: boolean) => Promise<ReservationOutcome>;
 	readonly settle: (program: ProgramId, attempt: AttemptId, used: Tokens) => void;
+	/** Writes a record for a neighbour that the store does not answer. */
+	readonly writeFor: RecordWriters['writeFor'];
 	/** Takes accounts over from a peer. Returns what is known here beyond them. */
 	readonly receive: (accounts: readonly Account[]) => readonly Account[];
 	/** Passes on to this data centre what another one told. */
@@ -49,7 +52,7 @@
 
 /** Creates the counting side of one instance. */
 export function createBudgetCounter(options: BudgetCounterOptions): BudgetCounter {
-	const {ledger, records, clock} = options;
+	const {ledger, clock} = options;
 	/** Programs that this instance made this data centre the home of. */
 	const claimed = new Set<ProgramId>();
 	const recording = new Set<ProgramId>();
@@ -64,6 +67,7 @@
 	};
 	const sharing = createBudgetSharing(others);
 	const witnesses = createBudgetWitnesses(others);
+	const writers = createRecordWriters(others);
 	const {markDirty} = sharing;
 
 	/** Makes this data centre the home of a program that nobody here has heard of. Returns whether it was new. */
@@ -104,7 +108,7 @@
 
 	async function writeRecord(record: BudgetRecord): Promise<boolean> {
 		recording.add(record.program);
-		const isWritten = await records.write(record);
+		const isWritten = await writers.write(record);
 		recording.delete(record.program);
 		if (isWritten) {
 			ledger.markRecorded(record.program, record.used);
@@ -127,36 +131,20 @@
 		return isInTime || ledger.isBearable(request);
 	}
 
-	function entitlementOf(program: ProgramId): Entitlement {
-		const isHome = ledger.home(program) === options.self().dataCentre;
-		// A home that was heard of without its account has been counted for by another instance.
+	/** Whether this instance counts for the home. One that has not heard of the account yet is as good as elsewhere. */
+	function isAtHome(program: ProgramId): boolean {
 		const hasAccount = claimed.has(program) || (ledger.account(program)?.slots.length ?? 0) > 0;
-		if (!isHome || !hasAccount) {
-			return 'guest';
-		}
-
-		switch (sharing.reach(program)) {
-			case 'all':
-			case 'most': {
-				return 'home';
-			}
-
-			case 'half': {
-				return 'contested';
-			}
+		return hasAccount && ledger.home(program) === options.self().dataCentre;
+	}
 
-			case 'few': {
-				return 'guest';
-			}
-		}
+	function entitlementOf(program: ProgramId): Entitlement {
+		return isAtHome(program) && sharing.isSecondHalfOpen(program) ? 'whole' : 'half';
 	}
 
 	/** Grants what was reserved here once others and the store know of it, unless they leave too little for it. */
 	async function confirm(request: ReservationRequest, isNew: boolean, recording: Promise<boolean>): Promise<ReservationOutcome> {
 		const {program, attempt} = request;
-		// A new claim is about to be told everywhere.
-		const isWide = !isNew && sharing.reach(program) !== 'all';
-		const [isConfirmed, isRecorded] = await Promise.all([witnesses.confirm(program, isWide), recording]);
+		const [isConfirmed, isRecorded] = await Promise.all([witnesses.confirm(program), recording]);
 		const entitlement = entitlementOf(program);
 		if (isConfirmed && isRecorded && ledger.isWithin(request, entitlement)) {
 			if (isNew) {
@@ -180,18 +168,27 @@
 	}
 
 	function withhold({program, attempt, budget}: ReservationRequest, entitlement: Entitlement, reason: WithholdReason): ReservationOutcome {
-		// A keeper that has taken over is entitled to more once it has told everyone.
-		markDirty(program);
 		options.onEvent({
 			kind: 'withheld', request: attempt, program, entitlement, reason, used: ledger.used(program), budget,
 		});
 		return {kind: 'withheld'};
 	}
 
+	/** Reserves, if need be once everyone has been told that this is the second half of the budget. */
+	async function reserve(request: ReservationRequest): Promise<LedgerDecision> {
+		const {program} = request;
+		const first = ledger.reserve(request, entitlementOf(program), clock.now());
+		if (first.kind !== 'withheld' || !isAtHome(program) || sharing.isSecondHalfOpen(program)) {
+			return first;
+		}
+
+		await sharing.openSecondHalf(program);
+		return ledger.reserve(request, entitlementOf(program), clock.now());
+	}
+
 	async function decide(request: ReservationRequest, isNew: boolean): Promise<ReservationOutcome> {
 		const {program} = request;
-		const entitlement = entitlementOf(program);
-		const decision = ledger.reserve(request, entitlement, clock.now());
+		const decision = await reserve(request);
 		switch (decision.kind) {
 			case 'granted': {
 				return confirm(request, isNew, Promise.resolve(true));
@@ -202,7 +199,6 @@
 			}
 
 			case 'exhausted': {
-				sharing.announceSpent(program);
 				options.onEvent({
 					kind: 'exhausted', request: request.attempt, program, used: decision.used, budget: request.budget, most: request.most,
 				});
@@ -210,7 +206,7 @@
 			}
 
 			case 'withheld': {
-				return withhold(request, entitlement, 'limit');
+				return withhold(request, entitlementOf(program), 'limit');
 			}
 		}
 	}
@@ -245,6 +241,7 @@
 
 	return {
 		keep,
+		writeFor: writers.writeFor,
 		receive,
 		passOn: sharing.passOn,
 		rebalance: sharing.rebalance,
--- a/src/zones/budget-keepers.ts
+++ b/src/zones/budget-keepers.ts
@@ -159,6 +159,10 @@
 					return accounts.length > 0 ? {kind: 'accounts', accounts} : {kind: 'done'};
 				}
 
+				case 'record': {
+					return {kind: 'recorded', isWritten: await counter.writeFor(message.record)};
+				}
+
 				case 'gossip':
 				case 'endpoints':
 				case 'announce':
--- a/src/zones/budget-sharing.ts
+++ b/src/zones/budget-sharing.ts
@@ -24,27 +24,27 @@
 /** Accounts in one message, which has to fit into a datagram. */
 const accountsPerMessage = 4;
 
-/** Time within which a claim is known everywhere unless a data centre could not be reached; two round trips. */
+/** Time within which a notice is known everywhere unless a data centre could not be reached; two round trips. */
 const promptMs = 300;
 
+/** Time that a call waits for a notice to be known everywhere; less than its asker waits. */
+const noticePatienceMs = 120;
+
 /**
-Time in which data centres that hear of a claim late tell the home what they granted meanwhile: they may still
+Time in which data centres that hear of a notice late tell the home what they granted meanwhile: they may still
 pass its instances over as silent, and look again once a second.
 */
 const reconcileMs = 3000;
 
-/** Share of the data centres, this one included. */
-export type Reach = 'all' | 'most' | 'half' | 'few';
-
 export type BudgetSharing = {
 	/** The account has changed. */
 	readonly markDirty: (program: ProgramId) => void;
 	/** This data centre has become the program's home. */
 	readonly announceClaim: (program: ProgramId) => void;
-	/** The budget is spent: everyone is told, since a guest would grant another call. */
-	readonly announceSpent: (program: ProgramId) => void;
-	/** How many data centres know the program's home and cannot have granted calls that are not known here. */
-	readonly reach: (program: ProgramId) => Reach;
+	/** Tells all data centres that the program has come to the second half of its budget. Resolves when they answer, or soon. */
+	readonly openSecondHalf: (program: ProgramId) => Promise<void>;
+	/** Whether all data centres know that, and none can have granted calls that are not known here. */
+	readonly isSecondHalfOpen: (program: ProgramId) => boolean;
 	/** Passes on to this data centre the accounts that another one told; its own it has announced itself. */
 	readonly passOn: (accounts: readonly Account[]) => void;
 	/** Members came or went: whoever counts next has to know the accounts of this home. */
@@ -72,13 +72,13 @@
 	return `${member.id}@${member.incarnation}`;
 }
 
-/** How far the news of a program has come. */
-type Telling = {
+/** How far the news of the second half of a program's budget has come. */
+type Notice = {
 	readonly startedAt: Milliseconds;
-	/** When lives of members were last told; they forget the program when they hear no more. */
-	readonly told: Map<string, Milliseconds>;
 	/** When data centres first answered. */
 	readonly answeredAt: Map<DataCentreId, Milliseconds>;
+	/** Resolves when all have answered or failed to. */
+	told: Promise<void>;
 };
 
 /** Creates the sharing of one instance. */
@@ -87,27 +87,14 @@
 	const dirty = new Set<ProgramId>();
 	/** Programs whose accounts did not reach everyone. */
 	const untold = new Set<ProgramId>();
-	const tellings = new Map<ProgramId, Telling>();
+	/** When lives of members were last told of a program; they forget it when they hear no more. */
+	const toldAt = new Map<ProgramId, Map<string, Milliseconds>>();
+	const notices = new Map<ProgramId, Notice>();
 	const {silent} = options;
-	/** Programs whose spent budget was told. */
-	const spent = new Set<ProgramId>();
 	let isWaiting = false;
 
-	function tellingOf(program: ProgramId): Telling {
-		const known = tellings.get(program);
-		if (known) {
-			return known;
-		}
-
-		const telling: Telling = {
-			startedAt: clock.now(), told: new Map(), answeredAt: new Map(),
-		};
-		tellings.set(program, telling);
-		return telling;
-	}
-
 	function isTold(program: ProgramId, member: Member): boolean {
-		const at = tellingOf(program).told.get(lifeOf(member));
+		const at = toldAt.get(program)?.get(lifeOf(member));
 		return at !== undefined && clock.now() - at < (ledger.account(program)?.retention ?? 0) / 2;
 	}
 
@@ -130,17 +117,18 @@
 	}
 
 	/** Whether a data centre was told at once, or has had the time to say what it granted meanwhile. */
-	function isInformed(dataCentre: DataCentreId, {startedAt, answeredAt}: Telling): boolean {
+	function isInformed(dataCentre: DataCentreId, {startedAt, answeredAt}: Notice): boolean {
 		const at = answeredAt.get(dataCentre);
 		return dataCentre === options.self().dataCentre
 			|| (at !== undefined && (at - startedAt <= promptMs || clock.now() - at >= reconcileMs));
 	}
 
-	function noteAnswered(target: Member, program: ProgramId): void {
-		const telling = tellingOf(program);
-		telling.told.set(lifeOf(target), clock.now());
-		if (!telling.answeredAt.has(target.dataCentre)) {
-			telling.answeredAt.set(target.dataCentre, clock.now());
+	function noteAnswered(target: Member, {program, isSecondHalf}: Account): void {
+		const told = toldAt.get(program) ?? new Map<string, Milliseconds>();
+		toldAt.set(program, told.set(lifeOf(target), clock.now()));
+		const answeredAt = isSecondHalf ? notices.get(program)?.answeredAt : undefined;
+		if (answeredAt && !answeredAt.has(target.dataCentre)) {
+			answeredAt.set(target.dataCentre, clock.now());
 		}
 	}
 
@@ -155,8 +143,8 @@
 					options.receive(reply.accounts);
 				}
 
-				for (const {program} of part) {
-					noteAnswered(target, program);
+				for (const account of part) {
+					noteAnswered(target, account);
 				}
 			} else {
 				silent.note(target.id);
@@ -167,25 +155,22 @@
 		}
 	}
 
-	function share(): void {
+	async function share(): Promise<void> {
 		isWaiting = false;
 		const byTarget = new Map<Member, Account[]>();
 		for (const program of dirty) {
 			const account = ledger.account(program);
 			for (const target of account ? audience(program) : []) {
-				const part = account && (target.dataCentre === account.home || spent.has(program) ? account : claimOf(account));
+				const part = account && (target.dataCentre === account.home || account.isSecondHalf ? account : claimOf(account));
 				byTarget.set(target, [...(byTarget.get(target) ?? []), ...(part ? [part] : [])]);
 			}
 		}
 
 		dirty.clear();
-		for (const [target, accounts] of byTarget) {
-			void tell(target, accounts);
-		}
+		await Promise.all([...byTarget].map(async ([target, accounts]) => tell(target, accounts)));
 	}
 
 	function markDirty(program: ProgramId): void {
-		tellingOf(program);
 		dirty.add(program);
 		if (!isWaiting) {
 			isWaiting = true;
@@ -207,32 +192,29 @@
 		announceClaim(program) {
 			const account = ledger.account(program);
 			if (account) {
-				tellingOf(program);
 				dirty.add(program);
-				share();
+				void share();
 				tellNeighbours([claimOf(account)]);
 			}
 		},
-		announceSpent(program) {
-			if (!spent.has(program)) {
-				spent.add(program);
-				tellingOf(program).told.clear();
-				markDirty(program);
-			}
-		},
-		reach(program) {
-			const telling = tellingOf(program);
-			const dataCentres = dataCentresOf(options.members());
-			const informed = dataCentres.filter(dataCentre => isInformed(dataCentre, telling)).length;
-			if (informed === dataCentres.length) {
-				return 'all';
-			}
-
-			if (informed * 2 === dataCentres.length) {
-				return 'half';
+		async openSecondHalf(program) {
+			const known = notices.get(program);
+			if (!known) {
+				ledger.enterSecondHalf(program);
+				toldAt.delete(program);
+				dirty.add(program);
+				const notice: Notice = {startedAt: clock.now(), answeredAt: new Map(), told: Promise.resolve()};
+				notices.set(program, notice);
+				notice.told = share();
 			}
 
-			return informed * 2 > dataCentres.length ? 'most' : 'few';
+			const waiting = new AbortController();
+			await Promise.race([notices.get(program)?.told, clock.sleep(as<Milliseconds>(noticePatienceMs), waiting.signal)]);
+			waiting.abort();
+		},
+		isSecondHalfOpen(program) {
+			const notice = notices.get(program);
+			return notice !== undefined && dataCentresOf(options.members()).every(dataCentre => isInformed(dataCentre, notice));
 		},
 		passOn(accounts) {
 			const {dataCentre} = options.self();
@@ -258,10 +240,10 @@
 		},
 		forgetLapsed() {
 			const known = new Set(ledger.programs());
-			for (const program of tellings.keys()) {
+			for (const program of [...toldAt.keys(), ...notices.keys()]) {
 				if (!known.has(program)) {
-					tellings.delete(program);
-					spent.delete(program);
+					toldAt.delete(program);
+					notices.delete(program);
 				}
 			}
 		},
--- a/src/zones/budget-witnesses.ts
+++ b/src/zones/budget-witnesses.ts
@@ -29,9 +29,9 @@
 export type BudgetWitnesses = {
 	/**
 	Tells others what is about to be granted and takes over what they have counted. Resolves to false when this
-	instance reaches nobody, so that others may count without it. `isWide` asks in the other data centres too.
+	instance reaches nobody, so that others may count without it.
 	*/
-	readonly confirm: (program: ProgramId, isWide: boolean) => Promise<boolean>;
+	readonly confirm: (program: ProgramId) => Promise<boolean>;
 };
 
 type View = {
@@ -62,11 +62,11 @@
 	const {ledger, clock, silent} = options;
 
 	/** Those that may have counted as well: at home the next keepers, and otherwise one instance elsewhere too. */
-	function witnessesOf(program: ProgramId, isWide: boolean): readonly Member[] {
+	function witnessesOf(program: ProgramId): readonly Member[] {
 		const own = options.self().dataCentre;
 		const home = ledger.home(program) ?? own;
 		const nearby = nextKeepers(options, own, program, homeKeepers);
-		const isElsewhereAsked = isWide || nearby.length === 0 || home !== own;
+		const isElsewhereAsked = nearby.length === 0 || home !== own;
 		const elsewhere = dataCentresOf(options.members()).filter(dataCentre => isElsewhereAsked && dataCentre !== own && dataCentre !== home);
 		return [...nearby, ...elsewhere.flatMap(dataCentre => nextKeepers(options, dataCentre, program, 1))];
 	}
@@ -120,10 +120,10 @@
 	}
 
 	return {
-		async confirm(program, isWide) {
+		async confirm(program) {
 			for (let round = 0; round < confirmRounds; round++) {
 				const account = ledger.account(program);
-				if (account && await askAll(witnessesOf(program, isWide), account)) {
+				if (account && await askAll(witnessesOf(program), account)) {
 					return true;
 				}
 			}
--- a/src/zones/relay-peers.ts
+++ b/src/zones/relay-peers.ts
@@ -11,6 +11,7 @@
 import {type Account, type ReservationRequest} from '../contracts/token-ledger.js';
 import {type PromptPlace} from '../machines/prompt-places.js';
 import {type LoadSource} from '../machines/relay-endpoint.js';
+import {type BudgetRecord} from './budget-records.js';
 import {type DirectoryEntry} from './endpoint-directory.js';
 import {type Member} from './membership.js';
 import {type Gossip} from './peers.js';
@@ -24,6 +25,8 @@
 		| {readonly kind: 'reserve'; readonly reservation: ReservationRequest; readonly isHomeUnreachable: boolean; readonly isForwarded: boolean}
 		| {readonly kind: 'settle'; readonly program: ProgramId; readonly attempt: AttemptId; readonly used: Tokens; readonly place: PromptPlace | undefined}
 		| {readonly kind: 'accounts'; readonly accounts: readonly Account[]; readonly isPassedOn: boolean}
+	/** The store does not answer the sender. */
+		| {readonly kind: 'record'; readonly record: BudgetRecord}
 	/** Changes of the list of endpoints. */
 		| {readonly kind: 'endpoints'; readonly entries: readonly DirectoryEntry[]}
 	/** The sender has something newer. */
@@ -43,6 +46,7 @@
 export type RelayReply
 	= | {readonly kind: 'done'}
 		| {readonly kind: 'gossip'; readonly gossip: Gossip}
+		| {readonly kind: 'recorded'; readonly isWritten: boolean}
 	/** What the instance knows beyond the accounts that it was sent. */
 		| {readonly kind: 'accounts'; readonly accounts: readonly Account[]}
 		| {readonly kind: 'reservation'; readonly outcome: ReservationOutcome; readonly places: readonly PromptPlace[]};
--- a/tests/budget-exploration.test.ts
+++ b/tests/budget-exploration.test.ts
@@ -171,7 +171,7 @@
 const found: ReadonlyArray<readonly [Fault, Fault, number]> = [
 	// Two calls went unrecorded while the store was out of reach, and all memory was lost.
 	['store-down', 'all-lost', 12],
-	// Both sides of a cut granted half of the budget and more without a record, and all memory was lost.
+	// A cut-off data centre granted two calls without a record, and all memory was lost.
 	['zone-cut', 'all-lost', 28],
 ];
 
