--- a/src/contracts/id.ts
+++ b/src/contracts/id.ts
@@ -22,6 +22,9 @@
 export type IdempotencyKey = Brand<string, 'IdempotencyKey'>;
 export type ObjectName = Brand<string, 'ObjectName'>;
 export type Nonce = Brand<string, 'Nonce'>;
+export type PromptPartId = Brand<string, 'PromptPartId'>;
+/** One life of an instance that counts tokens, or the store's record. */
+export type CounterId = Brand<string, 'CounterId'>;
 export type Address = Brand<string, 'Address'>;
 
 export type Incarnation = Brand<number, 'Incarnation'>;
--- a/src/contracts/relay-request.ts
+++ b/src/contracts/relay-request.ts
@@ -2,7 +2,7 @@
 A request that is relayed: what the system reads of it, beside headers and a body that stay opaque.
 */
 import {
-	type AttemptId, type Milliseconds, type ProgramId, type Tokens,
+	type AttemptId, type Milliseconds, type ProgramId, type PromptPartId, type Tokens,
 } from './id.js';
 
 /** Names and values in turn, as they came. */
@@ -10,7 +10,7 @@
 
 /** A part of a prompt; requests that name the same id begin with the same tokens. */
 export type PromptPart = {
-	readonly id: string;
+	readonly id: PromptPartId;
 	readonly tokens: Tokens;
 };
 
--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -3,17 +3,16 @@
 
 Several instances count for one program. Each counts in a slot of its own, so that ledgers merge by
 taking the newer version of each slot (a grow-only counter with reservations). The store keeps a record
-for a program that no loss of memory can take back; no call is granted beyond it, so that a budget holds over
-such a loss. The one call by which a budget may be overrun is left for cuts between data centres.
+for a program that no loss of memory can take back; while the store answers, no call is granted beyond it, so that
+a budget holds over such a loss. The one call by which a budget may be overrun is left for cuts between data centres.
 */
 import {
-	as, type AttemptId, type DataCentreId, type Milliseconds, type ProgramId, type Tokens,
+	as, type AttemptId, type CounterId, type DataCentreId, type Milliseconds, type ProgramId, type Tokens,
 } from './id.js';
 
 /** What one counting instance has granted. */
 export type LedgerSlot = {
-	/** Names one life of a counting instance, or the store's record. */
-	readonly counter: string;
+	readonly counter: CounterId;
 	/** Where the instance is; none for the store's record. */
 	readonly dataCentre?: DataCentreId | undefined;
 	/** Grows with each change. */
@@ -37,7 +36,7 @@
 };
 
 /** Counter of what the store recorded. */
-const storeCounter = 'store';
+const storeCounter = as<CounterId>('store');
 
 /** What instances outside its home need of an account: where the home is, what the store kept, and whether they may grant. */
 export function claimOf(account: Account): Account {
@@ -113,7 +112,7 @@
 const recordedShare = 0.5;
 
 type Entry = {
-	readonly slots: Map<string, LedgerSlot>;
+	readonly slots: Map<CounterId, LedgerSlot>;
 	readonly reservations: Map<AttemptId, Tokens>;
 	home: DataCentreId | undefined;
 	isSecondHalf: boolean;
@@ -138,7 +137,7 @@
 }
 
 /** Creates an empty ledger; `counter` names this life of an instance in a data centre. */
-export function createTokenLedger(counter: string, dataCentre: DataCentreId): TokenLedger {
+export function createTokenLedger(counter: CounterId, dataCentre: DataCentreId): TokenLedger {
 	const entries = new Map<ProgramId, Entry>();
 
 	function entryOf(program: ProgramId, retention: Milliseconds, now: Milliseconds): Entry {
--- a/src/machines/prompt-places.ts
+++ b/src/machines/prompt-places.ts
@@ -3,10 +3,10 @@
 model call of the program asks there first; so a turn that arrives at another entry still finds the endpoint that
 has the turn before in memory.
 */
-import {type EndpointId, type ProgramId} from '../contracts/id.js';
+import {type EndpointId, type ProgramId, type PromptPartId} from '../contracts/id.js';
 
 /** The endpoint that computed a prompt up to the named part. */
-export type PromptPlace = {readonly part: string; readonly endpoint: EndpointId};
+export type PromptPlace = {readonly part: PromptPartId; readonly endpoint: EndpointId};
 
 /** Lines of turns that are remembered for a program; each branch of it has one. */
 const placesPerProgram = 6;
--- a/src/machines/relay-endpoint.ts
+++ b/src/machines/relay-endpoint.ts
@@ -2,7 +2,9 @@
 One endpoint of relayed work as this instance knows it: requests in flight from here and, by report,
 from others; its pace; whether it can be reached; and the prompt parts that it probably has in memory.
 */
-import {as, type Milliseconds, type Tokens} from '../contracts/id.js';
+import {
+	as, type Milliseconds, type PromptPartId, type Tokens,
+} from '../contracts/id.js';
 import {type ListedEndpoint} from '../contracts/relay.js';
 import {type PromptPart} from '../contracts/relay-request.js';
 
@@ -59,7 +61,7 @@
 	let pace = {ms: 0, at: as<Milliseconds>(0)};
 	let failures = 0;
 	let pausedUntil = as<Milliseconds>(0);
-	const parts = new Set<string>();
+	const parts = new Set<PromptPartId>();
 	const foreign = new Map<string, {readonly kind: LoadSource['kind']; readonly inFlight: number; readonly at: Milliseconds}>();
 
 	function foreignLoad(now: Milliseconds, kinds: ReadonlyArray<LoadSource['kind']>): number {
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -6,7 +6,7 @@
 import {type Clock, type Random} from '../contracts/clock.js';
 import {failure} from '../contracts/failure.js';
 import {
-	as, type Address, type ConfigurationGeneration, type DataCentreId, type Incarnation, type InstanceId,
+	as, type Address, type ConfigurationGeneration, type CounterId, type DataCentreId, type Incarnation, type InstanceId,
 	type Milliseconds,
 } from '../contracts/id.js';
 import {type ObjectStore} from '../contracts/object-store.js';
@@ -93,7 +93,7 @@
 	}, random);
 	const fleet = createRelayFleet();
 	const quarantine = createQuarantine();
-	const ledger = createTokenLedger(`${id}@${incarnation}`, dataCentre);
+	const ledger = createTokenLedger(as<CounterId>(`${id}@${incarnation}`), dataCentre);
 	const digests = new Map<InstanceId, RelayDigest>();
 	let table: RoutingTable | undefined;
 
--- a/src/zones/budget-keepers.ts
+++ b/src/zones/budget-keepers.ts
@@ -2,7 +2,7 @@
 Budgets of programs over all instances. The data centre in which a program is first seen becomes its home;
 there a keeper, chosen by rendezvous hashing, reserves for all entries. Everyone is told the home, and the
 instances that would count next are told the account. Where the home cannot be reached, another keeper grants
-a little, so that a cut-off data centre goes on serving without overrunning the budget (see `Entitlement`).
+up to half of the budget, so that both sides of a cut go on serving without overrunning it (see `Entitlement`).
 */
 import {
 	as, type AttemptId, type Milliseconds,
--- a/src/zones/budget-sharing.ts
+++ b/src/zones/budget-sharing.ts
@@ -1,7 +1,8 @@
 /**
 How accounts travel between keepers. All instances have to know the home of each program, so that nobody
 claims it a second time: the home tells one instance of each other data centre, which passes it on within its
-own. What was counted is told only to the instances that would count next for the home.
+own. What was counted is told only to the instances that would count next for the home, and to everyone once a
+program comes to the second half of its budget.
 */
 import {type Clock} from '../contracts/clock.js';
 import {
--- a/tests/budget-keepers.test.ts
+++ b/tests/budget-keepers.test.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	as, type AttemptId, type EndpointId, type Milliseconds, type ProgramId, type Tokens,
+	as, type AttemptId, type EndpointId, type Milliseconds, type ProgramId, type PromptPartId, type Tokens,
 } from '../src/contracts/id.js';
 import {type Reservation} from '../src/machines/token-budgets.js';
 import {type Cluster, createCluster, most} from './fixtures/budget-cluster.js';
@@ -174,7 +174,7 @@
 
 test('every entry is told where a turn before was served', async () => {
 	const cluster = createCluster(instances);
-	const place = {part: 'last', endpoint: as<EndpointId>('model-1')};
+	const place = {part: as<PromptPartId>('last'), endpoint: as<EndpointId>('model-1')};
 	const first = await cluster.reserve('a1', 'p', 'first', 500);
 	assert.equal(first.kind, 'granted');
 	if (first.kind === 'granted') {
--- a/tests/relay.test.ts
+++ b/tests/relay.test.ts
@@ -4,7 +4,9 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
 import {test} from 'node:test';
-import {as, type Milliseconds, type Tokens} from '../src/contracts/id.js';
+import {
+	as, type Milliseconds, type PromptPartId, type Tokens,
+} from '../src/contracts/id.js';
 import {type RelayAttempt, type RelayResult} from '../src/contracts/relay-attempt.js';
 import {
 	createRelayWorld, endpointWith, eventBytes, requestWith, routeWith, turn,
@@ -183,7 +185,12 @@
 });
 
 test('a turn goes to the endpoint that is known to have the turn before, and tells where it was served', async () => {
-	const prompt = [{id: 'shared', tokens: as<Tokens>(2560)}, {id: 'before', tokens: as<Tokens>(2000)}, {id: 'new', tokens: as<Tokens>(100)}];
+	const before = as<PromptPartId>('before');
+	const prompt = [
+		{id: as<PromptPartId>('shared'), tokens: as<Tokens>(2560)},
+		{id: before, tokens: as<Tokens>(2000)},
+		{id: as<PromptPartId>('new'), tokens: as<Tokens>(100)},
+	];
 	for (const place of endpoints.map(({id}) => id)) {
 		let settled: unknown;
 		const world = createRelayWorld({
@@ -193,7 +200,7 @@
 			budgets: {
 				reserve: async () => ({
 					kind: 'granted',
-					places: [{part: 'before', endpoint: place}],
+					places: [{part: before, endpoint: place}],
 					settle(_used, served) {
 						settled = served;
 					},
--- a/tests/token-ledger.test.ts
+++ b/tests/token-ledger.test.ts
@@ -5,7 +5,7 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {
-	as, type AttemptId, type DataCentreId, type Milliseconds, type ProgramId, type Tokens,
+	as, type AttemptId, type CounterId, type DataCentreId, type Milliseconds, type ProgramId, type Tokens,
 } from '../src/contracts/id.js';
 import {
 	createTokenLedger, type Entitlement, type ReservationRequest, type TokenLedger,
@@ -27,7 +27,7 @@
 }
 
 test('a call is granted while its most fits, and counts what it used afterwards', () => {
-	const ledger = createTokenLedger('a', home);
+	const ledger = createTokenLedger(as<CounterId>('a'), home);
 	assert.equal(ledger.reserve(call(1, 200), 'whole', now).kind, 'record-first');
 	assert.equal(ledger.reserve(call(2, 200), 'whole', now).kind, 'record-first');
 	assert.equal(ledger.reserve(call(3, 200), 'whole', now).kind, 'exhausted');
@@ -38,15 +38,15 @@
 });
 
 test('the same attempt is granted once', () => {
-	const ledger = createTokenLedger('a', home);
+	const ledger = createTokenLedger(as<CounterId>('a'), home);
 	ledger.reserve(call(1, 100), 'whole', now);
 	assert.equal(ledger.reserve(call(1, 100), 'whole', now).kind, 'granted');
 	assert.equal(ledger.reserve(call(2, 100), 'whole', now).kind, 'exhausted');
 });
 
 test('ledgers that merge in any order count each grant once', () => {
-	const left = createTokenLedger('left', home);
-	const right = createTokenLedger('right', home);
+	const left = createTokenLedger(as<CounterId>('left'), home);
+	const right = createTokenLedger(as<CounterId>('right'), home);
 	left.reserve(call(1, 300), 'whole', now);
 	right.reserve(call(2, 300), 'whole', now);
 	for (const [from, to] of [[left, right], [right, left], [left, right]] as const) {
@@ -60,8 +60,8 @@
 });
 
 test('data centres that claim a program at the same time agree on one home', () => {
-	const left = createTokenLedger('left', home);
-	const right = createTokenLedger('right', home);
+	const left = createTokenLedger(as<CounterId>('left'), home);
+	const right = createTokenLedger(as<CounterId>('right'), home);
 	left.claim(call(1, 300), as<DataCentreId>('verona'), now);
 	right.claim(call(1, 300), as<DataCentreId>('padova'), now);
 	const leftAccount = left.account(program);
@@ -88,14 +88,14 @@
 
 test('two sides of a cut never overrun a budget by more than one call, whichever is the home', () => {
 	for (let budget = most; budget <= 10 * most; budget += 10) {
-		const total = ['home', 'away'].reduce((sum, side) => sum + spend(createTokenLedger(side, as<DataCentreId>(side)), 'half', budget), 0);
+		const total = ['home', 'away'].reduce((sum, side) => sum + spend(createTokenLedger(as<CounterId>(side), as<DataCentreId>(side)), 'half', budget), 0);
 		assert.ok(total <= budget + most, `budget ${budget}`);
 	}
 });
 
 test('nobody but the home grants anything once the second half of the budget is open', () => {
-	const atHome = createTokenLedger('left', home);
-	const away = createTokenLedger('right', as<DataCentreId>('away'));
+	const atHome = createTokenLedger(as<CounterId>('left'), home);
+	const away = createTokenLedger(as<CounterId>('right'), as<DataCentreId>('away'));
 	atHome.claim(call(1, 300), home, now);
 	atHome.enterSecondHalf(program);
 	const account = atHome.account(program);
@@ -115,7 +115,7 @@
 
 /** Plays calls on one counting instance that loses its memory now and then, and returns the tokens handed out. */
 function play(actions: readonly Action[], budget: number): number {
-	let ledger = createTokenLedger('life-0', home);
+	let ledger = createTokenLedger(as<CounterId>('life-0'), home);
 	let recorded = 0;
 	let total = 0;
 	let number = 0;
@@ -132,7 +132,7 @@
 
 	for (const step of actions) {
 		if (step.kind === 'lose-memory') {
-			ledger = createTokenLedger(`life-${++lives}`, home);
+			ledger = createTokenLedger(as<CounterId>(`life-${++lives}`), home);
 			if (recorded > 0) {
 				ledger.restore(program, as<Tokens>(recorded), as<Milliseconds>(60_000), now);
 			}
