Give waiting with a limit, and telling keepers accounts, one piece of code each

The race of a result against a sleep that is then aborted stood six times: in the budget's counter, sharing, witnesses and record writers, and before them in data-centre and call-attempts. zones/patience serves all. Sharing and witnesses both told an instance accounts, noted its silence and took its reply over; zones/next-keepers has that, the view of the other keepers and their order, which record writers took from the witnesses.

The counter's set of claimed programs is dropped: an account without slots has granted nothing, so its home cannot have opened the second half. Behaviour is as before.

--- a/src/zones/budget-counter.ts
+++ b/src/zones/budget-counter.ts
@@ -4,7 +4,7 @@
 */
 import {type Clock} from '../contracts/clock.js';
 import {
-	as, type AttemptId, type InstanceId, type Milliseconds, type ProgramId, type Tokens,
+	as, type AttemptId, type InstanceId, type ProgramId, type Tokens,
 } from '../contracts/id.js';
 import {
 	type Account, type Entitlement, type LedgerDecision, type ReservationRequest, type TokenLedger,
@@ -15,6 +15,7 @@
 import {createBudgetWitnesses} from './budget-witnesses.js';
 import {type Member} from './membership.js';
 import {isOwner} from './ownership.js';
+import {within} from './patience.js';
 import {createRecordWriters, type RecordWriters} from './record-writers.js';
 import {type RelayPeers, type ReservationOutcome} from './relay-peers.js';
 import {createSilence} from './silence.js';
@@ -53,31 +54,25 @@
 /** Creates the counting side of one instance. */
 export function createBudgetCounter(options: BudgetCounterOptions): BudgetCounter {
 	const {ledger, clock} = options;
-	/** Programs that this instance made this data centre the home of. */
-	const claimed = new Set<ProgramId>();
 	const recording = new Set<ProgramId>();
 	/** Calls that are being decided, so that a question that is sent again gets the same answer. */
 	const deciding = new Map<AttemptId, Promise<ReservationOutcome>>();
-	const others = {
+	const exchange = {
 		...options,
 		silent: createSilence<InstanceId>(clock),
 		receive(accounts: readonly Account[]) {
 			receive(accounts);
 		},
 	};
-	const sharing = createBudgetSharing(others);
-	const witnesses = createBudgetWitnesses(others);
-	const writers = createRecordWriters(others);
+	const sharing = createBudgetSharing(exchange);
+	const witnesses = createBudgetWitnesses(exchange);
+	const writers = createRecordWriters(exchange);
 	const {markDirty} = sharing;
 
 	/** Makes this data centre the home of a program that nobody here has heard of. Returns whether it was new. */
 	function claim(request: ReservationRequest): boolean {
 		const isNew = ledger.home(request.program) === undefined;
 		ledger.claim(request, options.self().dataCentre, clock.now());
-		if (isNew) {
-			claimed.add(request.program);
-		}
-
 		return isNew;
 	}
 
@@ -121,9 +116,7 @@
 	/** Waits for the store's record, but not longer than a call can bear. Resolves to whether the call may go on. */
 	async function record(request: ReservationRequest, upTo: Account['recorded']): Promise<boolean> {
 		const writing = writeRecord({program: request.program, used: upTo, retention: request.retention});
-		const waiting = new AbortController();
-		const isInTime = await Promise.race([writing, clock.sleep(as<Milliseconds>(recordPatienceMs), waiting.signal).then(() => false)]);
-		waiting.abort();
+		const isInTime = await within(clock, recordPatienceMs, writing) ?? false;
 		if (!isInTime) {
 			options.onEvent({kind: 'unrecorded', request: request.attempt, program: request.program});
 		}
@@ -133,7 +126,7 @@
 
 	/** Whether this instance counts for the home. One that has not heard of the account yet is as good as elsewhere. */
 	function isAtHome(program: ProgramId): boolean {
-		const hasAccount = claimed.has(program) || (ledger.account(program)?.slots.length ?? 0) > 0;
+		const hasAccount = (ledger.account(program)?.slots.length ?? 0) > 0;
 		return hasAccount && ledger.home(program) === options.self().dataCentre;
 	}
 
@@ -156,7 +149,6 @@
 
 		ledger.settle(program, attempt, as<Tokens>(0), clock.now());
 		if (isNew) {
-			claimed.delete(program);
 			ledger.disclaim(program);
 		}
 
@@ -251,13 +243,6 @@
 		},
 		maintain() {
 			ledger.expire(clock.now());
-			const known = new Set(ledger.programs());
-			for (const program of claimed) {
-				if (!known.has(program)) {
-					claimed.delete(program);
-				}
-			}
-
 			sharing.forgetLapsed();
 			sharing.retry();
 		},
--- a/src/zones/budget-sharing.ts
+++ b/src/zones/budget-sharing.ts
@@ -6,14 +6,16 @@
 */
 import {type Clock} from '../contracts/clock.js';
 import {
-	as, type DataCentreId, type InstanceId, type Milliseconds, type ProgramId,
+	as, type DataCentreId, type Milliseconds, type ProgramId,
 } from '../contracts/id.js';
 import {type Account, claimOf, type TokenLedger} from '../contracts/token-ledger.js';
 import {type Member} from './membership.js';
-import {homeKeepers, nextKeepers} from './budget-witnesses.js';
+import {
+	type AccountExchange, homeKeepers, nextKeepers, tellAccounts,
+} from './next-keepers.js';
 import {candidatesIn, dataCentresOf} from './ownership.js';
+import {within} from './patience.js';
 import {type RelayPeers} from './relay-peers.js';
-import {type Silence} from './silence.js';
 
 /** Time in which changes of accounts are gathered before keepers are told. */
 const shareDelayMs = 20;
@@ -56,16 +58,10 @@
 	readonly forgetLapsed: () => void;
 };
 
-export type BudgetSharingOptions = {
-	readonly self: () => Member;
-	readonly members: () => readonly Member[];
-	readonly peers: Pick<RelayPeers, 'ask' | 'post'>;
+export type BudgetSharingOptions = AccountExchange & {
+	readonly peers: Pick<RelayPeers, 'post'>;
 	readonly ledger: TokenLedger;
 	readonly clock: Clock;
-	/** Instances that did not answer lately. */
-	readonly silent: Silence<InstanceId>;
-	/** Takes over what a peer counted. */
-	readonly receive: (accounts: readonly Account[]) => void;
 };
 
 /** A member between two of its restarts. */
@@ -79,7 +75,7 @@
 	/** When data centres first answered. */
 	readonly answeredAt: Map<DataCentreId, Milliseconds>;
 	/** Resolves when all have answered or failed to. */
-	told: Promise<void>;
+	readonly told: Promise<void>;
 };
 
 /** Creates the sharing of one instance. */
@@ -91,7 +87,6 @@
 	/** When lives of members were last told of a program; they forget it when they hear no more. */
 	const toldAt = new Map<ProgramId, Map<string, Milliseconds>>();
 	const notices = new Map<ProgramId, Notice>();
-	const {silent} = options;
 	let isWaiting = false;
 
 	function isTold(program: ProgramId, member: Member): boolean {
@@ -99,16 +94,11 @@
 		return at !== undefined && clock.now() - at < (ledger.account(program)?.retention ?? 0) / 2;
 	}
 
-	/** Instances of a data centre that should hear of the program. */
-	function targetsIn(dataCentre: DataCentreId, program: ProgramId, count: number): readonly Member[] {
-		return nextKeepers(options, dataCentre, program, count);
-	}
-
 	function audience(program: ProgramId): readonly Member[] {
 		const own = options.self().dataCentre;
 		const home = ledger.home(program) ?? own;
 		return dataCentresOf(options.members()).filter(dataCentre => dataCentre === home || dataCentre !== own).flatMap(dataCentre => {
-			const targets = targetsIn(dataCentre, program, dataCentre === home ? homeKeepers : 1);
+			const targets = nextKeepers(options, dataCentre, program, dataCentre === home ? homeKeepers : 1);
 			if (targets.length === 0 && dataCentre !== own) {
 				untold.add(program);
 			}
@@ -136,19 +126,14 @@
 	async function tell(target: Member, accounts: readonly Account[]): Promise<void> {
 		for (let index = 0; index < accounts.length; index += accountsPerMessage) {
 			const part = accounts.slice(index, index + accountsPerMessage);
-			const reply = await options.peers.ask(target.address, {kind: 'accounts', accounts: part, isPassedOn: false}, {
+			const isAnswered = await tellAccounts(options, target, {kind: 'accounts', accounts: part, isPassedOn: false}, {
 				timeout: as<Milliseconds>(shareTimeoutMs), tries: shareTries,
 			});
-			if (reply) {
-				if (reply.kind === 'accounts') {
-					options.receive(reply.accounts);
-				}
-
+			if (isAnswered) {
 				for (const account of part) {
 					noteAnswered(target, account);
 				}
 			} else {
-				silent.note(target.id);
 				for (const {program} of part) {
 					untold.add(program);
 				}
@@ -179,6 +164,16 @@
 		}
 	}
 
+	/** Tells all data centres of the second half; nobody can have answered before the notice is noted. */
+	function startNotice(program: ProgramId): Notice {
+		ledger.enterSecondHalf(program);
+		toldAt.delete(program);
+		dirty.add(program);
+		const notice = {startedAt: clock.now(), answeredAt: new Map<DataCentreId, Milliseconds>(), told: share()};
+		notices.set(program, notice);
+		return notice;
+	}
+
 	function tellNeighbours(accounts: readonly Account[]): void {
 		const self = options.self();
 		for (const member of candidatesIn(self.dataCentre, options.members())) {
@@ -199,19 +194,8 @@
 			}
 		},
 		async openSecondHalf(program) {
-			const known = notices.get(program);
-			if (!known) {
-				ledger.enterSecondHalf(program);
-				toldAt.delete(program);
-				dirty.add(program);
-				const notice: Notice = {startedAt: clock.now(), answeredAt: new Map(), told: Promise.resolve()};
-				notices.set(program, notice);
-				notice.told = share();
-			}
-
-			const waiting = new AbortController();
-			await Promise.race([notices.get(program)?.told, clock.sleep(as<Milliseconds>(noticePatienceMs), waiting.signal)]);
-			waiting.abort();
+			const notice = notices.get(program) ?? startNotice(program);
+			await within(clock, noticePatienceMs, notice.told);
 		},
 		isSecondHalfOpen(program) {
 			const notice = notices.get(program);
--- a/src/zones/budget-witnesses.ts
+++ b/src/zones/budget-witnesses.ts
@@ -4,17 +4,14 @@
 views differ, thus hear of each other, and one that reaches nobody grants nothing.
 */
 import {type Clock} from '../contracts/clock.js';
-import {
-	as, type DataCentreId, type InstanceId, type Milliseconds, type ProgramId,
-} from '../contracts/id.js';
+import {as, type Milliseconds, type ProgramId} from '../contracts/id.js';
 import {type Account, type TokenLedger} from '../contracts/token-ledger.js';
 import {type Member} from './membership.js';
-import {candidatesIn, dataCentresOf, rankOwners} from './ownership.js';
-import {type RelayPeers} from './relay-peers.js';
-import {type Silence} from './silence.js';
-
-/** Instances of its home that know a program's account. */
-export const homeKeepers = 3;
+import {
+	type AccountExchange, homeKeepers, nextKeepers, tellAccounts,
+} from './next-keepers.js';
+import {dataCentresOf} from './ownership.js';
+import {within} from './patience.js';
 
 /** Timeout and tries of a question on which a call waits; all rounds together take less than its asker waits. */
 const confirmTimeoutMs = 40;
@@ -34,32 +31,14 @@
 	readonly confirm: (program: ProgramId) => Promise<boolean>;
 };
 
-type View = {
-	readonly self: () => Member;
-	readonly members: () => readonly Member[];
-	/** Instances that did not answer lately. */
-	readonly silent: Silence<InstanceId>;
-};
-
-export type BudgetWitnessesOptions = View & {
-	readonly peers: Pick<RelayPeers, 'ask'>;
+export type BudgetWitnessesOptions = AccountExchange & {
 	readonly ledger: TokenLedger;
 	readonly clock: Clock;
-	/** Takes over what a peer counted. */
-	readonly receive: (accounts: readonly Account[]) => void;
 };
 
-/** Those that would count next for a program in a data centre, this instance and silent ones left out. */
-export function nextKeepers(view: View, dataCentre: DataCentreId, program: ProgramId, count: number): readonly Member[] {
-	return rankOwners(program, candidatesIn(dataCentre, view.members()))
-		.filter(member => !view.silent.has(member.id))
-		.slice(0, count)
-		.filter(member => member.id !== view.self().id);
-}
-
 /** Creates the witnesses' part of one instance. */
 export function createBudgetWitnesses(options: BudgetWitnessesOptions): BudgetWitnesses {
-	const {ledger, clock, silent} = options;
+	const {ledger, clock} = options;
 
 	/** Those that may have counted as well: at home the next keepers, and otherwise one instance elsewhere too. */
 	function witnessesOf(program: ProgramId): readonly Member[] {
@@ -78,19 +57,9 @@
 	}
 
 	async function askWitness(target: Member, account: Account): Promise<boolean> {
-		const reply = await options.peers.ask(target.address, {kind: 'accounts', accounts: [account], isPassedOn: true}, {
+		return tellAccounts(options, target, {kind: 'accounts', accounts: [account], isPassedOn: true}, {
 			timeout: as<Milliseconds>(confirmTimeoutMs), tries: confirmTries,
 		});
-		if (!reply) {
-			silent.note(target.id);
-			return false;
-		}
-
-		if (reply.kind === 'accounts') {
-			options.receive(reply.accounts);
-		}
-
-		return true;
 	}
 
 	/** Resolves once all have answered, or shortly after the first; to false when none did. */
@@ -111,9 +80,7 @@
 			});
 		});
 		if (isAnswered) {
-			const waiting = new AbortController();
-			await Promise.race([all, clock.sleep(as<Milliseconds>(graceMs), waiting.signal)]);
-			waiting.abort();
+			await within(clock, graceMs, all);
 		}
 
 		return isAnswered;
--- a/src/zones/call-attempts.ts
+++ b/src/zones/call-attempts.ts
@@ -16,6 +16,7 @@
 import {type BackEnd, type Pace} from '../machines/back-end.js';
 import {type Place} from '../machines/fleet.js';
 import {createEngineAttempts} from './engine-attempts.js';
+import {within} from './patience.js';
 import {
 	append, type Execution, type ExecutionEvent, type ExecutorOptions,
 } from './execution.js';
@@ -135,12 +136,8 @@
 			return undefined;
 		}
 
-		const timer = new AbortController();
-		const waiting = clock.sleep(as<Milliseconds>(Math.min(commitTimeoutMs, job.deadline - clock.now())), timer.signal)
-			.then(() => 'late' as const);
-		const first = await Promise.race([appended.committed, waiting]);
-		timer.abort();
-		if (first === 'late') {
+		const first = await within(clock, Math.min(commitTimeoutMs, job.deadline - clock.now()), appended.committed);
+		if (!first) {
 			return failure('platform-unavailable', 'The intent could not be recorded in time, so the request was not sent', {
 				step: 'commit', peer: 'platform', retryAfter: as<Milliseconds>(commitTimeoutMs),
 			});
--- a/src/zones/data-centre.ts
+++ b/src/zones/data-centre.ts
@@ -16,6 +16,7 @@
 import {createJournal, type Holder} from './journal.js';
 import {type Member, type Membership} from './membership.js';
 import {candidatesIn, ownerOf, shardKey} from './ownership.js';
+import {within} from './patience.js';
 import {type Peers, type ShardReply, type ShardRequest} from './peers.js';
 import {createShard, type Shard} from './shard.js';
 
@@ -191,10 +192,7 @@
 			return err(failure('not-owner', `Shard ${shardKey(home)} belongs to another instance`, {step: 'admit', peer: options.instance}));
 		}
 
-		const timer = new AbortController();
-		const late = clock.sleep(as<Milliseconds>(openTimeoutMs), timer.signal).then(() => undefined);
-		const opened = await Promise.race([own(home).opening, late]);
-		timer.abort();
+		const opened = await within(clock, openTimeoutMs, own(home).opening);
 		return opened ?? err(failure('platform-unavailable', `Shard ${shardKey(home)} could not be opened in time`, {
 			step: 'recover', peer: 'platform', retryAfter: as<Milliseconds>(openTimeoutMs),
 		}));
--- /dev/null
+++ b/src/zones/next-keepers.ts
@@ -0,0 +1,55 @@
+/**
+The instances that would count next for a program, and what passes between them and the one that counts now.
+*/
+import {type DataCentreId, type InstanceId, type ProgramId} from '../contracts/id.js';
+import {type Account} from '../contracts/token-ledger.js';
+import {type Member} from './membership.js';
+import {candidatesIn, rankOwners} from './ownership.js';
+import {type MessageOptions, type RelayMessage, type RelayPeers} from './relay-peers.js';
+import {type Silence} from './silence.js';
+
+/** Instances of its home that know a program's account. */
+export const homeKeepers = 3;
+
+/** The other instances that count, as seen from this one. */
+export type KeepersView = {
+	readonly self: () => Member;
+	readonly members: () => readonly Member[];
+	/** Instances that did not answer lately. */
+	readonly silent: Silence<InstanceId>;
+};
+
+/** How accounts reach the others and theirs come back. */
+export type AccountExchange = KeepersView & {
+	readonly peers: Pick<RelayPeers, 'ask'>;
+	/** Takes over what a peer counted. */
+	readonly receive: (accounts: readonly Account[]) => void;
+};
+
+/** Those that would count next for a program in a data centre, this instance and silent ones left out. */
+export function nextKeepers(view: KeepersView, dataCentre: DataCentreId, program: ProgramId, count: number): readonly Member[] {
+	return rankOwners(program, candidatesIn(dataCentre, view.members()))
+		.filter(member => !view.silent.has(member.id))
+		.slice(0, count)
+		.filter(member => member.id !== view.self().id);
+}
+
+/** Tells an instance accounts and takes over what it knows beyond them. Resolves to whether it answered. */
+export async function tellAccounts(
+	exchange: AccountExchange,
+	target: Member,
+	message: Extract<RelayMessage, {kind: 'accounts'}>,
+	options: MessageOptions,
+): Promise<boolean> {
+	const reply = await exchange.peers.ask(target.address, message, options);
+	if (!reply) {
+		exchange.silent.note(target.id);
+		return false;
+	}
+
+	if (reply.kind === 'accounts') {
+		exchange.receive(reply.accounts);
+	}
+
+	return true;
+}
--- a/src/zones/record-writers.ts
+++ b/src/zones/record-writers.ts
@@ -5,10 +5,10 @@
 import {type Clock} from '../contracts/clock.js';
 import {as, type InstanceId, type Milliseconds} from '../contracts/id.js';
 import {type BudgetRecord, type BudgetRecords} from './budget-records.js';
-import {nextKeepers} from './budget-witnesses.js';
 import {type Member} from './membership.js';
+import {type KeepersView, nextKeepers} from './next-keepers.js';
+import {within} from './patience.js';
 import {type RelayPeers} from './relay-peers.js';
-import {type Silence} from './silence.js';
 
 /** Time after which a write counts as stalled; the store answers within milliseconds. */
 const stalledMs = 60;
@@ -24,14 +24,10 @@
 	readonly writeFor: (record: BudgetRecord) => Promise<boolean>;
 };
 
-export type RecordWritersOptions = {
-	readonly self: () => Member;
-	readonly members: () => readonly Member[];
+export type RecordWritersOptions = KeepersView & {
 	readonly peers: Pick<RelayPeers, 'ask'>;
 	readonly records: BudgetRecords;
 	readonly clock: Clock;
-	/** Instances that did not answer lately. */
-	readonly silent: Silence<InstanceId>;
 };
 
 /** Creates the writers as one instance sees them. */
@@ -49,9 +45,7 @@
 
 	/** Resolves to undefined when the write takes too long; it goes on. */
 	async function writeSoon(writing: Promise<boolean>): Promise<boolean | undefined> {
-		const waiting = new AbortController();
-		const outcome = await Promise.race([writing, clock.sleep(as<Milliseconds>(stalledMs), waiting.signal).then(() => undefined)]);
-		waiting.abort();
+		const outcome = await within(clock, stalledMs, writing);
 		if (outcome === undefined) {
 			isStalled = true;
 		}
