--- a/src/machines/relay-placement.ts
+++ b/src/machines/relay-placement.ts
@@ -63,14 +63,23 @@
 	return ownerByRendezvous(local, endpoint => endpoint.listed().id, first.id);
 }
 
-function missingTokens(endpoint: RelayEndpoint, query: RelayQuery, isHome: boolean): number {
-	const total = query.prompt.reduce((sum, part) => sum + part.tokens, 0);
-	const assumed = isHome ? (query.prompt[0]?.tokens ?? 0) * homeShare : 0;
-	return total - Math.max(endpoint.cached(query.prompt), assumed);
+/** What is the same for all endpoints that a request may go to. */
+type Comparison = {
+	readonly query: RelayQuery;
+	readonly promptTokens: number;
+	/** Median pace of the endpoints, in ms. */
+	readonly typical: number;
+	readonly home: RelayEndpoint | undefined;
+};
+
+function missingTokens(endpoint: RelayEndpoint, {query, promptTokens, home}: Comparison): number {
+	const assumed = endpoint === home ? (query.prompt[0]?.tokens ?? 0) * homeShare : 0;
+	return promptTokens - Math.max(endpoint.cached(query.prompt), assumed);
 }
 
 /** Expected time until the endpoint answers, in ms. */
-function costOf(endpoint: RelayEndpoint, query: RelayQuery, typical: number, isHome: boolean): number {
+function costOf(endpoint: RelayEndpoint, comparison: Comparison): number {
+	const {query, typical} = comparison;
 	const {slots, dataCentre} = endpoint.listed();
 	const load = endpoint.load(query.now);
 	const distance = dataCentre === query.dataCentre ? 0 : remoteMs;
@@ -78,7 +87,7 @@
 	const running = pace * (1 + (crowdingShare * load));
 	const waiting = pace * (Math.max(0, load + 1 - slots) / slots);
 	// All requests on the endpoint wait while a prompt is computed, this one among them.
-	const computing = missingTokens(endpoint, query, isHome) * prefillMsPerToken * (1 + load);
+	const computing = missingTokens(endpoint, comparison) * prefillMsPerToken * (1 + load);
 	return running + waiting + computing + distance;
 }
 
@@ -87,11 +96,15 @@
 	const open = endpoints.filter(endpoint => !query.excluded.has(endpoint.listed().id));
 	const usable = open.filter(endpoint => endpoint.isUsable(query.now));
 	const candidates = usable.length > 0 ? usable : open;
-	const typical = typicalPace(endpoints, query.now);
-	const home = homeOf(usable, query);
+	const comparison = {
+		query,
+		promptTokens: query.prompt.reduce((sum, part) => sum + part.tokens, 0),
+		typical: typicalPace(endpoints, query.now),
+		home: homeOf(usable, query),
+	};
 	let best: Placement | undefined;
 	for (const endpoint of candidates) {
-		const cost = costOf(endpoint, query, typical, endpoint === home);
+		const cost = costOf(endpoint, comparison);
 		if (!best || cost < best.cost) {
 			best = {endpoint, cost};
 		}
