Split the queue of appends from the ledger's state machine

The ledger held two jobs: who may write the ring, and which waiting records share a write and when. The second is contracts/append-queue; its rule for a window stood twice, as a delay and as a check of urgency, and stands once now.

--- /dev/null
+++ b/src/contracts/append-queue.ts
@@ -0,0 +1,73 @@
+/**
+Records that wait to be written by a shard's ledger: how long they wait for others, and which of them share a batch.
+*/
+import {as, type Milliseconds} from './id.js';
+import {type Urgency} from './ledger-event.js';
+import {type JournalRecord} from './record.js';
+
+/** Upper bound of the encoded records of one batch, below the platform's limit of 1 MB a value. */
+export const maximumBatchBytes = 900_000;
+
+/** Time after which records that nobody waits for are written by themselves. */
+const longestDeferralMs = 100;
+
+export type PendingAppend = {readonly ticket: number; readonly records: readonly JournalRecord[]; readonly bytes: number; readonly urgency: Urgency};
+
+export type AppendQueue = {
+	readonly push: (append: PendingAppend) => void;
+	/** Takes what fits into one batch, at least one append if any waits. */
+	readonly take: () => readonly PendingAppend[];
+	readonly length: () => number;
+	/** Whether an append waits that should not wait for others. */
+	readonly hasUrgent: () => boolean;
+	/** Time for which an append waits to share a write; undefined when it is written at once. */
+	readonly delayOf: (urgency: Urgency) => Milliseconds | undefined;
+	readonly clear: () => void;
+};
+
+/** Creates an empty queue. `commitWindow` is the longest time that records which are not urgent wait to share a write. */
+export function createAppendQueue(commitWindow: Milliseconds): AppendQueue {
+	let pending: PendingAppend[] = [];
+
+	function delayOf(urgency: Urgency): Milliseconds | undefined {
+		switch (urgency) {
+			case 'immediate': {
+				return undefined;
+			}
+
+			case 'windowed': {
+				return commitWindow === 0 ? undefined : commitWindow;
+			}
+
+			case 'deferred': {
+				return as<Milliseconds>(Math.max(commitWindow, longestDeferralMs));
+			}
+		}
+	}
+
+	return {
+		push(append) {
+			pending.push(append);
+		},
+		take() {
+			let bytes = 0;
+			let count = 0;
+			for (const entry of pending) {
+				bytes += entry.bytes;
+				if (count > 0 && bytes > maximumBatchBytes) {
+					break;
+				}
+
+				count++;
+			}
+
+			return pending.splice(0, count);
+		},
+		length: () => pending.length,
+		hasUrgent: () => pending.some(entry => delayOf(entry.urgency) === undefined),
+		delayOf,
+		clear() {
+			pending = [];
+		},
+	};
+}
--- a/src/contracts/ledger.ts
+++ b/src/contracts/ledger.ts
@@ -7,6 +7,7 @@
 owner fails at the store, whatever its clock says. The head object names the first batch that a
 reader has to replay. This module decides; reading and writing is done by the journal.
 */
+import {createAppendQueue} from './append-queue.js';
 import {
 	as, type FencingNumber, type Incarnation, type InstanceId, type Milliseconds, type Nonce, type ObjectVersion,
 } from './id.js';
@@ -22,17 +23,9 @@
 /** Batches after which the owner moves the head forward, well before the ring is full. */
 export const batchesPerCheckpoint = 16;
 
-/** Upper bound of the encoded records of one batch, below the platform's limit of 1 MB a value. */
-export const maximumBatchBytes = 900_000;
-
-/** Time after which records that nobody waits for are written by themselves. */
-const longestDeferralMs = 100;
-
 const firstRetryMs = 50;
 const longestRetryMs = 2000;
 
-type Pending = {readonly ticket: number; readonly records: readonly JournalRecord[]; readonly bytes: number; readonly urgency: Urgency};
-
 type Flight = {readonly batch: Batch; readonly tickets: readonly number[]};
 
 type Phase
@@ -71,13 +64,13 @@
 
 /** Creates the decision state of one shard's ledger. It starts closed; nothing can be appended before it opens. */
 export function createLedger(options: LedgerOptions): Ledger {
+	const queue = createAppendQueue(options.commitWindow);
 	let phase: Phase = {kind: 'closed'};
 	let epoch = as<FencingNumber>(0);
 	let versions: ObjectVersion[] = [];
 	let base = 0;
 	let next = 0;
 	let flight: Flight | undefined;
-	let pending: Pending[] = [];
 	let isWaiting = false;
 	let retryMs = firstRetryMs;
 
@@ -105,53 +98,22 @@
 		return {kind: 'retry-later', delay};
 	}
 
-	function takePending(): Pending[] {
-		let bytes = 0;
-		let count = 0;
-		for (const entry of pending) {
-			bytes += entry.bytes;
-			if (count > 0 && bytes > maximumBatchBytes) {
-				break;
-			}
-
-			count++;
-		}
-
-		return pending.splice(0, count);
-	}
-
 	function flush(): LedgerEffect[] {
 		const ringIsFull = next - base >= slotsPerShard;
 		const isBusy = flight !== undefined || ringIsFull;
-		if (phase.kind !== 'open' || isBusy || pending.length === 0) {
+		if (phase.kind !== 'open' || isBusy || queue.length() === 0) {
 			return [];
 		}
 
-		const taken = takePending();
+		const taken = queue.take();
 		const batch = createBatch(taken.flatMap(entry => entry.records));
 		flight = {batch, tickets: taken.map(entry => entry.ticket)};
 		return [write(batch)];
 	}
 
-	/** Whether a record waits that should not wait for a window. */
-	function hasUrgent(): boolean {
-		return pending.some(entry => entry.urgency === 'immediate' || (entry.urgency === 'windowed' && options.commitWindow === 0));
-	}
-
 	function append(urgency: Urgency): LedgerEffect[] {
-		switch (urgency) {
-			case 'immediate': {
-				return flush();
-			}
-
-			case 'windowed': {
-				return options.commitWindow === 0 ? flush() : waitForWindow(options.commitWindow);
-			}
-
-			case 'deferred': {
-				return waitForWindow(as<Milliseconds>(Math.max(options.commitWindow, longestDeferralMs)));
-			}
-		}
+		const delay = queue.delayOf(urgency);
+		return delay === undefined ? flush() : waitForWindow(delay);
 	}
 
 	function waitForWindow(delay: Milliseconds): LedgerEffect[] {
@@ -166,7 +128,7 @@
 	function depose(): LedgerEffect[] {
 		phase = {kind: 'deposed'};
 		flight = undefined;
-		pending = [];
+		queue.clear();
 		return [{kind: 'deposed'}];
 	}
 
@@ -180,7 +142,7 @@
 		next = batch.sequence + 1;
 		retryMs = firstRetryMs;
 		const effects: LedgerEffect[] = [];
-		const mayFlush = phase.kind === 'claiming' || hasUrgent();
+		const mayFlush = phase.kind === 'claiming' || queue.hasUrgent();
 		if (phase.kind === 'claiming') {
 			effects.push({kind: 'opened', epoch, batches: phase.batches});
 			phase = {kind: 'open'};
@@ -305,7 +267,7 @@
 					return [{kind: 'deposed'}];
 				}
 
-				pending.push(event);
+				queue.push(event);
 				return append(event.urgency);
 			}
 
@@ -348,7 +310,7 @@
 			epoch,
 			base,
 			next,
-			pending: pending.length + (flight?.tickets.length ?? 0),
+			pending: queue.length() + (flight?.tickets.length ?? 0),
 			writing: outstanding()?.nonce,
 		}),
 	};
--- a/src/zones/segments.ts
+++ b/src/zones/segments.ts
@@ -10,7 +10,7 @@
 import {
 	as, type FencingNumber, type Milliseconds, type ObjectName, type ObjectVersion,
 } from '../contracts/id.js';
-import {maximumBatchBytes} from '../contracts/ledger.js';
+import {maximumBatchBytes} from '../contracts/append-queue.js';
 import {type Head} from '../contracts/ledger-event.js';
 import {type Platform} from '../contracts/platform.js';
 import {type JournalRecord} from '../contracts/record.js';
