Split the reading of the platform's list and the report for operators from the entry instance

machines/instance wired everything and also did two pieces of work itself. Its events have a file of their own, as the relaying instance's have.

--- a/src/links/log.ts
+++ b/src/links/log.ts
@@ -4,7 +4,7 @@
 import process from 'node:process';
 import bunyan from 'bunyan';
 import {type Milliseconds} from '../contracts/id.js';
-import {type InstanceEvent} from '../machines/instance.js';
+import {type InstanceEvent} from '../machines/instance-event.js';
 import {type Member} from '../zones/membership.js';
 
 export type Log = bunyan;
--- a/src/links/metrics.ts
+++ b/src/links/metrics.ts
@@ -4,7 +4,8 @@
 import {
 	collectDefaultMetrics, Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
-import {type Gauges, type InstanceEvent} from '../machines/instance.js';
+import {type InstanceEvent} from '../machines/instance-event.js';
+import {type Gauges} from '../machines/instance-report.js';
 import {type ServedRequest} from './caller.js';
 
 const bucketsSeconds = [0.001, 0.005, 0.01, 0.05, 0.1, 0.5, 1, 5, 10, 60];
--- /dev/null
+++ b/src/machines/instance-event.ts
@@ -0,0 +1,19 @@
+/**
+What happens in an entry instance, for logs and metrics.
+*/
+import {type Configuration} from '../contracts/configuration.js';
+import {type Failure} from '../contracts/failure.js';
+import {type Home, type Milliseconds} from '../contracts/id.js';
+import {type ExecutionEvent} from '../zones/execution.js';
+import {type Member} from '../zones/membership.js';
+import {type EndpointNews} from '../zones/peers.js';
+
+/** Something worth a line in the log. */
+export type InstanceEvent
+	= | {readonly kind: 'execution'; readonly execution: ExecutionEvent}
+		| {readonly kind: 'member'; readonly member: Member}
+		| {readonly kind: 'paused'; readonly gap: Milliseconds}
+		| {readonly kind: 'shard'; readonly change: 'opened' | 'lost' | 'relinquished'; readonly home: Home; readonly programs: number}
+		| {readonly kind: 'configuration'; readonly configuration: Configuration}
+		| {readonly kind: 'configuration-refused'; readonly failure: Failure}
+		| {readonly kind: 'endpoint'; readonly endpoint: string; readonly state: EndpointNews['state']};
--- a/src/machines/instance.ts
+++ b/src/machines/instance.ts
@@ -6,15 +6,13 @@
 import {type CallEvent} from '../contracts/call.js';
 import {type Clock, type Random} from '../contracts/clock.js';
 import {type Configuration} from '../contracts/configuration.js';
-import {type Failure} from '../contracts/failure.js';
 import {
-	as, type Address, type DataCentreId, type EndpointId, type Home, homeOf, type Incarnation, type InstanceId, type Milliseconds,
+	as, type Address, type DataCentreId, type EndpointId, homeOf, type Incarnation, type InstanceId, type Milliseconds,
 	type ProgramId,
 } from '../contracts/id.js';
-import {type Listing, type Platform} from '../contracts/platform.js';
+import {type Platform} from '../contracts/platform.js';
 import {createConfigurationWatch} from '../zones/configuration-watch.js';
 import {createDataCentre} from '../zones/data-centre.js';
-import {type ExecutionEvent} from '../zones/execution.js';
 import {createEndedPrograms} from '../zones/ended-programs.js';
 import {createExecutor} from '../zones/executor.js';
 import {createMembership, type Member} from '../zones/membership.js';
@@ -33,26 +31,17 @@
 import {createEventLog, type LoggedEvent} from './event-log.js';
 import {type HealthEvent} from './health.js';
 import {createFleet} from './fleet.js';
+import {type InstanceEvent} from './instance-event.js';
+import {createInstanceReport, type Gauges} from './instance-report.js';
+import {createListingWatch} from './listing-watch.js';
 import {createMemoryKeeper} from './memory-keeper.js';
 import {createScheduler, type Policy} from './policy.js';
 import {createQuarantine} from './quarantine.js';
 
-const listingIntervalMs = 2000;
-
 /** Time until a slow endpoint is tried again, by the instance responsible for it and by others. */
 const ownTrialMs = 5000;
 const foreignTrialMs = 20_000;
 
-/** Something worth a line in the log. */
-export type InstanceEvent
-	= | {readonly kind: 'execution'; readonly execution: ExecutionEvent}
-		| {readonly kind: 'member'; readonly member: Member}
-		| {readonly kind: 'paused'; readonly gap: Milliseconds}
-		| {readonly kind: 'shard'; readonly change: 'opened' | 'lost' | 'relinquished'; readonly home: Home; readonly programs: number}
-		| {readonly kind: 'configuration'; readonly configuration: Configuration}
-		| {readonly kind: 'configuration-refused'; readonly failure: Failure}
-		| {readonly kind: 'endpoint'; readonly endpoint: string; readonly state: EndpointNews['state']};
-
 export type Instance = {
 	readonly id: InstanceId;
 	readonly dataCentre: DataCentreId;
@@ -78,15 +67,6 @@
 	readonly leave: () => Promise<void>;
 };
 
-export type Gauges = {
-	readonly members: number;
-	readonly shards: number;
-	readonly programs: number;
-	readonly running: number;
-	readonly heldBytes: number;
-	readonly generation: number;
-};
-
 export type InstanceOptions = {
 	readonly id: InstanceId;
 	readonly dataCentre: DataCentreId;
@@ -258,6 +238,18 @@
 		isChosen: () => isChosen('status'),
 	});
 
+	const listing = createListingWatch({
+		platform,
+		clock,
+		fleet,
+		isAlone: () => membership.members().length === 1,
+		isChosen: () => isChosen('listing'),
+		onListing: neighbourhood.learnListing,
+		onLeaving(endpoint) {
+			neighbourhood.announceEndpoint({endpoint, state: 'leaving', at: clock.wall()});
+		},
+	});
+
 	/** Whether this instance does a piece of control work for its data centre. */
 	function isChosen(work: string): boolean {
 		return isJoined && isOwner(membership.self(), work, membership.members());
@@ -283,68 +275,15 @@
 
 	/** Learns who is there before anything is owned. Goes on alone when neither platform nor peers answer. */
 	async function join(): Promise<void> {
-		const listing = await platform.instances();
-		if (listing.isOk()) {
-			neighbourhood.learnListing(listing.value);
-		}
-
+		await listing.read();
 		await neighbourhood.meet();
 		isJoined = true;
 		dataCentre.adopt();
 	}
 
-	async function readListing(signal: AbortSignal): Promise<void> {
-		while (!signal.aborted) {
-			const isFirst = membership.members().length === 1;
-			if (isFirst || isChosen('listing')) {
-				const listing = await platform.instances();
-				if (listing.isOk()) {
-					neighbourhood.learnListing(listing.value);
-					announceLeaving(listing.value);
-				}
-			}
-
-			await clock.sleep(as<Milliseconds>(listingIntervalMs), signal);
-		}
-	}
-
-	function announceLeaving(listing: readonly Listing[]): void {
-		for (const backEnd of fleet.backEnds()) {
-			const entry = listing.find(candidate => candidate.id === backEnd.endpoint.id);
-			if (entry?.state === 'leaving' && backEnd.health().kind !== 'leaving') {
-				neighbourhood.announceEndpoint({endpoint: backEnd.endpoint.id, state: 'leaving', at: clock.wall()});
-			}
-		}
-	}
-
-	function gauges(): Gauges {
-		const shards = dataCentre.owned();
-		return {
-			members: membership.members().length,
-			shards: shards.length,
-			programs: shards.reduce((sum, shard) => sum + shard.programs(), 0),
-			running: shards.reduce((sum, shard) => sum + shard.running(), 0),
-			heldBytes: dataCentre.heldBytes(),
-			generation: configuration.current().generation,
-		};
-	}
-
-	function dump(): Record<string, unknown> {
-		return {
-			self: membership.self(),
-			members: membership.members(),
-			gauges: gauges(),
-			shards: dataCentre.owned().map(shard => ({
-				home: shard.home,
-				ledger: shard.journal.state(),
-				programs: shard.programs(),
-				running: shard.running(),
-			})),
-			endpoints: status.endpoints(),
-			quarantine: quarantine.crashes(),
-			released: memory.released(),
-		};
-	}
+	const report = createInstanceReport({
+		membership, dataCentre, status, quarantine, memory, generation: () => configuration.current().generation,
+	});
 
 	return {
 		id: options.id,
@@ -360,14 +299,14 @@
 		configuration: () => configuration.current(),
 		explain: id => events.about(id),
 		isReady: () => configuration.current().generation > 0,
-		dump,
-		gauges,
+		dump: report.dump,
+		gauges: report.gauges,
 		async run(signal) {
 			await join();
 			await Promise.all([
 				neighbourhood.run(signal),
 				configuration.run(signal),
-				readListing(signal),
+				listing.run(signal),
 				status.run(signal),
 				dataCentre.run(signal),
 				memory.run(signal),
--- /dev/null
+++ b/src/machines/listing-watch.ts
@@ -0,0 +1,65 @@
+/**
+Reads the platform's list of instances and endpoints: who may be there, and which endpoints are leaving.
+*/
+import {type Clock} from '../contracts/clock.js';
+import {as, type EndpointId, type Milliseconds} from '../contracts/id.js';
+import {type Listing, type Platform} from '../contracts/platform.js';
+import {type Fleet} from './fleet.js';
+
+const listingIntervalMs = 2000;
+
+export type ListingWatch = {
+	/** Reads the list once; goes on without it when the platform does not answer. */
+	readonly read: () => Promise<void>;
+	/** Reads the list while this instance is chosen for it or knows no other, until the signal aborts. */
+	readonly run: (signal: AbortSignal) => Promise<void>;
+};
+
+export type ListingWatchOptions = {
+	readonly platform: Platform;
+	readonly clock: Clock;
+	readonly fleet: Fleet;
+	readonly isAlone: () => boolean;
+	readonly isChosen: () => boolean;
+	readonly onListing: (listing: readonly Listing[]) => void;
+	readonly onLeaving: (endpoint: EndpointId) => void;
+};
+
+/** Creates the watch of an instance. */
+export function createListingWatch(options: ListingWatchOptions): ListingWatch {
+	const {platform, clock, fleet} = options;
+
+	async function read(): Promise<readonly Listing[]> {
+		const listing = await platform.instances();
+		if (listing.isErr()) {
+			return [];
+		}
+
+		options.onListing(listing.value);
+		return listing.value;
+	}
+
+	function announceLeaving(listing: readonly Listing[]): void {
+		for (const backEnd of fleet.backEnds()) {
+			const entry = listing.find(candidate => candidate.id === backEnd.endpoint.id);
+			if (entry?.state === 'leaving' && backEnd.health().kind !== 'leaving') {
+				options.onLeaving(backEnd.endpoint.id);
+			}
+		}
+	}
+
+	return {
+		async read() {
+			await read();
+		},
+		async run(signal) {
+			while (!signal.aborted) {
+				if (options.isAlone() || options.isChosen()) {
+					announceLeaving(await read());
+				}
+
+				await clock.sleep(as<Milliseconds>(listingIntervalMs), signal);
+			}
+		},
+	};
+}
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -21,7 +21,8 @@
 import {serveOperators} from '../links/operator.js';
 import {createPeers, servePeers} from '../links/peer.js';
 import {createPlatform} from '../links/platform.js';
-import {createInstance, type Instance, type InstanceEvent} from '../machines/instance.js';
+import {createInstance, type Instance} from '../machines/instance.js';
+import {type InstanceEvent} from '../machines/instance-event.js';
 import {
 	listenForStops, type Stops, systemClock, systemRandom,
 } from './runtime.js';
