Tell newcomers of all data centres, so that none opens the second half of a budget for those it reaches

An instance that starts is not told of members that count as dead; it took the data centres of those that it reached for all of them.

--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -121,6 +121,7 @@
 	const budgets = createBudgetKeepers({
 		self: membership.self,
 		members: membership.members,
+		dataCentres: membership.dataCentres,
 		peers,
 		ledger,
 		records: options.records,
@@ -224,6 +225,7 @@
 		const result = await peers.greet(peer);
 		return result.map(greeting => {
 			neighbourhood.learnMembers([greeting.self]);
+			membership.handle({kind: 'heard-of', dataCentres: greeting.dataCentres, now: clock.now()});
 			learnDigest(greeting.self, greeting.digest);
 			return greeting.members;
 		});
@@ -268,7 +270,9 @@
 		answer,
 		limits: () => table?.configuration.limits,
 		isReady: () => table !== undefined && warmUp.isWarm() && !isLeaving(),
-		greeting: () => ({self: membership.self(), members: membership.members(), digest: tables.digest()}),
+		greeting: () => ({
+			self: membership.self(), members: membership.members(), dataCentres: membership.dataCentres(), digest: tables.digest(),
+		}),
 		snapshot: () => ({
 			configuration: table?.configuration,
 			entries: tables.entries(),
--- a/src/zones/budget-counter.ts
+++ b/src/zones/budget-counter.ts
@@ -4,7 +4,7 @@
 */
 import {type Clock} from '../contracts/clock.js';
 import {
-	as, type AttemptId, type InstanceId, type ProgramId, type Tokens,
+	as, type AttemptId, type DataCentreId, type InstanceId, type ProgramId, type Tokens,
 } from '../contracts/id.js';
 import {
 	type Account, type Entitlement, type LedgerDecision, type ReservationRequest, type TokenLedger,
@@ -42,6 +42,7 @@
 export type BudgetCounterOptions = {
 	readonly self: () => Member;
 	readonly members: () => readonly Member[];
+	readonly dataCentres: () => readonly DataCentreId[];
 	readonly peers: Pick<RelayPeers, 'ask' | 'post'>;
 	readonly ledger: TokenLedger;
 	readonly records: BudgetRecords;
--- a/src/zones/budget-sharing.ts
+++ b/src/zones/budget-sharing.ts
@@ -199,7 +199,7 @@
 		},
 		isSecondHalfOpen(program) {
 			const notice = notices.get(program);
-			return notice !== undefined && dataCentresOf(options.members()).every(dataCentre => isInformed(dataCentre, notice));
+			return notice !== undefined && options.dataCentres().every(dataCentre => isInformed(dataCentre, notice));
 		},
 		passOn(accounts) {
 			const {dataCentre} = options.self();
--- a/src/zones/membership.ts
+++ b/src/zones/membership.ts
@@ -45,6 +45,8 @@
 		| {readonly kind: 'unanswered'; readonly member: InstanceId; readonly now: Milliseconds}
 		/** `reporter` is the data centre from which the members were seen. */
 		| {readonly kind: 'updates'; readonly reporter: DataCentreId; readonly members: readonly Member[]; readonly now: Milliseconds}
+		/** A peer knows these data centres, whether or not their members can be reached. */
+		| {readonly kind: 'heard-of'; readonly dataCentres: readonly DataCentreId[]; readonly now: Milliseconds}
 		| {readonly kind: 'leave'};
 
 export type MembershipEffect
@@ -59,6 +61,8 @@
 	readonly takeUpdates: () => readonly Member[];
 	readonly self: () => Member;
 	readonly members: () => readonly Member[];
+	/** Data centres of the members, and those that peers knew when this instance started. */
+	readonly dataCentres: () => readonly DataCentreId[];
 	/** Equal digests mean equal views. */
 	readonly digest: () => number;
 };
@@ -91,6 +95,7 @@
 	const known = new Map<InstanceId, Member>();
 	const suspectedAt = new Map<InstanceId, Milliseconds>();
 	const diedAt = new Map<InstanceId, Milliseconds>();
+	const heardOfAt = new Map<DataCentreId, Milliseconds>();
 	const news = createBroadcast<InstanceId, Member>();
 	let rotation: InstanceId[] = [];
 	let probes = 0;
@@ -198,7 +203,7 @@
 		}
 	}
 
-	/** Dead members are forgotten after a while, so that replaced instances do not pile up. */
+	/** Dead members and their data centres are forgotten after a while, so that replaced instances do not pile up. */
 	function forgetDead(now: Milliseconds): void {
 		for (const [id, since] of diedAt) {
 			if (now - since >= forgetDeadMs) {
@@ -206,6 +211,12 @@
 				diedAt.delete(id);
 			}
 		}
+
+		for (const [dataCentre, since] of heardOfAt) {
+			if (now - since >= forgetDeadMs) {
+				heardOfAt.delete(dataCentre);
+			}
+		}
 	}
 
 	function refillRotation(): void {
@@ -277,6 +288,14 @@
 				return event.members.flatMap(member => merge(member, event.reporter, event.now));
 			}
 
+			case 'heard-of': {
+				for (const dataCentre of event.dataCentres) {
+					heardOfAt.set(dataCentre, event.now);
+				}
+
+				return [];
+			}
+
 			case 'leave': {
 				self = {...self, status: 'leaving', incarnation: as<Incarnation>(self.incarnation + 1)};
 				publish(self);
@@ -291,6 +310,7 @@
 		takeUpdates: () => news.take(updatesPerMessage),
 		self: () => self,
 		members: () => [self, ...known.values()],
+		dataCentres: () => [...new Set([self.dataCentre, ...[...known.values()].map(member => member.dataCentre), ...heardOfAt.keys()])],
 		digest() {
 			let sum = digestOf(self);
 			for (const member of known.values()) {
--- a/src/zones/next-keepers.ts
+++ b/src/zones/next-keepers.ts
@@ -15,6 +15,8 @@
 export type KeepersView = {
 	readonly self: () => Member;
 	readonly members: () => readonly Member[];
+	/** Data centres that have instances, also those of which none can be reached. */
+	readonly dataCentres: () => readonly DataCentreId[];
 	/** Instances that did not answer lately. */
 	readonly silent: Silence<InstanceId>;
 };
--- a/src/zones/relay-peers.ts
+++ b/src/zones/relay-peers.ts
@@ -55,6 +55,8 @@
 export type Greeting = {
 	readonly self: Member;
 	readonly members: readonly Member[];
+	/** A newcomer does not hear of members that count as dead, but has to know where they were. */
+	readonly dataCentres: readonly DataCentreId[];
 	readonly digest: RelayDigest;
 };
 
--- a/tests/membership.test.ts
+++ b/tests/membership.test.ts
@@ -149,3 +149,11 @@
 		assert.ok(before.id === 'b' || before.id === after.id);
 	}
 });
+
+test('a newcomer knows the data centres that a peer has heard of, until they are forgotten', () => {
+	const {membership, at} = create();
+	membership.handle({kind: 'heard-of', dataCentres: [as<DataCentreId>('verona')], now: at(0)});
+	assert.deepEqual(membership.dataCentres(), ['padova', 'verona']);
+	membership.handle({kind: 'tick', now: at(600_000)});
+	assert.deepEqual(membership.dataCentres(), ['padova']);
+});
