--- a/src/links/relay-log.ts
+++ b/src/links/relay-log.ts
@@ -79,6 +79,16 @@
 			return;
 		}
 
+		case 'removal-doubted': {
+			log.warn({event: 'removal-doubted', endpoint: event.id, revision: event.revision}, 'endpoint kept although the store no longer lists it');
+			return;
+		}
+
+		case 'watching': {
+			log.info({event: 'watching', objects: event.objects, isWatching: event.isWatching}, event.isWatching ? 'watching the store' : 'told by others');
+			return;
+		}
+
 		case 'unreadable': {
 			log.warn({event: 'unreadable', endpoint: event.id, revision: event.revision}, 'entry names no endpoint');
 			return;
--- a/src/machines/retirement.ts
+++ b/src/machines/retirement.ts
@@ -78,6 +78,12 @@
 
 					case 'lost': {
 						options.onEvent({kind: 'store-lost', reason: event.failure.message});
+						break;
+					}
+
+					case 'begun':
+					case 'ended': {
+						break;
 					}
 				}
 			};
--- a/src/zones/endpoint-directory.ts
+++ b/src/zones/endpoint-directory.ts
@@ -36,6 +36,8 @@
 	/** Removals that have waited long enough. */
 	readonly expire: (now: Milliseconds) => readonly DirectoryEntry[];
 	readonly entries: () => readonly DirectoryEntry[];
+	/** Endpoints whose removal has not been believed yet. */
+	readonly doubted: () => readonly EndpointId[];
 	/** Newest revision known. */
 	readonly revision: () => ObjectVersion;
 };
@@ -114,6 +116,7 @@
 			return doubted.size === 0 || isDoubtful(now) ? [] : [...doubted.values()].flatMap(entry => put(entry, now));
 		},
 		entries: () => [...known.values()],
+		doubted: () => [...doubted.keys()],
 		revision: () => newest,
 	};
 }
--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -48,8 +48,12 @@
 	= | {readonly kind: 'configuration'; readonly generation: ConfigurationGeneration; readonly previous: ConfigurationGeneration | undefined; readonly source: string}
 		| {readonly kind: 'configuration-refused'; readonly failure: Failure}
 		| {readonly kind: 'endpoint'; readonly id: EndpointId; readonly change: 'listed' | 'leaving' | 'removed'; readonly revision: ObjectVersion; readonly source: string}
+		/** The store no longer lists an endpoint, which may only mean that the store was away. */
+		| {readonly kind: 'removal-doubted'; readonly id: EndpointId; readonly revision: ObjectVersion}
 		| {readonly kind: 'unreadable'; readonly id: EndpointId; readonly revision: ObjectVersion}
 		| {readonly kind: 'store'; readonly objects: string; readonly change: 'lost' | 'back'; readonly reason: string}
+		/** This instance watches the store itself from now on, or is told by others. */
+		| {readonly kind: 'watching'; readonly objects: string; readonly isWatching: boolean}
 		| {readonly kind: 'snapshot-failed'; readonly failure: Failure};
 
 export type SharedTablesOptions = {
@@ -158,7 +162,9 @@
 	}
 
 	function noteStore(kind: string, event: StoreWatchEvent): void {
-		if (event.kind === 'lost') {
+		if (event.kind === 'begun' || event.kind === 'ended') {
+			options.onEvent({kind: 'watching', objects: kind, isWatching: event.kind === 'begun'});
+		} else if (event.kind === 'lost') {
 			failedAt = clock.now();
 			directory.noteTrouble(failedAt);
 			if (!lost.has(kind)) {
@@ -205,12 +211,20 @@
 				break;
 			}
 
+			case 'begun':
+			case 'ended':
 			case 'lost': {
 				break;
 			}
 		}
 	}
 
+	function noteDoubts(revision: ObjectVersion): void {
+		for (const id of directory.doubted()) {
+			options.onEvent({kind: 'removal-doubted', id, revision});
+		}
+	}
+
 	function onEndpointEvent(event: StoreWatchEvent): void {
 		noteStore(objects.endpointKind, event);
 		const now = clock.now();
@@ -218,6 +232,7 @@
 			case 'listed': {
 				const news = directory.replace(event.list.objects.map(object => toEntry(object, false)), event.list.revision, now);
 				publish(news, 'store');
+				noteDoubts(event.list.revision);
 				// Newcomers list at the same time, so only what a later list brings is news to others.
 				if (hasListing) {
 					tellEntries(news);
@@ -231,10 +246,13 @@
 				// A deleted object bears the revision of its last change, not of its removal.
 				const news = event.changes.flatMap(({object, isDeleted}) => directory.learn(toEntry(isDeleted ? {...object, revision: event.revision} : object, isDeleted), now));
 				publish(news, 'store');
+				noteDoubts(event.revision);
 				tellEntries(news);
 				break;
 			}
 
+			case 'begun':
+			case 'ended':
 			case 'lost': {
 				break;
 			}
--- a/src/zones/store-watch.ts
+++ b/src/zones/store-watch.ts
@@ -15,7 +15,10 @@
 const idleCheckMs = 500;
 
 export type StoreWatchEvent
-	= | {readonly kind: 'listed'; readonly list: ObjectList}
+	/** This instance watches from now on, or no longer. */
+	= | {readonly kind: 'begun'}
+		| {readonly kind: 'ended'}
+		| {readonly kind: 'listed'; readonly list: ObjectList}
 		| {readonly kind: 'changed'; readonly changes: readonly ObjectChange[]; readonly revision: ObjectVersion}
 		| {readonly kind: 'lost'; readonly failure: Failure};
 
@@ -87,8 +90,15 @@
 	return {
 		async run(signal) {
 			let revision: ObjectVersion | undefined;
+			let isWatching = false;
 			while (!signal.aborted) {
-				if (options.isNeeded()) {
+				const isNeeded = options.isNeeded();
+				if (isNeeded !== isWatching) {
+					isWatching = isNeeded;
+					options.onEvent({kind: isNeeded ? 'begun' : 'ended'});
+				}
+
+				if (isNeeded) {
 					revision = revision === undefined ? await list(signal) : await follow(revision, signal);
 				} else {
 					revision = undefined;
