--- /dev/null
+++ b/tests/shared-tables.test.ts
@@ -0,0 +1,135 @@
+/**
+Configuration and list of endpoints on instances that reach the store, while others lose it or are lost.
+*/
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {knownRed} from './fixtures/known-red.js';
+import {createTablesCluster, type TablesCluster} from './fixtures/tables-cluster.js';
+
+const ids = ['a1', 'a2', 'a3', 'a4', 'b1', 'b2', 'b3', 'b4', 'c1', 'c2', 'c3', 'c4'];
+
+/** Time within which the users want a change in force, in ms. */
+const boundMs = 2000;
+
+/** The instances that asked the store most: those that watch it for the others. */
+function watchersOf(cluster: TablesCluster): readonly string[] {
+	const calls = cluster.nodes.map(node => ({id: node.id, calls: node.storeCalls()}));
+	const fewest = Math.min(...calls.map(entry => entry.calls));
+	return calls.filter(entry => entry.calls > fewest).map(entry => entry.id);
+}
+
+type Loss = {
+	readonly name: string;
+	readonly strike: (cluster: TablesCluster, id: string) => void;
+};
+
+const losses: readonly Loss[] = [
+	{
+		name: 'get no answer from it',
+		strike(cluster, id) {
+			cluster.reach.set(id, 'silent');
+		},
+	},
+	{
+		name: 'are refused by it',
+		strike(cluster, id) {
+			cluster.reach.set(id, 'refusing');
+		},
+	},
+	{
+		name: 'are lost',
+		strike(cluster, id) {
+			cluster.kill(id);
+		},
+	},
+	{
+		name: 'are cut off from everything',
+		strike(cluster, id) {
+			cluster.reach.set(id, 'silent');
+			cluster.isolated.add(id);
+		},
+	},
+];
+
+for (const loss of losses) {
+	const name = `a change is in force in time everywhere else when the instances that watch the store ${loss.name}`;
+	test(name, knownRed(name), async () => {
+		const cluster = await createTablesCluster(ids, 1);
+		const watchers = watchersOf(cluster);
+		assert.ok(watchers.length > 0 && watchers.length < ids.length);
+		for (const id of watchers) {
+			loss.strike(cluster, id);
+		}
+
+		await cluster.clock.advance(100);
+		cluster.configure(2);
+		cluster.list('endpoint-1', {isLeaving: true});
+		cluster.unlist('endpoint-2');
+		await cluster.clock.advance(boundMs);
+		for (const node of cluster.nodes.filter(({id}) => !watchers.includes(id))) {
+			assert.equal(node.generation(), 2, `generation at ${node.id}`);
+			assert.deepEqual(node.usable(), ['endpoint-3'], `endpoints at ${node.id}`);
+		}
+
+		cluster.stop();
+	});
+}
+
+/** Times between the loss of the store at one instance and the removal, in ms. */
+const delays = [200, 1000, 2500, 4200, 6000];
+
+test('an endpoint that was removed gets no new work while one instance cannot reach the store', knownRed('an endpoint that was removed gets no new work while one instance cannot reach the store'), async () => {
+	for (const delay of delays) {
+		const cluster = await createTablesCluster(ids, 2);
+		const [cut] = watchersOf(cluster);
+		assert.ok(cut !== undefined);
+		cluster.reach.set(cut, 'refusing');
+		await cluster.clock.advance(delay);
+		cluster.unlist('endpoint-1');
+		await cluster.clock.advance(boundMs);
+		for (const node of cluster.nodes.filter(({id}) => id !== cut)) {
+			assert.deepEqual(node.usable(), ['endpoint-2', 'endpoint-3'], `endpoints at ${node.id}, ${delay} ms after the loss`);
+		}
+
+		cluster.stop();
+	}
+});
+
+test('an instance that missed a change of the list does not take the next change for all of them', knownRed('an instance that missed a change of the list does not take the next change for all of them'), async () => {
+	const cluster = await createTablesCluster(ids, 3);
+	const watchers = watchersOf(cluster);
+	const missing = cluster.nodes.find(({id}) => !watchers.includes(id));
+	assert.ok(missing);
+	cluster.isolated.add(missing.id);
+	cluster.list('endpoint-1', {isLeaving: true});
+	await cluster.clock.advance(900);
+	cluster.isolated.delete(missing.id);
+	cluster.list('endpoint-4');
+	await cluster.clock.advance(boundMs);
+	assert.deepEqual(missing.usable(), ['endpoint-2', 'endpoint-3', 'endpoint-4']);
+	cluster.stop();
+});
+
+test('entries that lapse while the store is away for all are kept until living endpoints are listed again', knownRed('entries that lapse while the store is away for all are kept until living endpoints are listed again'), async () => {
+	const cluster = await createTablesCluster(ids, 4);
+	for (const id of ids) {
+		cluster.reach.set(id, 'silent');
+	}
+
+	await cluster.clock.advance(4500);
+	cluster.unlist('endpoint-1');
+	cluster.unlist('endpoint-2');
+	cluster.reach.clear();
+	await cluster.clock.advance(1500);
+	for (const node of cluster.nodes) {
+		assert.deepEqual(node.usable(), ['endpoint-1', 'endpoint-2', 'endpoint-3'], `endpoints at ${node.id} after the outage`);
+	}
+
+	cluster.list('endpoint-1');
+	await cluster.clock.advance(2500);
+	for (const node of cluster.nodes) {
+		assert.deepEqual(node.usable(), ['endpoint-1', 'endpoint-3'], `endpoints at ${node.id} later`);
+	}
+
+	cluster.stop();
+});
--- /dev/null
+++ b/tests/tables-exploration.test.ts
@@ -0,0 +1,279 @@
+/**
+Random histories of instances that share tables: the operator and the endpoints change them while instances lose
+the store, their peers or their lives. An instance that has reached the store for a while has every change in
+force in time, and nobody goes back.
+*/
+import assert from 'node:assert/strict';
+import process from 'node:process';
+import {test} from 'node:test';
+import {as, type Milliseconds} from '../src/contracts/id.js';
+import {createSeededRandom} from './fixtures/fake-clock.js';
+import {knownRed} from './fixtures/known-red.js';
+import {createTablesCluster, type TablesCluster, type TablesNode} from './fixtures/tables-cluster.js';
+
+const ids = ['a1', 'a2', 'a3', 'a4', 'b1', 'b2', 'b3', 'b4', 'c1', 'c2', 'c3', 'c4'];
+
+/** Time within which the users want a change in force, in ms. */
+const boundMs = 2000;
+
+/** Time for which an instance has to have run and reached the store before the bound holds for it, in ms. */
+const contactMs = 3000;
+
+/** Time after which an entry lapses that its endpoint does not renew, in ms. */
+const lapseMs = 3600;
+
+/** Time within which living endpoints are listed again after an outage, in ms. */
+const returnMs = 2000;
+
+const historyMs = 20_000;
+const stepMs = 100;
+const histories = Number(process.env.HICKORYFORK_SCHEDULES ?? 12);
+
+type Fault = 'store-silent' | 'store-refusing' | 'isolated' | 'cut-off' | 'killed' | 'history-lost' | 'outage';
+
+const faults: readonly Fault[] = ['store-silent', 'store-refusing', 'isolated', 'cut-off', 'killed', 'history-lost', 'outage'];
+
+/** A change that has to be in force at a time. */
+type Change
+	= | {readonly kind: 'configuration'; readonly generation: number; readonly at: number}
+		| {readonly kind: 'gone'; readonly endpoint: string; readonly at: number};
+
+type World = {
+	readonly cluster: TablesCluster;
+	readonly fraction: () => number;
+	/** Faults that are on instances now. */
+	readonly held: Set<{readonly id: string; readonly fault: 'silent' | 'refusing' | 'isolated'}>;
+	/** Time since which an instance has reached the store. */
+	readonly inContactSince: Map<string, number>;
+	readonly startedAt: Map<string, number>;
+	readonly changes: Change[];
+	/** Endpoints that live but whose entries lapsed. */
+	readonly lapsed: Set<string>;
+	readonly living: Set<string>;
+};
+
+function pick<Value>(world: World, values: readonly Value[]): Value {
+	const value = values[Math.floor(world.fraction() * values.length)];
+	assert.ok(value !== undefined);
+	return value;
+}
+
+function someIds(world: World): readonly string[] {
+	const share = 0.1 + (world.fraction() * 0.6);
+	return ids.filter(() => world.fraction() < share);
+}
+
+/** Keeps a fault on instances for a while; one that several faults hold is free when the last one ends. */
+async function hold(world: World, fault: 'silent' | 'refusing' | 'isolated', struck: readonly string[], ms: number): Promise<void> {
+	const {cluster, held} = world;
+	const entries = struck.map(id => ({id, fault}));
+	for (const entry of entries) {
+		held.add(entry);
+	}
+
+	settleFaults(world);
+	await cluster.clock.sleep(as<Milliseconds>(ms));
+	for (const entry of entries) {
+		held.delete(entry);
+	}
+
+	settleFaults(world);
+}
+
+/** Puts what is held on the instances in force. */
+function settleFaults({cluster, held, inContactSince}: World): void {
+	for (const id of ids) {
+		const own = new Set([...held].filter(entry => entry.id === id).map(entry => entry.fault));
+		const reach = own.has('silent') ? 'silent' : (own.has('refusing') ? 'refusing' : 'answering');
+		if (reach !== 'answering') {
+			inContactSince.set(id, Infinity);
+		} else if (inContactSince.get(id) === Infinity) {
+			inContactSince.set(id, cluster.clock.now());
+		}
+
+		cluster.reach.set(id, reach);
+		if (own.has('isolated')) {
+			cluster.isolated.add(id);
+		} else {
+			cluster.isolated.delete(id);
+		}
+	}
+}
+
+async function kill(world: World, candidates: readonly string[], ms: number): Promise<void> {
+	const {cluster, startedAt} = world;
+	const struck = candidates.filter(id => cluster.node(id).isUp());
+	for (const id of struck) {
+		cluster.kill(id);
+	}
+
+	await cluster.clock.sleep(as<Milliseconds>(ms));
+	for (const id of struck) {
+		cluster.start(id);
+		startedAt.set(id, cluster.clock.now());
+	}
+}
+
+/** Nobody reaches the store; entries lapse meanwhile, and those of living endpoints come back afterwards. */
+async function outage(world: World): Promise<void> {
+	const {cluster, living, lapsed} = world;
+	const ms = 2500 + (world.fraction() * 3000);
+	const lapsing = ms > lapseMs ? [...living].filter(() => world.fraction() < 0.6) : [];
+	const ending = hold(world, 'silent', ids, ms);
+	await cluster.clock.sleep(as<Milliseconds>(ms - 1));
+	for (const id of lapsing) {
+		cluster.unlist(id);
+		lapsed.add(id);
+	}
+
+	await ending;
+	await cluster.clock.sleep(as<Milliseconds>(returnMs * world.fraction()));
+	for (const id of lapsing.filter(entry => living.has(entry))) {
+		cluster.list(id);
+	}
+
+	lapsed.clear();
+}
+
+async function strike(world: World, fault: Fault): Promise<void> {
+	const struck = someIds(world);
+	const ms = 1000 + (world.fraction() * 6000);
+	switch (fault) {
+		case 'store-silent': {
+			await hold(world, 'silent', struck, ms);
+			return;
+		}
+
+		case 'store-refusing': {
+			await hold(world, 'refusing', struck, ms);
+			return;
+		}
+
+		case 'isolated': {
+			await hold(world, 'isolated', struck, ms);
+			return;
+		}
+
+		case 'cut-off': {
+			await Promise.all([hold(world, 'silent', struck, ms), hold(world, 'isolated', struck, ms)]);
+			return;
+		}
+
+		case 'killed': {
+			await kill(world, struck, ms);
+			return;
+		}
+
+		case 'history-lost': {
+			world.cluster.store.compact();
+			return;
+		}
+
+		case 'outage': {
+			await outage(world);
+		}
+	}
+}
+
+/** Faults one after the other, with pauses between them. */
+async function strikeOn(world: World, until: number): Promise<void> {
+	while (world.cluster.clock.now() < until) {
+		await world.cluster.clock.sleep(as<Milliseconds>(world.fraction() * 2000));
+		await strike(world, pick(world, faults));
+	}
+}
+
+/** Changes of the tables, which the store takes whether or not instances reach it. */
+async function change(world: World, until: number): Promise<void> {
+	const {cluster, changes, living, lapsed} = world;
+	let generation = 1;
+	let endpoints = 3;
+	while (cluster.clock.now() < until) {
+		await cluster.clock.sleep(as<Milliseconds>(100 + (world.fraction() * 900)));
+		const at = cluster.clock.now();
+		const present = [...living].filter(id => !lapsed.has(id));
+		const kind = pick(world, ['configure', 'list', 'leave', 'unlist']);
+		if (kind === 'configure') {
+			generation++;
+			cluster.configure(generation);
+			changes.push({kind: 'configuration', generation, at});
+		} else if (kind === 'list' || present.length < 3) {
+			endpoints++;
+			cluster.list(`endpoint-${endpoints}`);
+			living.add(`endpoint-${endpoints}`);
+		} else {
+			const endpoint = pick(world, present);
+			living.delete(endpoint);
+			if (kind === 'leave') {
+				cluster.list(endpoint, {isLeaving: true});
+			} else {
+				cluster.unlist(endpoint);
+			}
+
+			changes.push({kind: 'gone', endpoint, at});
+		}
+	}
+}
+
+/** What of the changes an instance in contact should have in force and has not. */
+function missedBy(world: World, node: TablesNode): readonly string[] {
+	const now = world.cluster.clock.now();
+	const since = Math.max(world.inContactSince.get(node.id) ?? 0, world.startedAt.get(node.id) ?? 0);
+	if (!node.isUp() || now - since < contactMs) {
+		return [];
+	}
+
+	const generation = node.generation();
+	const usable = node.usable();
+	const isMissed = (entry: Change): boolean => {
+		switch (entry.kind) {
+			case 'configuration': {
+				return generation < entry.generation;
+			}
+
+			case 'gone': {
+				return usable.includes(entry.endpoint);
+			}
+		}
+	};
+
+	return world.changes
+		.filter(entry => now - entry.at > boundMs && isMissed(entry))
+		.map(entry => `${node.id} at ${now} ms misses ${entry.kind === 'gone' ? `the end of ${entry.endpoint}` : `generation ${entry.generation}`}, ${Math.round(now - entry.at)} ms old`);
+}
+
+async function explore(seed: number): Promise<void> {
+	const cluster = await createTablesCluster(ids, seed);
+	const random = createSeededRandom(seed);
+	const world: World = {
+		cluster,
+		fraction: random.fraction,
+		held: new Set(),
+		inContactSince: new Map(),
+		startedAt: new Map(),
+		changes: [],
+		lapsed: new Set(),
+		living: new Set(['endpoint-1', 'endpoint-2', 'endpoint-3']),
+	};
+	const until = cluster.clock.now() + historyMs;
+	void strikeOn(world, until);
+	void strikeOn(world, until);
+	void change(world, until);
+	const generations = new Map<string, number>();
+	while (cluster.clock.now() < until) {
+		await cluster.clock.advance(stepMs);
+		for (const node of cluster.nodes.filter(entry => entry.isUp())) {
+			assert.deepEqual(missedBy(world, node), []);
+			const life = `${node.id}/${node.life()}`;
+			assert.ok(node.generation() >= (generations.get(life) ?? 0), `${node.id} went back`);
+			generations.set(life, node.generation());
+		}
+	}
+
+	cluster.stop();
+}
+
+for (let seed = 1; seed <= histories; seed++) {
+	const name = `changes are in force in time in history ${seed}`;
+	test(name, knownRed(name), async () => explore(seed));
+}
