Bound the age of what an instance knows of the store, whoever is lost

Cause: two instances watched the store for all others, and nobody noticed that both had lost it: a call that waits on a silent connection ends after 3.5 s, a member counts as dead after a suspicion of 3 s, and an instance that is told nothing cannot tell that from nothing having changed. Ruled out: processor time (the same with none charged in simulated time), the decoding of the configuration. Why this works: one instance of each data centre watches, reads the store every 400 ms beside it, and says at the same interval that it hears the store and which change was its last. Who has every change up to that one knows how old its tables are at most; above 1 s it asks the store itself, whether or not anyone counts as dead. A watcher that falls silent is passed over after 900 ms. Watches begin anew whenever the store comes back.

--- a/src/contracts/object-store.ts
+++ b/src/contracts/object-store.ts
@@ -44,6 +44,8 @@
 
 /** Failures have the code `platform-unavailable`. */
 export type ObjectStore = {
+	/** Whether the store answers now. */
+	readonly probe: (timeout: Milliseconds, signal: AbortSignal) => Promise<Result<undefined, Failure>>;
 	readonly list: (kind: string) => Promise<Result<ObjectList, Failure>>;
 	/** Waits until an object of the kind has changed since the revision, at most for the time given. */
 	readonly watch: (kind: string, since: ObjectVersion, wait: Milliseconds, signal: AbortSignal) => Promise<WatchResult>;
--- a/src/links/relay-log.ts
+++ b/src/links/relay-log.ts
@@ -85,7 +85,14 @@
 		}
 
 		case 'watching': {
-			log.info({event: 'watching', objects: event.objects, isWatching: event.isWatching}, event.isWatching ? 'watching the store' : 'told by others');
+			log.info({
+				event: 'watching', isWatching: event.isWatching, isWatcher: event.isWatcher, silenceMs: Math.round(event.silence),
+			}, event.isWatching ? 'watching the store' : 'told by others');
+			return;
+		}
+
+		case 'watch-failed': {
+			log.warn({event: 'watch-failed', objects: event.objects, reason: event.failure.message}, 'no answer to a watch');
 			return;
 		}
 
@@ -96,7 +103,7 @@
 
 		case 'store': {
 			log.warn({
-				event: 'store', objects: event.objects, change: event.change, reason: event.reason,
+				event: 'store', change: event.change, reason: event.reason,
 			}, `store ${event.change}`);
 			return;
 		}
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -24,7 +24,7 @@
 	type Greeting, type RelayMessage, type RelayPeers, type RelayReply, type RelayTables,
 } from '../zones/relay-peers.js';
 import {createSharedTables, type SharedObjects, type SharedTablesEvent} from '../zones/shared-tables.js';
-import {isStoreWatcher} from '../zones/store-watchers.js';
+import {createStoreWatchers} from '../zones/store-watchers.js';
 import {createWarmUp, type WarmUpEvent} from '../zones/warm-up.js';
 import {createLoadReports} from './load-reports.js';
 import {createQuarantine} from './quarantine.js';
@@ -107,9 +107,9 @@
 		objects: options.objects,
 		peers,
 		firstChange: as<ChangeNumber>(incarnation),
-		others: () => others().map(member => member.address),
-		isWatcher: () => isStoreWatcher(membership.self(), membership.members(), member =>
-			member === id ? tables.digest().isStoreReachable : digests.get(member)?.isStoreReachable ?? true),
+		dataCentre,
+		neighbours: () => others().filter(member => member.dataCentre === dataCentre).map(member => member.address),
+		isWatcher: () => watchers.isWatcher(),
 		isWarm: () => warmUp.isWarm(),
 		clock,
 		random,
@@ -121,6 +121,12 @@
 			options.onEvent({kind: 'tables', tables: event});
 		},
 	});
+	const watchers = createStoreWatchers({
+		self: membership.self,
+		members: membership.members,
+		isReachableFrom: member => (member === id ? tables.digest() : digests.get(member))?.isStoreReachable ?? true,
+		clock,
+	});
 	const budgets = createBudgetKeepers({
 		self: membership.self,
 		members: membership.members,
@@ -220,7 +226,11 @@
 
 	function learnDigest(peer: Member, digest: RelayDigest): void {
 		digests.set(peer.id, digest);
-		tables.learnDigest(peer.address, digest);
+		if (digest.storeAge !== undefined) {
+			watchers.hear(peer.id);
+		}
+
+		tables.learnDigest(peer, digest);
 	}
 
 	/** Asks a peer for its view, and takes from it whom it knows and how far it is. */
@@ -241,7 +251,8 @@
 			}
 
 			case 'announce': {
-				const peer = others().find(member => member.address === message.from);
+				// One that counts as dead lives after all.
+				const peer = membership.members().find(member => member.id !== id && member.address === message.from);
 				if (peer) {
 					learnDigest(peer, message.digest);
 				}
--- a/src/machines/retirement.ts
+++ b/src/machines/retirement.ts
@@ -78,18 +78,12 @@
 
 					case 'lost': {
 						options.onEvent({kind: 'store-lost', reason: event.failure.message});
-						break;
-					}
-
-					case 'begun':
-					case 'ended': {
-						break;
 					}
 				}
 			};
 
 			await createStoreWatch({
-				store, objects: options.objects, wait: as<Milliseconds>(watchMs), clock, random: options.random, isNeeded: () => true, onEvent,
+				store, objects: options.objects, wait: as<Milliseconds>(watchMs), clock, random: options.random, onEvent,
 			}).run(signal);
 		},
 	};
--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -1,33 +1,42 @@
 /**
-The tables that all instances share: the configuration and the directory of endpoints. A few instances
-watch the store; they tell the others of each change, and whoever sees from a digest that it is behind
-fetches a snapshot from a peer. A newcomer asks the store itself once, or its peers when the store is away.
+The tables that all instances share: the configuration and the directory of endpoints. One instance of each data
+centre watches the store and tells the others there of each change, and at short intervals that it still hears the
+store. Whoever misses a change fetches the tables from a peer; whoever hears of nobody that hears the store asks it
+itself. So what an instance knows is never older than the store's silence allows, whoever is lost.
 */
 import {type Result} from 'neverthrow';
 import {type Clock, type Random} from '../contracts/clock.js';
 import {type Failure} from '../contracts/failure.js';
 import {
-	as, type Address, type ChangeNumber, type ConfigurationGeneration, type EndpointId, type Milliseconds, type ObjectVersion,
+	as, type Address, type ChangeNumber, type ConfigurationGeneration, type DataCentreId, type EndpointId, type Milliseconds, type ObjectVersion,
 } from '../contracts/id.js';
 import {type KindedObject, type ObjectStore} from '../contracts/object-store.js';
 import {type ListedEndpoint, type RelayConfiguration} from '../contracts/relay.js';
 import {type RelayDigest} from '../contracts/relay-digest.js';
 import {createEndpointDirectory, type DirectoryEntry} from './endpoint-directory.js';
-import {type EndpointChanges, type RelayPeers, type RelayTables} from './relay-peers.js';
+import {type Member} from './membership.js';
+import {
+	type EndpointChanges, type RelayMessage, type RelayPeers, type RelayTables,
+} from './relay-peers.js';
+import {createStoreContact, type StoreContactEvent} from './store-contact.js';
+import {createStoreDuty} from './store-duty.js';
 import {createStoreWatch, type StoreWatchEvent} from './store-watch.js';
 import {createTablePeers} from './table-peers.js';
 
-/** Shortest time between two snapshots that are fetched because of the same digest. */
-const refetchMs = 500;
+/** Time in which a change that is being told arrives, in ms; after that it was missed. */
+const tellingMs = 60;
 
-/** Wait of one watch: a connection that fell silent may delay a change by no more than this. */
-const watchMs = 2500;
+/** The same for a change that the own data centre's watcher tells while another data centre already knows it. */
+const otherDataCentreMs = 400;
 
-/** How often removals that were held back are looked at. */
-const expiryMs = 500;
+/** Shortest time between two fetches because of a peer's newer list, in ms. */
+const refetchMs = 500;
 
-/** Time after which an instance that could not reach the store may be tried as a watcher again. */
-const unreachableMs = 4000;
+/** Wait of one watch, in ms: a connection that fell silent may delay a change by no more than this. */
+const watchMs = 2000;
+
+/** How often removals that were held back are looked at, in ms. */
+const expiryMs = 200;
 
 /** How the store's objects are named and read; given by the adapter. */
 export type SharedObjects = {
@@ -44,21 +53,23 @@
 		/** The store no longer lists an endpoint, which may only mean that the store was away. */
 		| {readonly kind: 'removal-doubted'; readonly id: EndpointId; readonly revision: ObjectVersion}
 		| {readonly kind: 'unreadable'; readonly id: EndpointId; readonly revision: ObjectVersion}
-		| {readonly kind: 'store'; readonly objects: string; readonly change: 'lost' | 'back'; readonly reason: string}
-		/** This instance watches the store itself from now on, or is told by others. */
-		| {readonly kind: 'watching'; readonly objects: string; readonly isWatching: boolean}
+		| {readonly kind: 'store'; readonly change: 'lost' | 'back'; readonly reason: string}
+		| {readonly kind: 'watch-failed'; readonly objects: string; readonly failure: Failure}
+		/** This instance watches the store itself from now on, or is told by others; `silence` is since it last heard of the store. */
+		| {readonly kind: 'watching'; readonly isWatching: boolean; readonly isWatcher: boolean; readonly silence: Milliseconds}
 		| {readonly kind: 'snapshot-failed'; readonly failure: Failure};
 
 export type SharedTablesOptions = {
 	readonly address: Address;
+	readonly dataCentre: DataCentreId;
 	readonly store: ObjectStore;
 	readonly objects: SharedObjects;
-	readonly peers: Pick<RelayPeers, 'ask' | 'tables'>;
+	readonly peers: Pick<RelayPeers, 'ask' | 'post' | 'tables'>;
 	/** A number that grows from one life of this instance to the next. */
 	readonly firstChange: ChangeNumber;
-	/** Addresses of all other members that live. */
-	readonly others: () => readonly Address[];
-	/** Whether this instance is one of those that watch the store. */
+	/** Addresses of the other members of the data centre that live. */
+	readonly neighbours: () => readonly Address[];
+	/** Whether this instance watches the store for its data centre. */
 	readonly isWatcher: () => boolean;
 	readonly isWarm: () => boolean;
 	readonly clock: Clock;
@@ -70,7 +81,7 @@
 
 export type SharedTables = {
 	readonly digest: () => RelayDigest;
-	readonly learnDigest: (peer: Address, digest: RelayDigest) => void;
+	readonly learnDigest: (peer: Member, digest: RelayDigest) => void;
 	readonly learnChanges: (changes: EndpointChanges) => void;
 	readonly tables: () => RelayTables;
 	readonly run: (signal: AbortSignal) => Promise<void>;
@@ -83,35 +94,48 @@
 	const peers = createTablePeers({
 		address: options.address,
 		peers: options.peers,
-		others: options.others,
+		others: options.neighbours,
 		firstChange: options.firstChange,
 		clock,
-		onTables(tables, source) {
+		onTables(tables, source, askedAt) {
 			fetchedAt = clock.now();
 			learnTables(tables, source);
+			if (options.neighbours().includes(source)) {
+				learnAssurance(source, tables.digest, askedAt);
+			}
 		},
 		onFailure(failure) {
 			fetchedAt = clock.now();
 			options.onEvent({kind: 'snapshot-failed', failure});
 		},
 	});
-	const lost = new Set<string>();
+	const contact = createStoreContact({store: options.store, clock, onEvent: onContactEvent});
 	let configuration: RelayConfiguration | undefined;
 	let hasListing = false;
-	let failedAt = as<Milliseconds>(-unreachableMs);
+	let wasLost = false;
+	let heardAt = clock.now();
 	let fetchedAt = as<Milliseconds>(-refetchMs);
 
+	/** How fresh the tables are that this instance tells others. Who doubts a removal leaves it to those who know better. */
+	function storeAge(): Milliseconds | undefined {
+		const confirmedAt = contact.confirmedAt();
+		const hasDoubts = directory.doubted().length > 0;
+		return confirmedAt === undefined || hasDoubts ? undefined : as<Milliseconds>(clock.now() - confirmedAt);
+	}
+
 	function digest(): RelayDigest {
 		return {
 			generation: configuration?.generation ?? as<ConfigurationGeneration>(0),
 			endpointRevision: directory.revision(),
-			isStoreReachable: lost.size === 0 || clock.now() - failedAt > unreachableMs,
+			change: peers.change(),
+			storeAge: storeAge(),
+			isStoreReachable: !contact.isLost(),
 			isWarm: options.isWarm(),
 		};
 	}
 
-	function announce(): void {
-		peers.tell({kind: 'announce', from: options.address, digest: digest()});
+	function announcement(): RelayMessage {
+		return {kind: 'announce', from: options.address, digest: digest()};
 	}
 
 	function adopt(next: RelayConfiguration, source: string): boolean {
@@ -157,31 +181,35 @@
 		return {kind: 'removed', revision: object.revision, id};
 	}
 
-	function noteStore(kind: string, event: StoreWatchEvent): void {
-		if (event.kind === 'begun' || event.kind === 'ended') {
-			options.onEvent({kind: 'watching', objects: kind, isWatching: event.kind === 'begun'});
-		} else if (event.kind === 'lost') {
-			failedAt = clock.now();
-			directory.noteTrouble(failedAt);
-			if (!lost.has(kind)) {
-				lost.add(kind);
-				options.onEvent({
-					kind: 'store', objects: kind, change: 'lost', reason: event.failure.message,
-				});
-				announce();
+	function onContactEvent(event: StoreContactEvent): void {
+		switch (event.kind) {
+			case 'confirmed': {
+				if (wasLost) {
+					options.onEvent({kind: 'store', change: 'back', reason: 'answered'});
+				}
+
+				wasLost = false;
+				break;
+			}
+
+			case 'lost': {
+				directory.noteTrouble(clock.now());
+				if (!wasLost) {
+					options.onEvent({kind: 'store', change: 'lost', reason: event.failure.message});
+				}
+
+				wasLost = true;
 			}
-		} else if (lost.delete(kind)) {
-			options.onEvent({
-				kind: 'store', objects: kind, change: 'back', reason: event.kind,
-			});
 		}
+
+		duty.check();
 	}
 
 	function learnConfiguration(object: KindedObject): void {
 		objects.decodeConfiguration(object)?.match(next => {
 			const isUpdate = configuration !== undefined;
 			if (adopt(next, 'store') && isUpdate) {
-				announce();
+				peers.tell(announcement());
 			}
 		}, failure => {
 			options.onEvent({kind: 'configuration-refused', failure});
@@ -189,7 +217,6 @@
 	}
 
 	function onConfigurationEvent(event: StoreWatchEvent): void {
-		noteStore(objects.configurationKind, event);
 		switch (event.kind) {
 			case 'listed': {
 				for (const object of event.list.objects) {
@@ -207,14 +234,21 @@
 				break;
 			}
 
-			case 'begun':
-			case 'ended':
 			case 'lost': {
-				break;
+				options.onEvent({kind: 'watch-failed', objects: objects.configurationKind, failure: event.failure});
 			}
 		}
 	}
 
+	/** Tells the others of changes, if that falls to this instance. */
+	function pass(entries: readonly DirectoryEntry[]): void {
+		if (options.isWatcher()) {
+			peers.tellEntries(entries);
+		} else {
+			peers.countEntries(entries);
+		}
+	}
+
 	function noteDoubts(revision: ObjectVersion): void {
 		for (const id of directory.doubted()) {
 			options.onEvent({kind: 'removal-doubted', id, revision});
@@ -222,7 +256,6 @@
 	}
 
 	function onEndpointEvent(event: StoreWatchEvent): void {
-		noteStore(objects.endpointKind, event);
 		const now = clock.now();
 		switch (event.kind) {
 			case 'listed': {
@@ -231,7 +264,7 @@
 				noteDoubts(event.list.revision);
 				// Newcomers list at the same time, so only what a later list brings is news to others.
 				if (hasListing) {
-					peers.tellEntries(news);
+					pass(news);
 				} else {
 					peers.countEntries(news);
 				}
@@ -245,14 +278,12 @@
 				const news = event.changes.flatMap(({object, isDeleted}) => directory.learn(toEntry(isDeleted ? {...object, revision: event.revision} : object, isDeleted), now));
 				publish(news, 'store');
 				noteDoubts(event.revision);
-				peers.tellEntries(news);
+				pass(news);
 				break;
 			}
 
-			case 'begun':
-			case 'ended':
 			case 'lost': {
-				break;
+				options.onEvent({kind: 'watch-failed', objects: objects.endpointKind, failure: event.failure});
 			}
 		}
 	}
@@ -270,22 +301,41 @@
 		}
 
 		merge(tables.entries, source);
-		directory.reach(tables.revision);
+		directory.reach(tables.digest.endpointRevision);
 		hasListing ||= tables.entries.length > 0;
 	}
 
-	function isBehind(other: RelayDigest): boolean {
-		return other.generation > digest().generation || other.endpointRevision > directory.revision();
+	/** A neighbour hears the store: what it has told this instance is as fresh as its contact. */
+	function learnAssurance(peer: Address, other: RelayDigest, at: Milliseconds): void {
+		if (other.storeAge === undefined) {
+			return;
+		}
+
+		const isComplete = () => peers.isInStep(peer, other.change) && other.generation <= digest().generation;
+		if (isComplete()) {
+			heardAt = as<Milliseconds>(Math.max(heardAt, at - other.storeAge));
+		} else {
+			peers.fetch(peer, () => !isComplete(), () => as<Milliseconds>(tellingMs));
+		}
 	}
 
-	function learnDigest(peer: Address, other: RelayDigest): void {
+	function learnDigest({address, dataCentre}: Member, other: RelayDigest): void {
+		const isNeighbour = dataCentre === options.dataCentre;
 		if (!other.isStoreReachable) {
 			directory.noteTrouble(clock.now());
 		}
 
-		// What is behind by a moment is usually told at once; the whole tables are for what got lost.
-		const delay = () => as<Milliseconds>(other.generation > digest().generation ? 0 : Math.max(0, fetchedAt + refetchMs - clock.now()));
-		peers.fetch(peer, () => isBehind(other), delay);
+		if (other.generation > digest().generation) {
+			peers.fetch(address, () => other.generation > digest().generation, () => as<Milliseconds>(isNeighbour ? 0 : otherDataCentreMs));
+		}
+
+		if (isNeighbour && other.storeAge !== undefined) {
+			learnAssurance(address, other, clock.now());
+		} else if (duty.isStale()) {
+			// Nobody near hears the store, but others may have heard more than this instance.
+			const delay = () => as<Milliseconds>(Math.max(0, fetchedAt + refetchMs - clock.now()));
+			peers.fetch(address, () => duty.isStale() && other.endpointRevision > directory.revision(), delay);
+		}
 	}
 
 	async function expire(signal: AbortSignal): Promise<void> {
@@ -293,12 +343,28 @@
 			await clock.sleep(as<Milliseconds>(expiryMs), signal);
 			const news = directory.expire(clock.now());
 			publish(news, 'expiry');
-			peers.tellEntries(news);
+			pass(news);
 		}
 	}
 
-	const watch = (kind: string, isKnown: () => boolean, onEvent: (event: StoreWatchEvent) => void) => createStoreWatch({
-		store: options.store, objects: kind, wait: as<Milliseconds>(watchMs), clock, random: options.random, isNeeded: () => !isKnown() || options.isWatcher(), onEvent,
+	const watch = (kind: string, onEvent: (event: StoreWatchEvent) => void) => createStoreWatch({
+		store: options.store, objects: kind, wait: as<Milliseconds>(watchMs), clock, random: options.random, onEvent,
+	});
+	const duty = createStoreDuty({
+		contact,
+		watches: [watch(objects.configurationKind, onConfigurationEvent), watch(objects.endpointKind, onEndpointEvent)],
+		isComplete: () => configuration !== undefined && hasListing,
+		isWatcher: options.isWatcher,
+		heardAt: () => heardAt,
+		clock,
+		onAssurance() {
+			peers.post(announcement());
+		},
+		onWatching(isWatching) {
+			options.onEvent({
+				kind: 'watching', isWatching, isWatcher: options.isWatcher(), silence: as<Milliseconds>(clock.now() - heardAt),
+			});
+		},
 	});
 
 	return {
@@ -309,14 +375,10 @@
 			peers.learnChanges(changes);
 		},
 		tables: () => ({
-			configuration, entries: directory.entries(), revision: directory.revision(), change: peers.change(),
+			configuration, entries: directory.entries(), digest: digest(),
 		}),
 		async run(signal) {
-			await Promise.all([
-				watch(objects.configurationKind, () => configuration !== undefined, onConfigurationEvent).run(signal),
-				watch(objects.endpointKind, () => hasListing, onEndpointEvent).run(signal),
-				expire(signal),
-			]);
+			await Promise.all([duty.run(signal), expire(signal)]);
 		},
 	};
 }
--- /dev/null
+++ b/src/zones/store-duty.ts
@@ -0,0 +1,119 @@
+/**
+Whether this instance watches the store now, and the watches while it does. It watches for its data centre when that
+falls to it, and for itself when it has not heard for a while from an instance that hears the store.
+*/
+import {type Clock} from '../contracts/clock.js';
+import {as, type Milliseconds} from '../contracts/id.js';
+import {type StoreContact} from './store-contact.js';
+import {type StoreWatch} from './store-watch.js';
+
+/** How often the duty is looked at, in ms. */
+const checkMs = 200;
+
+/** Time between two messages that this instance hears the store, in ms. */
+const assuranceMs = 400;
+
+/**
+Age of the last news of the store above which an instance asks it itself, in ms. What is left of two seconds is for
+its own calls.
+*/
+const staleMs = 1000;
+
+export type StoreDuty = {
+	/** Begins or ends what the state calls for, without waiting for the next look. */
+	readonly check: () => void;
+	/** Whether what this instance knows may be older than it should be. */
+	readonly isStale: () => boolean;
+	readonly run: (signal: AbortSignal) => Promise<void>;
+};
+
+export type StoreDutyOptions = {
+	readonly contact: StoreContact;
+	readonly watches: readonly StoreWatch[];
+	/** Whether every table has been read once. */
+	readonly isComplete: () => boolean;
+	readonly isWatcher: () => boolean;
+	/** Time up to which others are known to have told this instance everything. */
+	readonly heardAt: () => Milliseconds;
+	readonly clock: Clock;
+	/** The others have to hear that this instance hears the store. */
+	readonly onAssurance: () => void;
+	readonly onWatching: (isWatching: boolean) => void;
+};
+
+/** Creates the duty of an instance that does not watch yet. */
+export function createStoreDuty(options: StoreDutyOptions): StoreDuty {
+	const {contact, clock} = options;
+	let asking: AbortController | undefined;
+	let watching: AbortController | undefined;
+	let assuredAt = as<Milliseconds>(-assuranceMs);
+
+	const isStale = () => contact.confirmedAt() === undefined && clock.now() - options.heardAt() > staleMs;
+
+	/** An instance that lost the store goes on asking, so that it can say when the store is back. */
+	function isNeeded(): boolean {
+		return !options.isComplete() || options.isWatcher() || contact.isLost() || clock.now() - options.heardAt() > staleMs;
+	}
+
+	function end(): void {
+		watching?.abort();
+		watching = undefined;
+	}
+
+	/** Watches begin anew whenever the store is back: what waits on an old connection may wait for nothing. */
+	function watch(): void {
+		const isInContact = contact.confirmedAt() !== undefined;
+		if (!isInContact) {
+			end();
+		} else if (!watching) {
+			watching = new AbortController();
+			for (const {run} of options.watches) {
+				void run(watching.signal);
+			}
+		}
+	}
+
+	function assure(): void {
+		const now = clock.now();
+		if (contact.confirmedAt() !== undefined && options.isWatcher() && now - assuredAt >= assuranceMs) {
+			assuredAt = now;
+			options.onAssurance();
+		}
+	}
+
+	function check(): void {
+		if (!isNeeded()) {
+			if (asking) {
+				asking.abort();
+				asking = undefined;
+				end();
+				options.onWatching(false);
+			}
+
+			return;
+		}
+
+		if (!asking) {
+			asking = new AbortController();
+			options.onWatching(true);
+			void contact.run(asking.signal);
+		}
+
+		watch();
+		assure();
+	}
+
+	return {
+		check,
+		isStale,
+		async run(signal) {
+			while (!signal.aborted) {
+				check();
+				await clock.sleep(as<Milliseconds>(checkMs), signal);
+			}
+
+			asking?.abort();
+			end();
+		},
+	};
+}
--- a/src/zones/store-watch.ts
+++ b/src/zones/store-watch.ts
@@ -11,18 +11,13 @@
 const firstPauseMs = 150;
 const longestPauseMs = 1000;
 
-/** How often an instance that need not watch asks whether it has to, in ms. */
-const idleCheckMs = 500;
-
 export type StoreWatchEvent
-	/** This instance watches from now on, or no longer. */
-	= | {readonly kind: 'begun'}
-		| {readonly kind: 'ended'}
-		| {readonly kind: 'listed'; readonly list: ObjectList}
+	= | {readonly kind: 'listed'; readonly list: ObjectList}
 		| {readonly kind: 'changed'; readonly changes: readonly ObjectChange[]; readonly revision: ObjectVersion}
 		| {readonly kind: 'lost'; readonly failure: Failure};
 
 export type StoreWatch = {
+	/** Lists and follows until the signal aborts. */
 	readonly run: (signal: AbortSignal) => Promise<void>;
 };
 
@@ -33,8 +28,6 @@
 	readonly wait: Milliseconds;
 	readonly clock: Clock;
 	readonly random: Random;
-	/** Whether this instance has to watch now, or is told by others. */
-	readonly isNeeded: () => boolean;
 	readonly onEvent: (event: StoreWatchEvent) => void;
 };
 
@@ -53,6 +46,10 @@
 	/** Lists the objects. Returns the revision to watch from. */
 	async function list(signal: AbortSignal): Promise<ObjectVersion | undefined> {
 		const result = await store.list(objects);
+		if (signal.aborted) {
+			return undefined;
+		}
+
 		if (result.isErr()) {
 			await pause(result.error, signal);
 			return undefined;
@@ -66,6 +63,10 @@
 	/** Waits for changes. Returns the revision to go on from. */
 	async function follow(since: ObjectVersion, signal: AbortSignal): Promise<ObjectVersion | undefined> {
 		const result = await store.watch(objects, since, options.wait, signal);
+		if (signal.aborted) {
+			return since;
+		}
+
 		switch (result.kind) {
 			case 'changes': {
 				failures = 0;
@@ -78,10 +79,7 @@
 			}
 
 			case 'failed': {
-				if (!signal.aborted) {
-					await pause(result.failure, signal);
-				}
-
+				await pause(result.failure, signal);
 				return since;
 			}
 		}
@@ -90,20 +88,8 @@
 	return {
 		async run(signal) {
 			let revision: ObjectVersion | undefined;
-			let isWatching = false;
 			while (!signal.aborted) {
-				const isNeeded = options.isNeeded();
-				if (isNeeded !== isWatching) {
-					isWatching = isNeeded;
-					options.onEvent({kind: isNeeded ? 'begun' : 'ended'});
-				}
-
-				if (isNeeded) {
-					revision = revision === undefined ? await list(signal) : await follow(revision, signal);
-				} else {
-					revision = undefined;
-					await clock.sleep(as<Milliseconds>(idleCheckMs), signal);
-				}
+				revision = revision === undefined ? await list(signal) : await follow(revision, signal);
 			}
 		},
 	};
--- a/src/zones/table-peers.ts
+++ b/src/zones/table-peers.ts
@@ -22,13 +22,14 @@
 
 export type TablePeersOptions = {
 	readonly address: Address;
-	readonly peers: Pick<RelayPeers, 'ask' | 'tables'>;
+	readonly peers: Pick<RelayPeers, 'ask' | 'post' | 'tables'>;
 	/** Whom to tell. */
 	readonly others: () => readonly Address[];
 	/** Number before the first change, which no earlier life of this instance has used. */
 	readonly firstChange: ChangeNumber;
 	readonly clock: Clock;
-	readonly onTables: (tables: RelayTables, source: Address) => void;
+	/** `askedAt` is when the peer was asked: the tables are no older. */
+	readonly onTables: (tables: RelayTables, source: Address, askedAt: Milliseconds) => void;
 	readonly onFailure: (failure: Failure) => void;
 };
 
@@ -37,6 +38,10 @@
 	readonly change: () => ChangeNumber;
 	/** Tells the others something that has to reach them. */
 	readonly tell: (message: RelayMessage) => void;
+	/** Tells the others something that is soon said again. */
+	readonly post: (message: RelayMessage) => void;
+	/** Whether the peer has told this instance all its changes up to the number. */
+	readonly isInStep: (peer: Address, change: ChangeNumber) => boolean;
 	/** Numbers changes of the directory and tells the others of them. */
 	readonly tellEntries: (entries: readonly DirectoryEntry[]) => void;
 	/** Numbers changes of the directory that others learn elsewhere. */
@@ -67,10 +72,11 @@
 	}
 
 	async function fetchNow(peer: Address): Promise<void> {
+		const askedAt = clock.now();
 		const result = await peers.tables(peer);
 		result.match(tables => {
-			heard.set(peer, tables.change);
-			options.onTables(tables, peer);
+			heard.set(peer, tables.digest.change);
+			options.onTables(tables, peer, askedAt);
 		}, options.onFailure);
 	}
 
@@ -90,6 +96,12 @@
 	return {
 		change: () => change,
 		tell,
+		post(message) {
+			for (const address of options.others()) {
+				peers.post(address, message);
+			}
+		},
+		isInStep: (peer, number) => heard.get(peer) === number,
 		tellEntries(entries) {
 			for (let index = 0; index < entries.length; index += entriesPerMessage) {
 				const part = entries.slice(index, index + entriesPerMessage);
--- a/standins/object-store.ts
+++ b/standins/object-store.ts
@@ -167,6 +167,15 @@
 		}
 	}
 
+	async function readOne(request: Routed, response: ServerResponse): Promise<void> {
+		if (await isRefused(response)) {
+			return;
+		}
+
+		const object = objects.get(`${request.params.kind}/${request.params.name}`);
+		answer(response, object ? 200 : 404, object ?? {Error: 'no such object'});
+	}
+
 	async function create(request: Routed, response: ServerResponse): Promise<void> {
 		const body = writeBody.parse(await readJsonBody(request));
 		if (await isRefused(response)) {
@@ -205,6 +214,7 @@
 
 	const standIn = await serve(port, app => {
 		app.get('/api/objects/:kind', handle(read));
+		app.get('/api/objects/:kind/:name', handle(readOne));
 		app.post('/api/objects/:kind', handle(create));
 		app.put('/api/objects/:kind/:name', handle(async (request, response) => replace(request, response, 'Spec')));
 		app.put('/api/objects/:kind/:name/status', handle(async (request, response) => replace(request, response, 'Status')));
--- a/tests/object-store-contract.test.ts
+++ b/tests/object-store-contract.test.ts
@@ -105,6 +105,24 @@
 	assert.equal(result.kind, 'history-lost');
 });
 
+async function checkContact(faults: Parameters<ObjectStoreStandIn['setFaults']>[0], isThere: boolean): Promise<void> {
+	standIn.setFaults(faults);
+	const result = await store.probe(as<Milliseconds>(200), closing.signal);
+	standIn.setFaults({});
+	assert.equal(result.isOk(), isThere);
+}
+
+const contacts: ReadonlyArray<readonly [string, Parameters<ObjectStoreStandIn['setFaults']>[0], boolean]> = [
+	['that answers', {}, true],
+	['that refuses for its rate', {refuseWith: 429}, false],
+	['during an outage', {refuseWith: 503}, false],
+	['that answers too late', {delayMs: 500}, false],
+];
+
+for (const [name, faults, isThere] of contacts) {
+	test(`a store ${name} is ${isThere ? 'there' : 'lost'}`, async () => checkContact(faults, isThere));
+}
+
 function recordsOf(id: string) {
 	return createBudgetRecords({
 		id: as<InstanceId>(id), address: as<Address>('10.0.0.1:1'), store, clock: systemClock, signal: closing.signal,
--- a/tests/shared-tables.test.ts
+++ b/tests/shared-tables.test.ts
@@ -52,8 +52,7 @@
 ];
 
 for (const loss of losses) {
-	const name = `a change is in force in time everywhere else when the instances that watch the store ${loss.name}`;
-	test(name, knownRed(name), async () => {
+	test(`a change is in force in time everywhere else when the instances that watch the store ${loss.name}`, async () => {
 		const cluster = await createTablesCluster(ids, 1);
 		const watchers = watchersOf(cluster);
 		assert.ok(watchers.length > 0 && watchers.length < ids.length);
@@ -110,7 +109,7 @@
 	cluster.stop();
 });
 
-test('entries that lapse while the store is away for all are kept until living endpoints are listed again', knownRed('entries that lapse while the store is away for all are kept until living endpoints are listed again'), async () => {
+test('entries that lapse while the store is away for all are kept until living endpoints are listed again', async () => {
 	const cluster = await createTablesCluster(ids, 4);
 	for (const id of ids) {
 		cluster.reach.set(id, 'silent');
--- a/tests/tables-exploration.test.ts
+++ b/tests/tables-exploration.test.ts
@@ -49,7 +49,11 @@
 	readonly changes: Change[];
 	/** Endpoints that live but whose entries lapsed. */
 	readonly lapsed: Set<string>;
+	/** Those of them that an instance, in one life of it, knew before. */
+	readonly keepers: Map<string, readonly string[]>;
 	readonly living: Set<string>;
+	/** Time from which the store has been there for a while; what it says of endpoints before may be a lapse. */
+	stableFrom: number;
 };
 
 function pick<Value>(world: World, values: readonly Value[]): Value {
@@ -120,7 +124,13 @@
 	const ms = 2500 + (world.fraction() * 3000);
 	const lapsing = ms > lapseMs ? [...living].filter(() => world.fraction() < 0.6) : [];
 	const ending = hold(world, 'silent', ids, ms);
+	world.stableFrom = cluster.clock.now() + ms + contactMs;
 	await cluster.clock.sleep(as<Milliseconds>(ms - 1));
+	for (const node of cluster.nodes.filter(entry => entry.isUp())) {
+		const usable = node.usable();
+		world.keepers.set(lifeOf(node), lapsing.filter(id => usable.includes(id)));
+	}
+
 	for (const id of lapsing) {
 		cluster.unlist(id);
 		lapsed.add(id);
@@ -133,6 +143,17 @@
 	}
 
 	lapsed.clear();
+	world.keepers.clear();
+}
+
+function lifeOf(node: TablesNode): string {
+	return `${node.id}/${node.life()}`;
+}
+
+/** Living endpoints that an instance gave up because their entries lapsed. */
+function givenUpBy(world: World, node: TablesNode): readonly string[] {
+	const usable = node.usable();
+	return (world.keepers.get(lifeOf(node)) ?? []).filter(id => world.living.has(id) && !usable.includes(id)).map(id => `${node.id} at ${world.cluster.clock.now()} ms gave up ${id}`);
 }
 
 async function strike(world: World, fault: Fault): Promise<void> {
@@ -210,7 +231,7 @@
 				cluster.unlist(endpoint);
 			}
 
-			changes.push({kind: 'gone', endpoint, at});
+			changes.push({kind: 'gone', endpoint, at: Math.max(at, world.stableFrom)});
 		}
 	}
 }
@@ -253,6 +274,8 @@
 		startedAt: new Map(),
 		changes: [],
 		lapsed: new Set(),
+		keepers: new Map(),
+		stableFrom: 0,
 		living: new Set(['endpoint-1', 'endpoint-2', 'endpoint-3']),
 	};
 	const until = cluster.clock.now() + historyMs;
@@ -263,10 +286,10 @@
 	while (cluster.clock.now() < until) {
 		await cluster.clock.advance(stepMs);
 		for (const node of cluster.nodes.filter(entry => entry.isUp())) {
-			assert.deepEqual(missedBy(world, node), []);
-			const life = `${node.id}/${node.life()}`;
-			assert.ok(node.generation() >= (generations.get(life) ?? 0), `${node.id} went back`);
-			generations.set(life, node.generation());
+			assert.deepEqual(missedBy(world, node), [], node.lately());
+			assert.deepEqual(givenUpBy(world, node), []);
+			assert.ok(node.generation() >= (generations.get(lifeOf(node)) ?? 0), `${node.id} went back`);
+			generations.set(lifeOf(node), node.generation());
 		}
 	}
 
