Do not take an endpoint from a peer that the store's own list lacks

A newcomer reads the whole list and knows of no removals before it. A peer that is behind, since it doubted or missed the removal, then handed it the endpoint again, and it stayed in use for good. The new test got the removed endpoint before.

--- a/src/zones/endpoint-directory.ts
+++ b/src/zones/endpoint-directory.ts
@@ -55,6 +55,8 @@
 	const doubted = new Map<EndpointId, DirectoryEntry>();
 	let troubleAt = as<Milliseconds>(-doubtMs);
 	let newest = as<ObjectVersion>(0);
+	/** Everything up to this revision has been read from the store: what is not known of before has been removed. */
+	let completeTo = as<ObjectVersion>(0);
 
 	function put(entry: DirectoryEntry, now: Milliseconds): DirectoryEntry[] {
 		const id = idOf(entry);
@@ -75,6 +77,11 @@
 		return [entry];
 	}
 
+	/** A peer that is behind may still list what was removed before this instance read the list. */
+	function isOutdated(entry: DirectoryEntry): boolean {
+		return entry.kind === 'listed' && !known.has(entry.endpoint.id) && entry.revision <= completeTo;
+	}
+
 	/** Whether a removal may only mean that the store was away. */
 	function isDoubtful(now: Milliseconds): boolean {
 		return now - troubleAt < doubtMs;
@@ -100,7 +107,7 @@
 	}
 
 	return {
-		merge: (entries, now) => entries.flatMap(entry => put(entry, now)),
+		merge: (entries, now) => entries.flatMap(entry => isOutdated(entry) ? [] : put(entry, now)),
 		reach(revision) {
 			newest = as<ObjectVersion>(Math.max(newest, revision));
 		},
@@ -111,6 +118,7 @@
 				.filter(entry => entry.kind === 'listed' && !listed.has(entry.endpoint.id) && entry.revision <= revision)
 				.map<DirectoryEntry>(entry => ({kind: 'removed', revision, id: idOf(entry)}));
 			newest = as<ObjectVersion>(Math.max(newest, revision));
+			completeTo = as<ObjectVersion>(Math.max(completeTo, revision));
 			return [...entries, ...missing].flatMap(entry => learn(entry, now));
 		},
 		noteTrouble(now) {
--- a/tests/endpoint-directory.test.ts
+++ b/tests/endpoint-directory.test.ts
@@ -60,3 +60,10 @@
 	directory.expire(at(20_000 + doubtMs));
 	assert.deepEqual(idsOf(directory.entries()), ['b']);
 });
+
+test('an entry that a whole list lacks is not taken from a peer that is behind', () => {
+	const directory = createEndpointDirectory();
+	directory.replace([listed('a', 1)], revision(6), at(10_000));
+	assert.deepEqual(directory.merge([listed('b', 2)], at(10_100)), []);
+	assert.deepEqual(idsOf(directory.merge([listed('c', 7)], at(10_100))), ['c']);
+});
