Keep an endpoint that starts again under its id when its removal is read together with it

A removal bore the revision at which the batch was read, which is later than an entry made anew in the same batch, so that the endpoint stayed out of use until its next change. A removal now bears the revision of the object that it removes, and wins over just that. The new test lacked endpoint-1 before.

--- a/src/zones/endpoint-directory.ts
+++ b/src/zones/endpoint-directory.ts
@@ -28,7 +28,7 @@
 export type EndpointDirectory = {
 	/** Takes entries that a peer has decided on. Returns those that were news. */
 	readonly merge: (entries: readonly DirectoryEntry[], now: Milliseconds) => readonly DirectoryEntry[];
-	/** Everything up to this revision has been taken from a peer. */
+	/** Everything up to this revision has been read. */
 	readonly reach: (revision: ObjectVersion) => void;
 	/** Takes a change from the store. Returns what follows at once. */
 	readonly learn: (entry: DirectoryEntry, now: Milliseconds) => readonly DirectoryEntry[];
@@ -49,6 +49,12 @@
 	return entry.kind === 'listed' ? entry.endpoint.id : entry.id;
 }
 
+/** Whether a change replaces what is known. A removed object bears the revision of its last change. */
+function supersedes(entry: DirectoryEntry, current: DirectoryEntry): boolean {
+	const isRemovalOfIt = entry.revision === current.revision && entry.kind === 'removed' && current.kind === 'listed';
+	return entry.revision > current.revision || isRemovalOfIt;
+}
+
 /** Creates an empty directory of endpoints that renew their entries in the interval given. */
 export function createEndpointDirectory(heartbeat: Milliseconds): EndpointDirectory {
 	const known = new Map<EndpointId, DirectoryEntry>();
@@ -64,7 +70,7 @@
 		const id = idOf(entry);
 		const current = known.get(id);
 		newest = as<ObjectVersion>(Math.max(newest, entry.revision));
-		if (current && current.revision >= entry.revision) {
+		if (current && !supersedes(entry, current)) {
 			return [];
 		}
 
--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -276,8 +276,8 @@
 			}
 
 			case 'changed': {
-				// A deleted object bears the revision of its last change, not of its removal.
-				const news = event.changes.flatMap(({object, isDeleted}) => directory.learn(toEntry(isDeleted ? {...object, revision: event.revision} : object, isDeleted), now));
+				const news = event.changes.flatMap(({object, isDeleted}) => directory.learn(toEntry(object, isDeleted), now));
+				directory.reach(event.revision);
 				publish(news, 'store');
 				noteDoubts(event.revision);
 				pass(news);
--- a/tests/shared-tables.test.ts
+++ b/tests/shared-tables.test.ts
@@ -131,3 +131,18 @@
 
 	cluster.stop();
 });
+
+test('an endpoint that starts again under its id is in use although its removal is read together with it', async () => {
+	const cluster = await createTablesCluster(ids, 6);
+	cluster.store.put('other', 'object', 1);
+	cluster.list('endpoint-4');
+	cluster.unlist('endpoint-1');
+	cluster.list('endpoint-1');
+	cluster.store.put('other', 'object', 2);
+	await cluster.clock.advance(boundMs);
+	for (const node of cluster.nodes) {
+		assert.deepEqual(node.usable(), ['endpoint-1', 'endpoint-2', 'endpoint-3', 'endpoint-4'], `endpoints at ${node.id}`);
+	}
+
+	cluster.stop();
+});
