Give an answer without end up after eight megabytes

Nothing bounded a status line, interim answers, chunk extensions or bodies: they were read, and bodies kept in memory, until the time of the request was over; at the speed of a link that is more than the memory of an instance. tests/endless-bytes.test.ts pours eleven kinds of such bytes at both front ends' links: seven of them went on for the 10 s of the request, now each ends within 4 s. The bound lies on the connection and counts all bytes since the request, since the HTTP parser reports only some of them; what is kept until it is whole has a smaller one.

--- a/src/links/connections.ts
+++ b/src/links/connections.ts
@@ -7,6 +7,7 @@
 import {describeError} from '../contracts/failure.js';
 import {type Address, type Milliseconds} from '../contracts/id.js';
 import {type HeaderPairs, type ReplyHead} from '../contracts/relay-request.js';
+import {boundAnswers} from './bounded-socket.js';
 
 /** Time within which a connection has to come about, in ms; connections within a region take a few. */
 const connectTimeoutMs = 300;
@@ -57,6 +58,7 @@
 	socket.once('connect', () => {
 		clearTimeout(timer);
 		socket.off('error', fail);
+		boundAnswers(socket);
 		callback(null, socket);
 	});
 }
--- a/src/links/dispatch.ts
+++ b/src/links/dispatch.ts
@@ -3,6 +3,7 @@
 */
 import {Agent} from 'undici';
 import {type Dispatch} from '../contracts/attempt.js';
+import {createBoundedConnector} from './bounded-socket.js';
 import {createEngineLink} from './engine.js';
 import {createServiceLink} from './service.js';
 
@@ -11,7 +12,7 @@
 
 /** Creates the links to back ends. Connections close when the signal aborts. */
 export function createDispatch(signal: AbortSignal): Dispatch {
-	const agent = new Agent({connect: {timeout: connectTimeoutMs}});
+	const agent = new Agent({connect: createBoundedConnector({timeout: connectTimeoutMs})});
 	signal.addEventListener('abort', () => {
 		void agent.destroy();
 	}, {once: true});
--- a/src/links/service.ts
+++ b/src/links/service.ts
@@ -6,6 +6,7 @@
 import {type Attempt, type AttemptResult, type DispatchOptions} from '../contracts/attempt.js';
 import {failure} from '../contracts/failure.js';
 import {type Endpoint} from '../contracts/pool.js';
+import {readBounded} from './answer-body.js';
 import {
 	interrupted, isTurnedAway, limited, turnedAway,
 } from './engine.js';
@@ -43,8 +44,8 @@
 				return await turnedAway(response, endpoint);
 			}
 
-			const body = await response.body.text();
-			if (body.length > maximumAnswerBytes) {
+			const body = await readBounded(response.body, maximumAnswerBytes);
+			if (body === undefined) {
 				return {
 					kind: 'rejected',
 					failure: failure('too-large', `${endpoint.id} answered with more than ${maximumAnswerBytes} bytes`, {step: 'stream', peer: endpoint.id, execution: 'failed'}),
--- /dev/null
+++ b/tests/endless-bytes.test.ts
@@ -0,0 +1,136 @@
+/**
+Endpoints that send bytes without end in place of an answer: the caller closes the connection after a bounded number
+of them, long before the time of the request is over.
+*/
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import {type Attempt, type DispatchOptions} from '../src/contracts/attempt.js';
+import {
+	as, type Address, type AttemptId, type DataCentreId, type EndpointId, type IdempotencyKey, type Milliseconds, type ProgramId, type RouteName, type Tokens,
+} from '../src/contracts/id.js';
+import {type Endpoint} from '../src/contracts/pool.js';
+import {createConnections} from '../src/links/connections.js';
+import {createDispatch} from '../src/links/dispatch.js';
+
+/** Largest answer that is read, in bytes. */
+const limit = 8 * 1024 * 1024;
+
+/** What may be on its way in the buffers of both ends when the limit is reached. */
+const buffered = 16 * 1024 * 1024;
+
+/** Time of a request; an answer without end has to be given up well before. */
+const requestMs = 10_000;
+const enoughMs = 4000;
+
+type Endless = {readonly name: string; readonly begin: string; readonly repeat: string};
+
+const chunked = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
+const long = 'a'.repeat(8192);
+
+const endless: readonly Endless[] = [
+	{name: 'header lines', begin: 'HTTP/1.1 200 OK\r\n', repeat: `X-More: ${'a'.repeat(100)}\r\n`},
+	{name: 'one header value', begin: 'HTTP/1.1 200 OK\r\nX-More: ', repeat: long},
+	{name: 'a status line', begin: 'HTTP/1.1 200 ', repeat: long},
+	{name: 'interim answers', begin: '', repeat: 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'.repeat(100)},
+	{name: 'a body in chunks', begin: chunked, repeat: `2000\r\n${long}\r\n`},
+	{name: 'a body that ends with its connection', begin: 'HTTP/1.1 200 OK\r\n\r\n', repeat: long},
+	{name: 'a chunk extension', begin: `${chunked}5;`, repeat: long},
+	{name: 'trailers', begin: `${chunked}5\r\nwhole\r\n0\r\n`, repeat: `X-More: ${'a'.repeat(100)}\r\n`},
+	{name: 'bytes that are not HTTP', begin: '', repeat: long},
+	{name: 'an event without its end', begin: 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ', repeat: long},
+	{name: 'events', begin: 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n', repeat: 'data: {"choices":[{"delta":{"content":"a"}}]}\n\n'.repeat(100)},
+];
+
+/** Starts an endpoint that answers every request without end, as fast as it is read. */
+async function startEndpoint(context: TestContext, {begin, repeat}: Endless) {
+	const sockets = new Set<Socket>();
+	let sent = 0;
+	const server = createServer(socket => {
+		sockets.add(socket);
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			const pour = () => {
+				while (!socket.destroyed && socket.write(repeat)) {
+					sent += repeat.length;
+				}
+
+				sent += repeat.length;
+			};
+
+			socket.write(begin);
+			socket.on('drain', pour);
+			pour();
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	context.after(() => {
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- A TCP server's address is no string.
+	const {port} = server.address() as AddressInfo;
+	return {address: as<Address>(`127.0.0.1:${port}`), sent: () => sent};
+}
+
+function check(startedAt: number, sent: number): void {
+	assert.ok(performance.now() - startedAt < enoughMs, `given up after ${Math.round(performance.now() - startedAt)} ms`);
+	assert.ok(sent <= limit + buffered, `${sent} bytes were read`);
+}
+
+for (const entry of endless) {
+	test(`a relayed request ends when the endpoint sends ${entry.name} without end`, async context => {
+		const endpoint = await startEndpoint(context, entry);
+		const closing = new AbortController();
+		context.after(() => {
+			closing.abort();
+		});
+		const startedAt = performance.now();
+		const ended = await createConnections(closing.signal).exchange(endpoint.address, {
+			method: 'GET', path: '/', headers: [], body: new Uint8Array(), longestIdle: as<Milliseconds>(1000), onHead: () => true, onData: () => true, signal: AbortSignal.timeout(requestMs),
+		});
+		assert.equal(ended.kind, 'broken');
+		check(startedAt, endpoint.sent());
+	});
+}
+
+const options: Omit<DispatchOptions, 'signal'> = {timeout: as<Milliseconds>(requestMs), onToken: () => undefined, onLoad: () => undefined};
+
+function attemptOf(request: Attempt['request']): Attempt {
+	return {
+		id: as<AttemptId>('a'), key: as<IdempotencyKey>('k'), program: as<ProgramId>('p'), route: as<RouteName>('r'), request, prompt: [], prefix: [], priority: 0, isRepeatable: true,
+	};
+}
+
+const modelRequest = {kind: 'model', messages: [], limit: as<Tokens>(100)} as const;
+const serviceRequest = {
+	kind: 'service', method: 'GET', path: '/', body: '',
+} as const;
+
+function endpointAt(address: Address): Endpoint {
+	return {
+		id: as<EndpointId>('e'), dataCentre: as<DataCentreId>('padova'), address, checksFencing: true,
+	};
+}
+
+for (const entry of endless) {
+	test(`a call ends when its back end sends ${entry.name} without end`, async context => {
+		const endpoint = await startEndpoint(context, entry);
+		const closing = new AbortController();
+		context.after(() => {
+			closing.abort();
+		});
+		const dispatch = createDispatch(closing.signal);
+		const startedAt = performance.now();
+		const signal = AbortSignal.timeout(requestMs);
+		const stream = await dispatch.send(endpointAt(endpoint.address), attemptOf(modelRequest), {...options, signal});
+		assert.notEqual(stream.kind, 'answered');
+		const whole = await dispatch.send(endpointAt(endpoint.address), attemptOf(serviceRequest), {...options, signal});
+		assert.notEqual(whole.kind, 'answered');
+		check(startedAt, endpoint.sent() / 2);
+	});
+}
