--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -103,10 +103,10 @@
 };
 
 /**
-Calls at their most that may be granted beyond the record while the store is out of reach. One is what a budget may
-be overrun by; ended calls use about a quarter of their most, and programs that begin meanwhile need a few.
+Calls at their most that may be granted beyond the record while the store is out of reach. What is not recorded is
+granted once more after a loss of all memory, and a budget may be overrun by one call.
 */
-const unrecordedCalls = 2;
+const unrecordedCalls = 1;
 
 /** Share of a budget that the first record covers. */
 const recordedShare = 0.5;
