--- /dev/null
+++ b/src/zones/shared-directory.ts
@@ -0,0 +1,174 @@
+/**
+The directory of endpoints that instances share: what the store and peers say of it is carried out here and, by
+the instance that watches for its data centre, told to the others.
+*/
+import {type Clock} from '../contracts/clock.js';
+import {type Failure} from '../contracts/failure.js';
+import {
+	as, type EndpointId, type Milliseconds, type ObjectVersion,
+} from '../contracts/id.js';
+import {type KindedObject, type ObjectChange, type ObjectList} from '../contracts/object-store.js';
+import {type ListedEndpoint} from '../contracts/relay.js';
+import {createEndpointDirectory, type DirectoryEntry} from './endpoint-directory.js';
+import {type StoreWatchEvent} from './store-watch.js';
+import {type TablePeers} from './table-peers.js';
+
+/** How often removals that were held back are looked at, in ms. */
+const expiryMs = 200;
+
+export type SharedDirectoryEvent
+	= | {readonly kind: 'endpoint'; readonly id: EndpointId; readonly change: 'listed' | 'leaving' | 'removed'; readonly revision: ObjectVersion; readonly source: string}
+	/** The store no longer lists an endpoint, which may only mean that the store was away. */
+		| {readonly kind: 'removal-doubted'; readonly id: EndpointId; readonly revision: ObjectVersion}
+		| {readonly kind: 'unreadable'; readonly id: EndpointId; readonly revision: ObjectVersion}
+	/** A list or a watch was not answered; it is made again. */
+		| {readonly kind: 'watch-failed'; readonly objects: string; readonly failure: Failure};
+
+export type SharedDirectoryOptions = {
+	readonly peers: Pick<TablePeers, 'tellEntries' | 'countEntries'>;
+	/** Interval in which endpoints renew their entries in the list. */
+	readonly heartbeat: Milliseconds;
+	readonly endpointKind: string;
+	readonly decodeEndpoint: (object: KindedObject) => ListedEndpoint | undefined;
+	/** Whether this instance watches the store for its data centre. */
+	readonly isWatcher: () => boolean;
+	readonly clock: Clock;
+	readonly onEntry: (entry: DirectoryEntry) => void;
+	readonly onEvent: (event: SharedDirectoryEvent) => void;
+};
+
+export type SharedDirectory = {
+	readonly entries: () => readonly DirectoryEntry[];
+	readonly revision: () => ObjectVersion;
+	/** Whether the list has been read once, here or by a peer. */
+	readonly isListed: () => boolean;
+	readonly hasDoubts: () => boolean;
+	readonly noteContact: (at: Milliseconds) => void;
+	readonly onStoreEvent: (event: StoreWatchEvent) => void;
+	/** Takes entries that a peer has decided on. */
+	readonly merge: (entries: readonly DirectoryEntry[], source: string) => void;
+	/** Takes all entries that a peer has, up to a revision. */
+	readonly take: (entries: readonly DirectoryEntry[], revision: ObjectVersion, source: string) => void;
+	/** Carries out removals that were held back, until the signal aborts. */
+	readonly run: (signal: AbortSignal) => Promise<void>;
+};
+
+/** Creates a directory that is empty. */
+export function createSharedDirectory(options: SharedDirectoryOptions): SharedDirectory {
+	const {clock, peers} = options;
+	const directory = createEndpointDirectory(options.heartbeat);
+	let isListed = false;
+
+	/** Carries out what the directory decided. */
+	function publish(entries: readonly DirectoryEntry[], source: string): void {
+		for (const entry of entries) {
+			options.onEntry(entry);
+			options.onEvent(entry.kind === 'removed'
+				? {
+					kind: 'endpoint', id: entry.id, change: 'removed', revision: entry.revision, source,
+				}
+				: {
+					kind: 'endpoint', id: entry.endpoint.id, change: entry.endpoint.isLeaving ? 'leaving' : 'listed', revision: entry.revision, source,
+				});
+		}
+	}
+
+	/** Reads an object of the list; one that cannot be read names no endpoint. */
+	function toEntry(object: KindedObject, isDeleted: boolean): DirectoryEntry {
+		const endpoint = isDeleted ? undefined : options.decodeEndpoint(object);
+		if (endpoint) {
+			return {kind: 'listed', revision: object.revision, endpoint};
+		}
+
+		const id = as<EndpointId>(object.name);
+		if (!isDeleted) {
+			options.onEvent({kind: 'unreadable', id, revision: object.revision});
+		}
+
+		return {kind: 'removed', revision: object.revision, id};
+	}
+
+	/** Tells the others of changes, if that falls to this instance. */
+	function pass(entries: readonly DirectoryEntry[]): void {
+		if (options.isWatcher()) {
+			peers.tellEntries(entries);
+		} else {
+			peers.countEntries(entries);
+		}
+	}
+
+	function noteDoubts(revision: ObjectVersion): void {
+		for (const id of directory.doubted()) {
+			options.onEvent({kind: 'removal-doubted', id, revision});
+		}
+	}
+
+	function learnList({objects, revision}: ObjectList): void {
+		const news = directory.replace(objects.map(object => toEntry(object, false)), revision, clock.now());
+		publish(news, 'store');
+		noteDoubts(revision);
+		// Newcomers list at the same time, so only what a later list brings is news to others.
+		if (isListed) {
+			pass(news);
+		} else {
+			peers.countEntries(news);
+		}
+
+		isListed = true;
+	}
+
+	function learnChanges(changes: readonly ObjectChange[], revision: ObjectVersion): void {
+		const news = changes.flatMap(({object, isDeleted}) => directory.learn(toEntry(object, isDeleted), clock.now()));
+		directory.reach(revision);
+		publish(news, 'store');
+		noteDoubts(revision);
+		pass(news);
+	}
+
+	function merge(entries: readonly DirectoryEntry[], source: string): void {
+		const news = directory.merge(entries, clock.now());
+		publish(news, source);
+		peers.countEntries(news);
+	}
+
+	return {
+		entries: directory.entries,
+		revision: directory.revision,
+		isListed: () => isListed,
+		hasDoubts: () => directory.doubted().length > 0,
+		noteContact(at) {
+			directory.noteContact(at, clock.now());
+		},
+		onStoreEvent(event) {
+			switch (event.kind) {
+				case 'listed': {
+					learnList(event.list);
+					return;
+				}
+
+				case 'changed': {
+					learnChanges(event.changes, event.revision);
+					return;
+				}
+
+				case 'lost': {
+					options.onEvent({kind: 'watch-failed', objects: options.endpointKind, failure: event.failure});
+				}
+			}
+		},
+		merge,
+		take(entries, revision, source) {
+			merge(entries, source);
+			directory.reach(revision);
+			isListed ||= entries.length > 0;
+		},
+		async run(signal) {
+			while (!signal.aborted) {
+				await clock.sleep(as<Milliseconds>(expiryMs), signal);
+				const news = directory.expire(clock.now());
+				publish(news, 'expiry');
+				pass(news);
+			}
+		},
+	};
+}
--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -8,16 +8,17 @@
 import {type Clock, type Random} from '../contracts/clock.js';
 import {type Failure} from '../contracts/failure.js';
 import {
-	as, type Address, type ChangeNumber, type ConfigurationGeneration, type DataCentreId, type EndpointId, type Milliseconds, type ObjectVersion,
+	as, type Address, type ChangeNumber, type ConfigurationGeneration, type DataCentreId, type Milliseconds,
 } from '../contracts/id.js';
 import {type KindedObject, type ObjectStore} from '../contracts/object-store.js';
 import {type ListedEndpoint, type RelayConfiguration} from '../contracts/relay.js';
 import {type RelayDigest} from '../contracts/relay-digest.js';
-import {createEndpointDirectory, type DirectoryEntry} from './endpoint-directory.js';
+import {type DirectoryEntry} from './endpoint-directory.js';
 import {type Member} from './membership.js';
 import {
 	type EndpointChanges, type RelayMessage, type RelayPeers, type RelayTables,
 } from './relay-peers.js';
+import {createSharedDirectory, type SharedDirectoryEvent} from './shared-directory.js';
 import {createStoreContact, type StoreContactEvent} from './store-contact.js';
 import {createStoreDuty} from './store-duty.js';
 import {createStoreWatch, type StoreWatchEvent} from './store-watch.js';
@@ -35,9 +36,6 @@
 /** Wait of one watch, in ms: a connection that fell silent may delay a change by no more than this. */
 const watchMs = 2000;
 
-/** How often removals that were held back are looked at, in ms. */
-const expiryMs = 200;
-
 /** How the store's objects are named and read; given by the adapter. */
 export type SharedObjects = {
 	readonly configurationKind: string;
@@ -47,14 +45,10 @@
 };
 
 export type SharedTablesEvent
-	= | {readonly kind: 'configuration'; readonly generation: ConfigurationGeneration; readonly previous: ConfigurationGeneration | undefined; readonly source: string}
+	= | SharedDirectoryEvent
+		| {readonly kind: 'configuration'; readonly generation: ConfigurationGeneration; readonly previous: ConfigurationGeneration | undefined; readonly source: string}
 		| {readonly kind: 'configuration-refused'; readonly failure: Failure}
-		| {readonly kind: 'endpoint'; readonly id: EndpointId; readonly change: 'listed' | 'leaving' | 'removed'; readonly revision: ObjectVersion; readonly source: string}
-		/** The store no longer lists an endpoint, which may only mean that the store was away. */
-		| {readonly kind: 'removal-doubted'; readonly id: EndpointId; readonly revision: ObjectVersion}
-		| {readonly kind: 'unreadable'; readonly id: EndpointId; readonly revision: ObjectVersion}
 		| {readonly kind: 'store'; readonly change: 'lost' | 'back'; readonly reason: string}
-		| {readonly kind: 'watch-failed'; readonly objects: string; readonly failure: Failure}
 		/** This instance watches the store itself from now on, or is told by others; `silence` is since it last heard of the store. */
 		| {readonly kind: 'watching'; readonly isWatching: boolean; readonly isWatcher: boolean; readonly silence: Milliseconds}
 		| {readonly kind: 'snapshot-failed'; readonly failure: Failure};
@@ -92,7 +86,6 @@
 /** Creates tables that are empty. */
 export function createSharedTables(options: SharedTablesOptions): SharedTables {
 	const {clock, objects} = options;
-	const directory = createEndpointDirectory(options.heartbeat);
 	const peers = createTablePeers({
 		address: options.address,
 		peers: options.peers,
@@ -111,9 +104,18 @@
 			options.onEvent({kind: 'snapshot-failed', failure});
 		},
 	});
+	const directory = createSharedDirectory({
+		peers,
+		heartbeat: options.heartbeat,
+		endpointKind: objects.endpointKind,
+		decodeEndpoint: objects.decodeEndpoint,
+		isWatcher: options.isWatcher,
+		clock,
+		onEntry: options.onEntry,
+		onEvent: options.onEvent,
+	});
 	const contact = createStoreContact({store: options.store, clock, onEvent: onContactEvent});
 	let configuration: RelayConfiguration | undefined;
-	let hasListing = false;
 	let wasLost = false;
 	let heardAt = clock.now();
 	let fetchedAt = as<Milliseconds>(-refetchMs);
@@ -121,8 +123,7 @@
 	/** How fresh the tables are that this instance tells others. Who doubts a removal leaves it to those who know better. */
 	function storeAge(): Milliseconds | undefined {
 		const confirmedAt = contact.confirmedAt();
-		const hasDoubts = directory.doubted().length > 0;
-		return confirmedAt === undefined || hasDoubts ? undefined : as<Milliseconds>(clock.now() - confirmedAt);
+		return confirmedAt === undefined || directory.hasDoubts() ? undefined : as<Milliseconds>(clock.now() - confirmedAt);
 	}
 
 	function digest(): RelayDigest {
@@ -154,39 +155,10 @@
 		return true;
 	}
 
-	/** Carries out what the directory decided. */
-	function publish(entries: readonly DirectoryEntry[], source: string): void {
-		for (const entry of entries) {
-			options.onEntry(entry);
-			options.onEvent(entry.kind === 'removed'
-				? {
-					kind: 'endpoint', id: entry.id, change: 'removed', revision: entry.revision, source,
-				}
-				: {
-					kind: 'endpoint', id: entry.endpoint.id, change: entry.endpoint.isLeaving ? 'leaving' : 'listed', revision: entry.revision, source,
-				});
-		}
-	}
-
-	/** Reads an object of the list; one that cannot be read names no endpoint. */
-	function toEntry(object: KindedObject, isDeleted: boolean): DirectoryEntry {
-		const endpoint = isDeleted ? undefined : objects.decodeEndpoint(object);
-		if (endpoint) {
-			return {kind: 'listed', revision: object.revision, endpoint};
-		}
-
-		const id = as<EndpointId>(object.name);
-		if (!isDeleted) {
-			options.onEvent({kind: 'unreadable', id, revision: object.revision});
-		}
-
-		return {kind: 'removed', revision: object.revision, id};
-	}
-
 	function onContactEvent(event: StoreContactEvent): void {
 		switch (event.kind) {
 			case 'confirmed': {
-				directory.noteContact(event.at, clock.now());
+				directory.noteContact(event.at);
 				if (wasLost) {
 					options.onEvent({kind: 'store', change: 'back', reason: 'answered'});
 				}
@@ -242,69 +214,12 @@
 		}
 	}
 
-	/** Tells the others of changes, if that falls to this instance. */
-	function pass(entries: readonly DirectoryEntry[]): void {
-		if (options.isWatcher()) {
-			peers.tellEntries(entries);
-		} else {
-			peers.countEntries(entries);
-		}
-	}
-
-	function noteDoubts(revision: ObjectVersion): void {
-		for (const id of directory.doubted()) {
-			options.onEvent({kind: 'removal-doubted', id, revision});
-		}
-	}
-
-	function onEndpointEvent(event: StoreWatchEvent): void {
-		const now = clock.now();
-		switch (event.kind) {
-			case 'listed': {
-				const news = directory.replace(event.list.objects.map(object => toEntry(object, false)), event.list.revision, now);
-				publish(news, 'store');
-				noteDoubts(event.list.revision);
-				// Newcomers list at the same time, so only what a later list brings is news to others.
-				if (hasListing) {
-					pass(news);
-				} else {
-					peers.countEntries(news);
-				}
-
-				hasListing = true;
-				break;
-			}
-
-			case 'changed': {
-				const news = event.changes.flatMap(({object, isDeleted}) => directory.learn(toEntry(object, isDeleted), now));
-				directory.reach(event.revision);
-				publish(news, 'store');
-				noteDoubts(event.revision);
-				pass(news);
-				break;
-			}
-
-			case 'lost': {
-				options.onEvent({kind: 'watch-failed', objects: objects.endpointKind, failure: event.failure});
-			}
-		}
-	}
-
-	/** Takes entries that a peer has decided on. */
-	function merge(entries: readonly DirectoryEntry[], source: string): void {
-		const news = directory.merge(entries, clock.now());
-		publish(news, source);
-		peers.countEntries(news);
-	}
-
 	function learnTables(tables: RelayTables, source: string): void {
 		if (tables.configuration) {
 			adopt(tables.configuration, source);
 		}
 
-		merge(tables.entries, source);
-		directory.reach(tables.digest.endpointRevision);
-		hasListing ||= tables.entries.length > 0;
+		directory.take(tables.entries, tables.digest.endpointRevision, source);
 	}
 
 	/** A neighbour hears the store: what it has told this instance is as fresh as its contact. */
@@ -316,7 +231,7 @@
 		const isComplete = () => peers.isInStep(peer, other.change) && other.generation <= digest().generation;
 		if (isComplete()) {
 			heardAt = as<Milliseconds>(Math.max(heardAt, at - other.storeAge));
-			directory.noteContact(heardAt, clock.now());
+			directory.noteContact(heardAt);
 		} else {
 			peers.fetch(peer, () => !isComplete(), () => as<Milliseconds>(tellingMs));
 		}
@@ -337,22 +252,13 @@
 		}
 	}
 
-	async function expire(signal: AbortSignal): Promise<void> {
-		while (!signal.aborted) {
-			await clock.sleep(as<Milliseconds>(expiryMs), signal);
-			const news = directory.expire(clock.now());
-			publish(news, 'expiry');
-			pass(news);
-		}
-	}
-
 	const watch = (kind: string, onEvent: (event: StoreWatchEvent) => void) => createStoreWatch({
 		store: options.store, objects: kind, wait: as<Milliseconds>(watchMs), clock, random: options.random, onEvent,
 	});
 	const duty = createStoreDuty({
 		contact,
-		watches: [watch(objects.configurationKind, onConfigurationEvent), watch(objects.endpointKind, onEndpointEvent)],
-		isComplete: () => configuration !== undefined && hasListing,
+		watches: [watch(objects.configurationKind, onConfigurationEvent), watch(objects.endpointKind, directory.onStoreEvent)],
+		isComplete: () => configuration !== undefined && directory.isListed(),
 		isWatcher: options.isWatcher,
 		heardAt: () => heardAt,
 		clock,
@@ -370,14 +276,14 @@
 		digest,
 		learnDigest,
 		learnChanges(changes) {
-			merge(changes.entries, 'peer');
+			directory.merge(changes.entries, 'peer');
 			peers.learnChanges(changes);
 		},
 		tables: () => ({
 			configuration, entries: directory.entries(), digest: digest(),
 		}),
 		async run(signal) {
-			await Promise.all([duty.run(signal), expire(signal)]);
+			await Promise.all([duty.run(signal), directory.run(signal)]);
 		},
 	};
 }
