--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -55,7 +55,7 @@
 	readonly isFirstStart: boolean;
 	readonly store: ObjectStore;
 	/** Interval in which endpoints renew their entries in the list. */
-	readonly heartbeat: Milliseconds;
+	readonly endpointHeartbeat: Milliseconds;
 	readonly records: BudgetRecords;
 	readonly objects: SharedObjects;
 	readonly link: RelayLink;
@@ -108,7 +108,7 @@
 		store,
 		objects: options.objects,
 		peers,
-		heartbeat: options.heartbeat,
+		endpointHeartbeat: options.endpointHeartbeat,
 		firstChange: as<ChangeNumber>(incarnation),
 		dataCentre,
 		neighbours: () => others().filter(member => member.dataCentre === dataCentre).map(member => member.address),
--- a/src/programs/relay-settings.ts
+++ b/src/programs/relay-settings.ts
@@ -30,7 +30,7 @@
 	readonly isFirstStart: boolean;
 	readonly platform: Address;
 	/** Interval in which endpoints renew their entries in the platform's list. */
-	readonly heartbeat: Milliseconds;
+	readonly endpointHeartbeat: Milliseconds;
 	/** Where callers connect, and where the balancer asks whether they may. */
 	readonly callers: {readonly address: Address; readonly readiness: Address} | undefined;
 	readonly peers: {readonly address: Address; readonly seeds: readonly Address[]} | undefined;
@@ -47,7 +47,7 @@
 		dataCentre: as<DataCentreId>(instance.dataCentre),
 		isFirstStart: instance.firstStart,
 		platform: as<Address>(platform.address),
-		heartbeat: as<Milliseconds>(platform.heartbeatMs),
+		endpointHeartbeat: as<Milliseconds>(platform.heartbeatMs),
 		callers: callers && {address: as<Address>(callers.address), readiness: as<Address>(callers.readiness)},
 		peers: peers && {address: as<Address>(peers.address), seeds: peers.seeds.map(seed => as<Address>(seed))},
 		operators: operators && as<Address>(operators.address),
--- a/src/zones/shared-directory.ts
+++ b/src/zones/shared-directory.ts
@@ -27,7 +27,7 @@
 export type SharedDirectoryOptions = {
 	readonly peers: Pick<TablePeers, 'tellEntries' | 'countEntries'>;
 	/** Interval in which endpoints renew their entries in the list. */
-	readonly heartbeat: Milliseconds;
+	readonly endpointHeartbeat: Milliseconds;
 	readonly endpointKind: string;
 	readonly decodeEndpoint: (object: KindedObject) => ListedEndpoint | undefined;
 	/** Whether this instance watches the store for its data centre. */
@@ -56,7 +56,7 @@
 /** Creates a directory that is empty. */
 export function createSharedDirectory(options: SharedDirectoryOptions): SharedDirectory {
 	const {clock, peers} = options;
-	const directory = createEndpointDirectory(options.heartbeat);
+	const directory = createEndpointDirectory(options.endpointHeartbeat);
 	let isListed = false;
 
 	/** Carries out what the directory decided. */
--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -60,7 +60,7 @@
 	readonly objects: SharedObjects;
 	readonly peers: Pick<RelayPeers, 'ask' | 'post' | 'tables'>;
 	/** Interval in which endpoints renew their entries in the list. */
-	readonly heartbeat: Milliseconds;
+	readonly endpointHeartbeat: Milliseconds;
 	/** A number that grows from one life of this instance to the next. */
 	readonly firstChange: ChangeNumber;
 	/** Addresses of the other members of the data centre that live. */
@@ -96,7 +96,7 @@
 			fetchedAt = clock.now();
 			learnTables(tables, source);
 			if (options.neighbours().includes(source)) {
-				learnAssurance(source, tables.digest, askedAt);
+				learnHeartbeat(source, tables.digest, askedAt);
 			}
 		},
 		onFailure(failure) {
@@ -106,7 +106,7 @@
 	});
 	const directory = createSharedDirectory({
 		peers,
-		heartbeat: options.heartbeat,
+		endpointHeartbeat: options.endpointHeartbeat,
 		endpointKind: objects.endpointKind,
 		decodeEndpoint: objects.decodeEndpoint,
 		isWatcher: options.isWatcher,
@@ -223,7 +223,7 @@
 	}
 
 	/** A neighbour hears the store: what it has told this instance is as fresh as its contact. */
-	function learnAssurance(peer: Address, other: RelayDigest, at: Milliseconds): void {
+	function learnHeartbeat(peer: Address, other: RelayDigest, at: Milliseconds): void {
 		if (other.storeAge === undefined) {
 			return;
 		}
@@ -244,7 +244,7 @@
 		}
 
 		if (isNeighbour && other.storeAge !== undefined) {
-			learnAssurance(address, other, clock.now());
+			learnHeartbeat(address, other, clock.now());
 		} else if (duty.isStale()) {
 			// Nobody near hears the store, but others may have heard more than this instance.
 			const delay = () => as<Milliseconds>(Math.max(0, fetchedAt + refetchMs - clock.now()));
@@ -262,7 +262,7 @@
 		isWatcher: options.isWatcher,
 		heardAt: () => heardAt,
 		clock,
-		onAssurance() {
+		onHeartbeat() {
 			peers.post(announcement());
 		},
 		onWatching(isWatching) {
--- a/src/zones/store-duty.ts
+++ b/src/zones/store-duty.ts
@@ -11,7 +11,7 @@
 const checkMs = 200;
 
 /** Time between two messages that this instance hears the store, in ms. */
-const assuranceMs = 400;
+const heartbeatMs = 400;
 
 /**
 Age of the last news of the store above which an instance asks it itself, in ms. What is left of two seconds is for
@@ -37,7 +37,7 @@
 	readonly heardAt: () => Milliseconds;
 	readonly clock: Clock;
 	/** The others have to hear that this instance hears the store. */
-	readonly onAssurance: () => void;
+	readonly onHeartbeat: () => void;
 	readonly onWatching: (isWatching: boolean) => void;
 };
 
@@ -46,7 +46,7 @@
 	const {contact, clock} = options;
 	let asking: AbortController | undefined;
 	let watching: AbortController | undefined;
-	let assuredAt = as<Milliseconds>(-assuranceMs);
+	let beatAt = as<Milliseconds>(-heartbeatMs);
 
 	const isStale = () => contact.confirmedAt() === undefined && clock.now() - options.heardAt() > staleMs;
 
@@ -73,11 +73,11 @@
 		}
 	}
 
-	function assure(): void {
+	function beat(): void {
 		const now = clock.now();
-		if (contact.confirmedAt() !== undefined && options.isWatcher() && now - assuredAt >= assuranceMs) {
-			assuredAt = now;
-			options.onAssurance();
+		if (contact.confirmedAt() !== undefined && options.isWatcher() && now - beatAt >= heartbeatMs) {
+			beatAt = now;
+			options.onHeartbeat();
 		}
 	}
 
@@ -100,7 +100,7 @@
 		}
 
 		watch();
-		assure();
+		beat();
 	}
 
 	return {
