Let a watcher vouch for its tables only once it has listed them

A watcher that had lost the store told its neighbours that its tables were fresh as soon as a small read was answered, before its lists were; had those failed, the neighbours would have relied on old tables. A watch that failed lists anew, so that it is complete again at once.

--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -122,8 +122,8 @@
 
 	/** How fresh the tables are that this instance tells others. Who doubts a removal leaves it to those who know better. */
 	function storeAge(): Milliseconds | undefined {
-		const confirmedAt = contact.confirmedAt();
-		return confirmedAt === undefined || directory.hasDoubts() ? undefined : as<Milliseconds>(clock.now() - confirmedAt);
+		const freshAt = duty.freshAt();
+		return freshAt === undefined || directory.hasDoubts() ? undefined : as<Milliseconds>(clock.now() - freshAt);
 	}
 
 	function digest(): RelayDigest {
--- a/src/zones/store-duty.ts
+++ b/src/zones/store-duty.ts
@@ -22,6 +22,8 @@
 export type StoreDuty = {
 	/** Begins or ends what the state calls for, without waiting for the next look. */
 	readonly check: () => void;
+	/** Time up to which this instance itself has read everything from the store; undefined while it does not. */
+	readonly freshAt: () => Milliseconds | undefined;
 	/** Whether what this instance knows may be older than it should be. */
 	readonly isStale: () => boolean;
 	readonly run: (signal: AbortSignal) => Promise<void>;
@@ -48,7 +50,12 @@
 	let watching: AbortController | undefined;
 	let beatAt = as<Milliseconds>(-heartbeatMs);
 
-	const isStale = () => contact.confirmedAt() === undefined && clock.now() - options.heardAt() > staleMs;
+	/** The store's answer to a small read says nothing about tables that have not been listed since. */
+	function freshAt(): Milliseconds | undefined {
+		return watching && options.watches.every(watch => watch.isFollowing()) ? contact.confirmedAt() : undefined;
+	}
+
+	const isStale = () => freshAt() === undefined && clock.now() - options.heardAt() > staleMs;
 
 	/** An instance that lost the store goes on asking, so that it can say when the store is back. */
 	function isNeeded(): boolean {
@@ -75,7 +82,7 @@
 
 	function beat(): void {
 		const now = clock.now();
-		if (contact.confirmedAt() !== undefined && options.isWatcher() && now - beatAt >= heartbeatMs) {
+		if (freshAt() !== undefined && options.isWatcher() && now - beatAt >= heartbeatMs) {
 			beatAt = now;
 			options.onHeartbeat();
 		}
@@ -105,6 +112,7 @@
 
 	return {
 		check,
+		freshAt,
 		isStale,
 		async run(signal) {
 			while (!signal.aborted) {
--- a/src/zones/store-watch.ts
+++ b/src/zones/store-watch.ts
@@ -17,6 +17,8 @@
 		| {readonly kind: 'lost'; readonly failure: Failure};
 
 export type StoreWatch = {
+	/** Whether what it told is complete: it has listed, and no call has failed since. */
+	readonly isFollowing: () => boolean;
 	/** Lists and follows until the signal aborts. */
 	readonly run: (signal: AbortSignal) => Promise<void>;
 };
@@ -35,8 +37,10 @@
 export function createStoreWatch(options: StoreWatchOptions): StoreWatch {
 	const {store, objects, clock} = options;
 	let failures = 0;
+	let isFollowing = false;
 
 	async function pause(failure: Failure, signal: AbortSignal): Promise<void> {
+		isFollowing = false;
 		options.onEvent({kind: 'lost', failure});
 		const longest = Math.min(firstPauseMs * (2 ** failures), longestPauseMs);
 		failures++;
@@ -56,15 +60,16 @@
 		}
 
 		failures = 0;
+		isFollowing = true;
 		options.onEvent({kind: 'listed', list: result.value});
 		return result.value.revision;
 	}
 
-	/** Waits for changes. Returns the revision to go on from. */
+	/** Waits for changes. Returns the revision to go on from, unless the objects have to be listed again. */
 	async function follow(since: ObjectVersion, signal: AbortSignal): Promise<ObjectVersion | undefined> {
 		const result = await store.watch(objects, since, options.wait, signal);
 		if (signal.aborted) {
-			return since;
+			return undefined;
 		}
 
 		switch (result.kind) {
@@ -75,19 +80,22 @@
 			}
 
 			case 'history-lost': {
+				isFollowing = false;
 				return undefined;
 			}
 
 			case 'failed': {
 				await pause(result.failure, signal);
-				return since;
+				return undefined;
 			}
 		}
 	}
 
 	return {
+		isFollowing: () => isFollowing,
 		async run(signal) {
 			let revision: ObjectVersion | undefined;
+			isFollowing = false;
 			while (!signal.aborted) {
 				revision = revision === undefined ? await list(signal) : await follow(revision, signal);
 			}
--- a/tests/shared-tables.test.ts
+++ b/tests/shared-tables.test.ts
@@ -146,3 +146,25 @@
 
 	cluster.stop();
 });
+
+test('a watcher that the store answers but whose list does not come vouches for nothing', async () => {
+	const cluster = await createTablesCluster(ids, 7);
+	const watchers = watchersOf(cluster);
+	for (const id of watchers) {
+		cluster.reach.set(id, 'silent');
+	}
+
+	await cluster.clock.advance(600);
+	for (const id of watchers) {
+		cluster.reach.set(id, 'probes-only');
+	}
+
+	await cluster.clock.advance(100);
+	cluster.configure(2);
+	await cluster.clock.advance(boundMs);
+	for (const node of cluster.nodes.filter(({id}) => !watchers.includes(id))) {
+		assert.equal(node.generation(), 2, `generation at ${node.id}`);
+	}
+
+	cluster.stop();
+});
