--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -310,6 +310,7 @@
 			programs: ledger.programs().length,
 			storeCalls: store.calls(),
 			generation: tables.digest().generation,
+			tablesAgeMs: Math.round(tables.age()),
 		}),
 		dump: () => ({
 			id,
--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -80,6 +80,8 @@
 	readonly learnDigest: (peer: Member, digest: RelayDigest) => void;
 	readonly learnChanges: (changes: EndpointChanges) => void;
 	readonly tables: () => RelayTables;
+	/** Time since everything that the store had acknowledged was known here. */
+	readonly age: () => Milliseconds;
 	readonly run: (signal: AbortSignal) => Promise<void>;
 };
 
@@ -282,6 +284,7 @@
 		tables: () => ({
 			configuration, entries: directory.entries(), digest: digest(),
 		}),
+		age: () => as<Milliseconds>(clock.now() - Math.max(heardAt, duty.freshAt() ?? heardAt)),
 		async run(signal) {
 			await Promise.all([duty.run(signal), directory.run(signal)]);
 		},
