Remove what a peer with a later list no longer has when its tables are taken

A newcomer knows of no removals before its own list, so that an instance that fetched its tables kept endpoints that had left meanwhile. Tables carry the revision of the list that their instance read; what is older and not among them has been removed. While the list may lack what has only lapsed, an instance vouches for nothing and gives no such revision, so that others read the store themselves.

--- a/src/zones/endpoint-directory.ts
+++ b/src/zones/endpoint-directory.ts
@@ -28,6 +28,10 @@
 export type EndpointDirectory = {
 	/** Takes entries that a peer has decided on. Returns those that were news. */
 	readonly merge: (entries: readonly DirectoryEntry[], now: Milliseconds) => readonly DirectoryEntry[];
+	/** Takes all entries of a peer that has read the list at a revision; it lacks what had been removed before. */
+	readonly take: (entries: readonly DirectoryEntry[], listedAt: ObjectVersion, now: Milliseconds) => readonly DirectoryEntry[];
+	/** Revision of the last list that was read from the store. */
+	readonly listedAt: () => ObjectVersion;
 	/** Everything up to this revision has been read. */
 	readonly reach: (revision: ObjectVersion) => void;
 	/** Takes a change from the store. Returns what follows at once. */
@@ -41,6 +45,8 @@
 	readonly entries: () => readonly DirectoryEntry[];
 	/** Endpoints whose removal has not been believed yet. */
 	readonly doubted: () => readonly EndpointId[];
+	/** Whether what the list lacks now may only have lapsed. */
+	readonly isDoubtful: (now: Milliseconds) => boolean;
 	/** Newest revision known. */
 	readonly revision: () => ObjectVersion;
 };
@@ -64,7 +70,7 @@
 	let doubtedUntil = as<Milliseconds>(0);
 	let newest = as<ObjectVersion>(0);
 	/** Everything up to this revision has been read from the store: what is not known of before has been removed. */
-	let completeTo = as<ObjectVersion>(0);
+	let listedTo = as<ObjectVersion>(0);
 
 	function put(entry: DirectoryEntry, now: Milliseconds): DirectoryEntry[] {
 		const id = idOf(entry);
@@ -87,7 +93,7 @@
 
 	/** A peer that is behind may still list what was removed before this instance read the list. */
 	function isOutdated(entry: DirectoryEntry): boolean {
-		return entry.kind === 'listed' && !known.has(entry.endpoint.id) && entry.revision <= completeTo;
+		return entry.kind === 'listed' && !known.has(entry.endpoint.id) && entry.revision <= listedTo;
 	}
 
 	/** Whether a removal may only mean that the store was away. */
@@ -105,6 +111,18 @@
 		return put(entry, now);
 	}
 
+	function merge(entries: readonly DirectoryEntry[], now: Milliseconds): readonly DirectoryEntry[] {
+		return entries.flatMap(entry => isOutdated(entry) ? [] : put(entry, now));
+	}
+
+	/** Removals of entries that are not among those given, although they are no newer than a revision. */
+	function removalsBeside(entries: readonly DirectoryEntry[], upTo: ObjectVersion): readonly DirectoryEntry[] {
+		const named = new Set(entries.map(entry => idOf(entry)));
+		return [...known.values()]
+			.filter(entry => entry.kind === 'listed' && !named.has(entry.endpoint.id) && entry.revision <= upTo)
+			.map(entry => ({kind: 'removed', revision: entry.revision, id: idOf(entry)}));
+	}
+
 	function forgetTombstones(now: Milliseconds): void {
 		for (const [id, at] of removedAt) {
 			if (now - at > tombstoneMs) {
@@ -115,18 +133,17 @@
 	}
 
 	return {
-		merge: (entries, now) => entries.flatMap(entry => isOutdated(entry) ? [] : put(entry, now)),
+		merge,
+		take: (entries, listedAt, now) => merge([...entries, ...removalsBeside(entries, listedAt)], now),
+		listedAt: () => listedTo,
 		reach(revision) {
 			newest = as<ObjectVersion>(Math.max(newest, revision));
 		},
 		learn,
 		replace(entries, revision, now) {
-			const listed = new Set(entries.map(entry => idOf(entry)));
-			const missing = [...known.values()]
-				.filter(entry => entry.kind === 'listed' && !listed.has(entry.endpoint.id) && entry.revision <= revision)
-				.map<DirectoryEntry>(entry => ({kind: 'removed', revision, id: idOf(entry)}));
+			const missing = removalsBeside(entries, revision);
 			newest = as<ObjectVersion>(Math.max(newest, revision));
-			completeTo = as<ObjectVersion>(Math.max(completeTo, revision));
+			listedTo = as<ObjectVersion>(Math.max(listedTo, revision));
 			return [...entries, ...missing].flatMap(entry => learn(entry, now));
 		},
 		noteContact(at, now) {
@@ -143,6 +160,7 @@
 		},
 		entries: () => [...known.values()],
 		doubted: () => [...doubted.keys()],
+		isDoubtful,
 		revision: () => newest,
 	};
 }
--- a/src/zones/relay-peers.ts
+++ b/src/zones/relay-peers.ts
@@ -4,7 +4,7 @@
 import {type Result} from 'neverthrow';
 import {type Failure} from '../contracts/failure.js';
 import {
-	type Address, type AttemptId, type ChangeNumber, type DataCentreId, type EndpointId, type Milliseconds, type ProgramId, type Tokens,
+	type Address, type AttemptId, type ChangeNumber, type DataCentreId, type EndpointId, type Milliseconds, type ObjectVersion, type ProgramId, type Tokens,
 } from '../contracts/id.js';
 import {type RelayConfiguration} from '../contracts/relay.js';
 import {type RelayDigest} from '../contracts/relay-digest.js';
@@ -72,6 +72,8 @@
 export type RelayTables = {
 	readonly configuration?: RelayConfiguration | undefined;
 	readonly entries: readonly DirectoryEntry[];
+	/** Revision of the list that the instance read last: what is older and not among the entries has been removed. */
+	readonly listedAt: ObjectVersion;
 	/** How far the instance was when it sent them. */
 	readonly digest: RelayDigest;
 };
--- a/src/zones/shared-directory.ts
+++ b/src/zones/shared-directory.ts
@@ -10,6 +10,7 @@
 import {type KindedObject, type ObjectChange, type ObjectList} from '../contracts/object-store.js';
 import {type ListedEndpoint} from '../contracts/relay.js';
 import {createEndpointDirectory, type DirectoryEntry} from './endpoint-directory.js';
+import {type RelayTables} from './relay-peers.js';
 import {type StoreWatchEvent} from './store-watch.js';
 import {type TablePeers} from './table-peers.js';
 
@@ -40,6 +41,8 @@
 export type SharedDirectory = {
 	readonly entries: () => readonly DirectoryEntry[];
 	readonly revision: () => ObjectVersion;
+	/** Revision of the last list that was read from the store; zero while it may lack what has only lapsed. */
+	readonly listedAt: () => ObjectVersion;
 	/** Whether the list has been read once, here or by a peer. */
 	readonly isListed: () => boolean;
 	readonly hasDoubts: () => boolean;
@@ -47,8 +50,8 @@
 	readonly onStoreEvent: (event: StoreWatchEvent) => void;
 	/** Takes entries that a peer has decided on. */
 	readonly merge: (entries: readonly DirectoryEntry[], source: string) => void;
-	/** Takes all entries that a peer has, up to a revision. */
-	readonly take: (entries: readonly DirectoryEntry[], revision: ObjectVersion, source: string) => void;
+	/** Takes all that a peer has: its entries, and the revision of the list that it read. */
+	readonly take: (tables: Pick<RelayTables, 'entries' | 'listedAt' | 'digest'>, source: string) => void;
 	/** Carries out removals that were held back, until the signal aborts. */
 	readonly run: (signal: AbortSignal) => Promise<void>;
 };
@@ -125,8 +128,8 @@
 		pass(news);
 	}
 
-	function merge(entries: readonly DirectoryEntry[], source: string): void {
-		const news = directory.merge(entries, clock.now());
+	/** Carries out what came from a peer; others learn it elsewhere. */
+	function apply(news: readonly DirectoryEntry[], source: string): void {
 		publish(news, source);
 		peers.countEntries(news);
 	}
@@ -134,8 +137,9 @@
 	return {
 		entries: directory.entries,
 		revision: directory.revision,
+		listedAt: () => directory.isDoubtful(clock.now()) ? as<ObjectVersion>(0) : directory.listedAt(),
 		isListed: () => isListed,
-		hasDoubts: () => directory.doubted().length > 0,
+		hasDoubts: () => directory.doubted().length > 0 || directory.isDoubtful(clock.now()),
 		noteContact(at) {
 			directory.noteContact(at, clock.now());
 		},
@@ -156,10 +160,12 @@
 				}
 			}
 		},
-		merge,
-		take(entries, revision, source) {
-			merge(entries, source);
-			directory.reach(revision);
+		merge(entries, source) {
+			apply(directory.merge(entries, clock.now()), source);
+		},
+		take({entries, listedAt, digest}, source) {
+			apply(directory.take(entries, listedAt, clock.now()), source);
+			directory.reach(digest.endpointRevision);
 			isListed ||= entries.length > 0;
 		},
 		async run(signal) {
--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -221,7 +221,7 @@
 			adopt(tables.configuration, source);
 		}
 
-		directory.take(tables.entries, tables.digest.endpointRevision, source);
+		directory.take(tables, source);
 	}
 
 	/** A neighbour hears the store: what it has told this instance is as fresh as its contact. */
@@ -282,7 +282,7 @@
 			peers.learnChanges(changes);
 		},
 		tables: () => ({
-			configuration, entries: directory.entries(), digest: digest(),
+			configuration, entries: directory.entries(), listedAt: directory.listedAt(), digest: digest(),
 		}),
 		age: () => as<Milliseconds>(clock.now() - Math.max(heardAt, duty.freshAt() ?? heardAt)),
 		async run(signal) {
--- a/tests/endpoint-directory.test.ts
+++ b/tests/endpoint-directory.test.ts
@@ -74,6 +74,13 @@
 	assert.deepEqual(idsOf(directory.entries()), ['b']);
 });
 
+test('an entry that a peer lacks, although it read a later list, is removed', () => {
+	const directory = createEndpointDirectory(heartbeat);
+	directory.replace([listed('a', 1), listed('b', 5)], revision(5), at(10_000));
+	directory.take([listed('c', 7)], revision(4), at(20_000));
+	assert.deepEqual(idsOf(directory.entries()), ['b', 'c']);
+});
+
 test('an entry that a whole list lacks is not taken from a peer that is behind', () => {
 	const directory = createEndpointDirectory(heartbeat);
 	directory.replace([listed('a', 1)], revision(6), at(10_000));
--- a/tests/tables-exploration.test.ts
+++ b/tests/tables-exploration.test.ts
@@ -296,7 +296,17 @@
 	cluster.stop();
 }
 
-for (let seed = 1; seed <= histories; seed++) {
+/** Histories that failed once. */
+const found = [
+	// A newcomer took an endpoint that had left from a peer that was behind.
+	51,
+	62,
+	73,
+	// An instance that fetched the tables of a newcomer kept an endpoint that these no longer had.
+	140,
+];
+
+for (const seed of new Set([...Array.from({length: histories}, (_, index) => index + 1), ...found])) {
 	const name = `changes are in force in time in history ${seed}`;
 	test(name, knownRed(name), async () => explore(seed));
 }
