--- a/src/zones/endpoint-directory.ts
+++ b/src/zones/endpoint-directory.ts
@@ -29,7 +29,7 @@
 	/** Takes entries that a peer has decided on. Returns those that were news. */
 	readonly merge: (entries: readonly DirectoryEntry[], now: Milliseconds) => readonly DirectoryEntry[];
 	/** Takes all entries of a peer that has read the list at a revision; it lacks what had been removed before. */
-	readonly take: (entries: readonly DirectoryEntry[], listedAt: ObjectVersion, now: Milliseconds) => readonly DirectoryEntry[];
+	readonly take: (entries: readonly DirectoryEntry[], upTo: ObjectVersion, now: Milliseconds) => readonly DirectoryEntry[];
 	/** Revision of the last list that was read from the store. */
 	readonly listedAt: () => ObjectVersion;
 	/** Everything up to this revision has been read. */
@@ -70,7 +70,7 @@
 	let doubtedUntil = as<Milliseconds>(0);
 	let newest = as<ObjectVersion>(0);
 	/** Everything up to this revision has been read from the store: what is not known of before has been removed. */
-	let listedTo = as<ObjectVersion>(0);
+	let listedAt = as<ObjectVersion>(0);
 
 	function put(entry: DirectoryEntry, now: Milliseconds): DirectoryEntry[] {
 		const id = idOf(entry);
@@ -93,7 +93,7 @@
 
 	/** A peer that is behind may still list what was removed before this instance read the list. */
 	function isOutdated(entry: DirectoryEntry): boolean {
-		return entry.kind === 'listed' && !known.has(entry.endpoint.id) && entry.revision <= listedTo;
+		return entry.kind === 'listed' && !known.has(entry.endpoint.id) && entry.revision <= listedAt;
 	}
 
 	/** Whether a removal may only mean that the store was away. */
@@ -134,8 +134,8 @@
 
 	return {
 		merge,
-		take: (entries, listedAt, now) => merge([...entries, ...removalsBeside(entries, listedAt)], now),
-		listedAt: () => listedTo,
+		take: (entries, upTo, now) => merge([...entries, ...removalsBeside(entries, upTo)], now),
+		listedAt: () => listedAt,
 		reach(revision) {
 			newest = as<ObjectVersion>(Math.max(newest, revision));
 		},
@@ -143,7 +143,7 @@
 		replace(entries, revision, now) {
 			const missing = removalsBeside(entries, revision);
 			newest = as<ObjectVersion>(Math.max(newest, revision));
-			listedTo = as<ObjectVersion>(Math.max(listedTo, revision));
+			listedAt = as<ObjectVersion>(Math.max(listedAt, revision));
 			return [...entries, ...missing].flatMap(entry => learn(entry, now));
 		},
 		noteContact(at, now) {
