--- a/src/zones/relay-peers.ts
+++ b/src/zones/relay-peers.ts
@@ -37,7 +37,7 @@
 		| {readonly kind: 'record'; readonly record: BudgetRecord}
 	/** Changes of the list of endpoints. */
 		| {readonly kind: 'endpoints'; readonly changes: EndpointChanges}
-	/** The sender has something newer. */
+	/** How far the sender is, and whether it hears the store. */
 		| {readonly kind: 'announce'; readonly from: Address; readonly digest: RelayDigest}
 		| {readonly kind: 'loads'; readonly from: LoadSource; readonly loads: readonly EndpointLoad[]};
 
