Read bounded bodies with one piece of code

The bound on answers had written again what the two front ends do with requests: chunks gathered up to a limit. Nothing behaves otherwise.

--- a/src/links/body.ts
+++ b/src/links/body.ts
@@ -1,11 +1,11 @@
 /**
 Request bodies with an upper bound, so that an oversized request costs no memory.
 */
-import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import {type z} from 'zod';
 import {describeError, type Failure, failure} from '../contracts/failure.js';
+import {readBoundedText} from './bounded-body.js';
 
 /** Largest request that callers may send, in bytes. */
 export const maximumRequestBytes = 256 * 1024;
@@ -16,23 +16,12 @@
 
 /** Reads a body as text. Fails with `too-large` or `invalid-request`. */
 export async function readText(request: IncomingMessage): Promise<Result<string, Failure>> {
-	const parts: Uint8Array[] = [];
-	let size = 0;
 	try {
-		for await (const part of request) {
-			const bytes = Buffer.isBuffer(part) ? part : Buffer.from(String(part));
-			size += bytes.length;
-			if (size > maximumRequestBytes) {
-				return refuse('too-large', `The body exceeds ${maximumRequestBytes} bytes`);
-			}
-
-			parts.push(bytes);
-		}
+		const body = await readBoundedText(request, () => maximumRequestBytes);
+		return body === undefined ? refuse('too-large', `The body exceeds ${maximumRequestBytes} bytes`) : ok(body);
 	} catch (error) {
 		return refuse('invalid-request', `The body could not be read: ${describeError(error)}`);
 	}
-
-	return ok(Buffer.concat(parts).toString('utf8'));
 }
 
 /** Reads a JSON body that matches a schema. An empty body counts as an empty object. */
--- /dev/null
+++ b/src/links/bounded-body.ts
@@ -0,0 +1,50 @@
+/**
+Bodies of requests and answers that are kept until they are whole, within a bound.
+*/
+import {Buffer} from 'node:buffer';
+
+/** Largest answer that is kept, in bytes; an instance with 186 MB bears some thirty of them at a time. */
+export const largestBodyBytes = 2 * 1024 * 1024;
+
+export type BoundedBody = {
+	/** Returns whether the body may go on. */
+	readonly push: (chunk: Uint8Array) => boolean;
+	readonly whole: () => Uint8Array;
+};
+
+/** Creates an empty body of at most `limit` bytes. */
+export function createBoundedBody(limit: () => number): BoundedBody {
+	const chunks: Uint8Array[] = [];
+	let size = 0;
+	return {
+		push(chunk) {
+			size += chunk.length;
+			if (size > limit()) {
+				return false;
+			}
+
+			chunks.push(chunk);
+			return true;
+		},
+		whole: () => Buffer.concat(chunks),
+	};
+}
+
+/** Reads a body; undefined when it is longer than the limit. Rejects when the connection breaks. */
+export async function readBounded(stream: AsyncIterable<unknown>, limit: () => number): Promise<Uint8Array | undefined> {
+	const body = createBoundedBody(limit);
+	for await (const chunk of stream) {
+		if (!body.push(Buffer.isBuffer(chunk) ? chunk : Buffer.from(String(chunk)))) {
+			// Leaving the loop destroys the stream, so that the rest is not read.
+			return undefined;
+		}
+	}
+
+	return body.whole();
+}
+
+/** The same as text. */
+export async function readBoundedText(stream: AsyncIterable<unknown>, limit: () => number): Promise<string | undefined> {
+	const body = await readBounded(stream, limit);
+	return body && Buffer.from(body).toString('utf8');
+}
--- a/src/links/engine.ts
+++ b/src/links/engine.ts
@@ -12,7 +12,7 @@
 } from '../contracts/id.js';
 import {type Usage} from '../contracts/outcome.js';
 import {type Endpoint} from '../contracts/pool.js';
-import {readBounded} from './answer-body.js';
+import {largestBodyBytes, readBoundedText} from './bounded-body.js';
 import {isNotSent, readJson} from './http.js';
 
 const controlTimeoutMs = 1000;
@@ -131,7 +131,7 @@
 		}
 
 		if (response.statusCode !== 200) {
-			const body = await readBounded(response.body) ?? '';
+			const body = await readBoundedText(response.body, () => largestBodyBytes) ?? '';
 			return {
 				kind: 'rejected',
 				failure: failure('endpoint-failed', `${endpoint.id} answered ${response.statusCode}: ${body.slice(0, 200)}`, {step: 'dispatch', peer: endpoint.id, execution: 'failed'}),
--- a/src/links/service.ts
+++ b/src/links/service.ts
@@ -6,7 +6,7 @@
 import {type Attempt, type AttemptResult, type DispatchOptions} from '../contracts/attempt.js';
 import {failure} from '../contracts/failure.js';
 import {type Endpoint} from '../contracts/pool.js';
-import {readBounded} from './answer-body.js';
+import {readBoundedText} from './bounded-body.js';
 import {
 	interrupted, isTurnedAway, limited, turnedAway,
 } from './engine.js';
@@ -44,7 +44,7 @@
 				return await turnedAway(response, endpoint);
 			}
 
-			const body = await readBounded(response.body, maximumAnswerBytes);
+			const body = await readBoundedText(response.body, () => maximumAnswerBytes);
 			if (body === undefined) {
 				return {
 					kind: 'rejected',
