--- a/src/contracts/object-store.ts
+++ b/src/contracts/object-store.ts
@@ -44,8 +44,8 @@
 
 /** Failures have the code `platform-unavailable`. */
 export type ObjectStore = {
-	/** Whether the store answers now. */
-	readonly probe: (timeout: Milliseconds, signal: AbortSignal) => Promise<Result<undefined, Failure>>;
+	/** Succeeds when the store answers now. */
+	readonly probe: (timeout: Milliseconds, signal: AbortSignal) => Promise<Result<true, Failure>>;
 	readonly list: (kind: string) => Promise<Result<ObjectList, Failure>>;
 	/** Waits until an object of the kind has changed since the revision, at most for the time given. */
 	readonly watch: (kind: string, since: ObjectVersion, wait: Milliseconds, signal: AbortSignal) => Promise<WatchResult>;
