Derive what was kept twice in the shared tables and budgets

Whether the store was lost is known to its contact, which says so with each event; what a program used is known to the ledger; conditions that a fetch checks itself were checked before it as well; the choice of an instance for a piece of work is one function, for one instance or several. Nothing behaves otherwise.

--- a/src/machines/instance.ts
+++ b/src/machines/instance.ts
@@ -17,7 +17,7 @@
 import {createExecutor} from '../zones/executor.js';
 import {createMembership, type Member} from '../zones/membership.js';
 import {createNeighbourhood} from '../zones/neighbourhood.js';
-import {isAmongOwners, isOwner} from '../zones/ownership.js';
+import {isAmongOwners} from '../zones/ownership.js';
 import {
 	type EndpointNews, type Gossip, type Peers, type ProgramReply, type ProgramRequest, type ShardReply, type ShardRequest,
 	type StreamRequest,
@@ -246,16 +246,16 @@
 		clock,
 		fleet,
 		isAlone: () => membership.members().length === 1,
-		isChosen: () => isJoined && isAmongOwners(membership.self(), 'listing', membership.members(), listingReaders),
+		isChosen: () => isChosen('listing', listingReaders),
 		onListing: neighbourhood.learnListing,
 		onLeaving(endpoint) {
 			neighbourhood.announceEndpoint({endpoint, state: 'leaving', at: clock.wall()});
 		},
 	});
 
-	/** Whether this instance does a piece of control work for its data centre. */
-	function isChosen(work: string): boolean {
-		return isJoined && isOwner(membership.self(), work, membership.members());
+	/** Whether this instance does a piece of control work for its data centre, alone or as one of several. */
+	function isChosen(work: string, count = 1): boolean {
+		return isJoined && isAmongOwners(membership.self(), work, membership.members(), count);
 	}
 
 	/** One instance tries a slow endpoint early; the others wait to hear of it. */
--- a/src/zones/budget-counter.ts
+++ b/src/zones/budget-counter.ts
@@ -84,7 +84,7 @@
 		const {program, retention} = account;
 		const self = options.self();
 		const home = ledger.home(program);
-		const used = as<Tokens>((ledger.account(program)?.recorded ?? 0) + ledger.unrecorded(program));
+		const used = ledger.used(program);
 		const isMissing = ledger.unrecorded(program) > 0 && (recording.get(program) ?? 0) < used;
 		if (home === self.dataCentre && isMissing && isOwner(self, program, options.members())) {
 			void writeRecord({program, used, retention});
--- a/src/zones/endpoint-directory.ts
+++ b/src/zones/endpoint-directory.ts
@@ -72,10 +72,14 @@
 	/** Everything up to this revision has been read from the store: what is not known of before has been removed. */
 	let listedAt = as<ObjectVersion>(0);
 
+	function reach(revision: ObjectVersion): void {
+		newest = as<ObjectVersion>(Math.max(newest, revision));
+	}
+
 	function put(entry: DirectoryEntry, now: Milliseconds): DirectoryEntry[] {
 		const id = idOf(entry);
 		const current = known.get(id);
-		newest = as<ObjectVersion>(Math.max(newest, entry.revision));
+		reach(entry.revision);
 		if (current && !supersedes(entry, current)) {
 			return [];
 		}
@@ -136,13 +140,11 @@
 		merge,
 		take: (entries, upTo, now) => merge([...entries, ...removalsBeside(entries, upTo)], now),
 		listedAt: () => listedAt,
-		reach(revision) {
-			newest = as<ObjectVersion>(Math.max(newest, revision));
-		},
+		reach,
 		learn,
 		replace(entries, revision, now) {
 			const missing = removalsBeside(entries, revision);
-			newest = as<ObjectVersion>(Math.max(newest, revision));
+			reach(revision);
 			listedAt = as<ObjectVersion>(Math.max(listedAt, revision));
 			return [...entries, ...missing].flatMap(entry => learn(entry, now));
 		},
--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -118,7 +118,6 @@
 	});
 	const contact = createStoreContact({store: options.store, clock, onEvent: onContactEvent});
 	let configuration: RelayConfiguration | undefined;
-	let wasLost = false;
 	let heardAt = clock.now();
 	let fetchedAt = as<Milliseconds>(-refetchMs);
 
@@ -128,9 +127,13 @@
 		return freshAt === undefined || directory.hasDoubts() ? undefined : as<Milliseconds>(clock.now() - freshAt);
 	}
 
+	function generation(): ConfigurationGeneration {
+		return configuration?.generation ?? as<ConfigurationGeneration>(0);
+	}
+
 	function digest(): RelayDigest {
 		return {
-			generation: configuration?.generation ?? as<ConfigurationGeneration>(0),
+			generation: generation(),
 			endpointRevision: directory.revision(),
 			change: peers.change(),
 			storeAge: storeAge(),
@@ -161,20 +164,17 @@
 		switch (event.kind) {
 			case 'confirmed': {
 				directory.noteContact(event.at);
-				if (wasLost) {
+				if (event.wasLost) {
 					options.onEvent({kind: 'store', change: 'back', reason: 'answered'});
 				}
 
-				wasLost = false;
 				break;
 			}
 
 			case 'lost': {
-				if (!wasLost) {
+				if (!event.wasLost) {
 					options.onEvent({kind: 'store', change: 'lost', reason: event.failure.message});
 				}
-
-				wasLost = true;
 			}
 		}
 
@@ -230,7 +230,7 @@
 			return;
 		}
 
-		const isComplete = () => peers.isInStep(peer, other.change) && other.generation <= digest().generation;
+		const isComplete = () => peers.isInStep(peer, other.change) && other.generation <= generation();
 		if (isComplete()) {
 			heardAt = as<Milliseconds>(Math.max(heardAt, at - other.storeAge));
 			directory.noteContact(heardAt);
@@ -241,13 +241,10 @@
 
 	function learnDigest({address, dataCentre}: Member, other: RelayDigest): void {
 		const isNeighbour = dataCentre === options.dataCentre;
-		if (other.generation > digest().generation) {
-			peers.fetch(address, () => other.generation > digest().generation, () => as<Milliseconds>(isNeighbour ? 0 : otherDataCentreMs));
-		}
-
+		peers.fetch(address, () => other.generation > generation(), () => as<Milliseconds>(isNeighbour ? 0 : otherDataCentreMs));
 		if (isNeighbour && other.storeAge !== undefined) {
 			learnHeartbeat(address, other, clock.now());
-		} else if (duty.isStale()) {
+		} else {
 			// Nobody near hears the store, but others may have heard more than this instance.
 			const delay = () => as<Milliseconds>(Math.max(0, fetchedAt + refetchMs - clock.now()));
 			peers.fetch(address, () => duty.isStale() && other.endpointRevision > directory.revision(), delay);
--- a/src/zones/store-contact.ts
+++ b/src/zones/store-contact.ts
@@ -14,8 +14,8 @@
 const probeTimeoutMs = 400;
 
 export type StoreContactEvent
-	= | {readonly kind: 'confirmed'; readonly at: Milliseconds}
-		| {readonly kind: 'lost'; readonly failure: Failure};
+	= | {readonly kind: 'confirmed'; readonly at: Milliseconds; readonly wasLost: boolean}
+		| {readonly kind: 'lost'; readonly failure: Failure; readonly wasLost: boolean};
 
 export type StoreContact = {
 	/** Begin of the last read that the store answered, unless a later one failed. */
@@ -44,13 +44,14 @@
 			return;
 		}
 
+		const wasLost = isLost;
 		isLost = result.isErr();
 		result.match(() => {
 			confirmedAt = startedAt;
-			onEvent({kind: 'confirmed', at: startedAt});
+			onEvent({kind: 'confirmed', at: startedAt, wasLost});
 		}, failure => {
 			confirmedAt = undefined;
-			onEvent({kind: 'lost', failure});
+			onEvent({kind: 'lost', failure, wasLost});
 		});
 	}
 
