--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -230,7 +230,7 @@
 	function learnDigest(peer: Member, digest: RelayDigest): void {
 		digests.set(peer.id, digest);
 		if (digest.storeAge !== undefined) {
-			watchers.hear(peer.id);
+			watchers.noteHeartbeat(peer.id);
 		}
 
 		tables.learnDigest(peer, digest);
@@ -254,7 +254,7 @@
 			}
 
 			case 'announce': {
-				// One that counts as dead lives after all.
+				// A member that counts as dead may be alive after all.
 				const peer = membership.members().find(member => member.id !== id && member.address === message.from);
 				if (peer) {
 					learnDigest(peer, message.digest);
--- a/src/zones/relay-peers.ts
+++ b/src/zones/relay-peers.ts
@@ -37,7 +37,7 @@
 		| {readonly kind: 'record'; readonly record: BudgetRecord}
 	/** Changes of the list of endpoints. */
 		| {readonly kind: 'endpoints'; readonly changes: EndpointChanges}
-	/** How far the sender is, and whether it hears the store. */
+	/** How far the sender is, and whether the store answers it. */
 		| {readonly kind: 'announce'; readonly from: Address; readonly digest: RelayDigest}
 		| {readonly kind: 'loads'; readonly from: LoadSource; readonly loads: readonly EndpointLoad[]};
 
--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -1,8 +1,8 @@
 /**
 The tables that all instances share: the configuration and the directory of endpoints. One instance of each data
-centre watches the store and tells the others there of each change, and at short intervals that it still hears the
-store. Whoever misses a change fetches the tables from a peer; whoever hears of nobody that hears the store asks it
-itself. So what an instance knows is never older than the store's silence allows, whoever is lost.
+centre watches the store, tells the others there of each change, and sends them heartbeats while the store answers
+it. Whoever misses a change fetches the tables from a peer; whoever gets no heartbeat asks the store itself. So the age
+of what an instance knows is bounded, whichever other instances are lost.
 */
 import {type Result} from 'neverthrow';
 import {type Clock, type Random} from '../contracts/clock.js';
@@ -121,7 +121,7 @@
 	let heardAt = clock.now();
 	let fetchedAt = as<Milliseconds>(-refetchMs);
 
-	/** How fresh the tables are that this instance tells others. Who doubts a removal leaves it to those who know better. */
+	/** Age of these tables as neighbours may rely on it; undefined while removals are doubted, so that they ask the store. */
 	function storeAge(): Milliseconds | undefined {
 		const freshAt = duty.freshAt();
 		return freshAt === undefined || directory.hasDoubts() ? undefined : as<Milliseconds>(clock.now() - freshAt);
@@ -224,7 +224,7 @@
 		directory.take(tables, source);
 	}
 
-	/** A neighbour hears the store: what it has told this instance is as fresh as its contact. */
+	/** The store answers a neighbour: if it has told this instance everything, both know the same. */
 	function learnHeartbeat(peer: Address, other: RelayDigest, at: Milliseconds): void {
 		if (other.storeAge === undefined) {
 			return;
@@ -245,7 +245,7 @@
 		if (isNeighbour && other.storeAge !== undefined) {
 			learnHeartbeat(address, other, clock.now());
 		} else {
-			// Nobody near hears the store, but others may have heard more than this instance.
+			// No neighbour is in contact with the store, but another data centre may know newer changes.
 			const delay = () => as<Milliseconds>(Math.max(0, fetchedAt + refetchMs - clock.now()));
 			peers.fetch(address, () => duty.isStale() && other.endpointRevision > directory.revision(), delay);
 		}
--- a/src/zones/store-duty.ts
+++ b/src/zones/store-duty.ts
@@ -1,6 +1,6 @@
 /**
-Whether this instance watches the store now, and the watches while it does. It watches for its data centre when that
-falls to it, and for itself when it has not heard for a while from an instance that hears the store.
+Whether this instance watches the store now, and the watches while it does. It watches for its data centre when it
+is chosen, and for itself when no heartbeat of a watcher has come for a while.
 */
 import {type Clock} from '../contracts/clock.js';
 import {as, type Milliseconds} from '../contracts/id.js';
@@ -10,7 +10,7 @@
 /** How often the duty is looked at, in ms. */
 const checkMs = 200;
 
-/** Time between two messages that this instance hears the store, in ms. */
+/** Time between two heartbeats of a watcher, in ms. */
 const heartbeatMs = 400;
 
 /**
@@ -38,7 +38,7 @@
 	/** Time up to which others are known to have told this instance everything. */
 	readonly heardAt: () => Milliseconds;
 	readonly clock: Clock;
-	/** The others have to hear that this instance hears the store. */
+	/** A heartbeat is due. */
 	readonly onHeartbeat: () => void;
 	readonly onWatching: (isWatching: boolean) => void;
 };
@@ -67,7 +67,7 @@
 		watching = undefined;
 	}
 
-	/** Watches begin anew whenever the store is back: what waits on an old connection may wait for nothing. */
+	/** Watches begin anew whenever the store is back: a call that waits on an old connection may never be answered. */
 	function watch(): void {
 		const isInContact = contact.confirmedAt() !== undefined;
 		if (!isInContact) {
--- a/src/zones/store-watchers.ts
+++ b/src/zones/store-watchers.ts
@@ -1,7 +1,7 @@
 /**
 Who watches the store: one member of each data centre, the first by rendezvous hashing among those that the store
-answers. It tells the others at short intervals that it still hears the store; one that falls silent is passed
-over long before the membership declares it dead.
+answers. It sends the others heartbeats while the store answers it; one whose heartbeats stop is replaced long
+before the membership declares it dead.
 */
 import {type Clock} from '../contracts/clock.js';
 import {type InstanceId, type Milliseconds} from '../contracts/id.js';
@@ -10,17 +10,17 @@
 
 const key = 'store-watch';
 
-/** Silence after which a watcher is passed over, in ms: it misses one message, and a second one is late. */
+/** Time without a heartbeat after which a watcher is replaced, in ms: one heartbeat is lost, and the next one late. */
 const silenceMs = 900;
 
-/** Time for which a watcher that was silent is not chosen again, unless it is heard. */
+/** Time for which a watcher that was replaced is not chosen again, unless a heartbeat comes, in ms. */
 const distrustMs = 4000;
 
 export type StoreWatchers = {
 	/** Whether this instance has to watch the store for its data centre. */
 	readonly isWatcher: () => boolean;
-	/** A member says that it hears the store. */
-	readonly hear: (member: InstanceId) => void;
+	/** A heartbeat of the member has come. */
+	readonly noteHeartbeat: (member: InstanceId) => void;
 };
 
 export type StoreWatchersOptions = {
@@ -30,7 +30,7 @@
 	readonly clock: Clock;
 };
 
-/** Creates the choice of an instance, which at first trusts everyone. */
+/** Creates the choice of an instance, for which no heartbeat is overdue yet. */
 export function createStoreWatchers({self, members, isReachableFrom, clock}: StoreWatchersOptions): StoreWatchers {
 	const heardAt = new Map<InstanceId, Milliseconds>();
 	const silentSince = new Map<InstanceId, Milliseconds>();
@@ -41,7 +41,7 @@
 		return since === undefined || clock.now() - since > distrustMs;
 	}
 
-	/** The first candidate that is not known to be silent; being chosen starts the time in which it has to be heard. */
+	/** The first candidate whose heartbeats have not stopped; its first one is due within the same time after it is chosen. */
 	function choose(): InstanceId | undefined {
 		const now = clock.now();
 		const candidates = rankOwners(key, candidatesIn(self().dataCentre, members()));
@@ -64,7 +64,7 @@
 
 	return {
 		isWatcher: () => choose() === self().id,
-		hear(member) {
+		noteHeartbeat(member) {
 			heardAt.set(member, clock.now());
 			silentSince.delete(member);
 		},
--- a/tests/shared-tables.test.ts
+++ b/tests/shared-tables.test.ts
@@ -147,7 +147,7 @@
 	cluster.stop();
 });
 
-test('a watcher that the store answers but whose list does not come vouches for nothing', async () => {
+test('a watcher that the store answers but whose list does not come does not report its tables as fresh', async () => {
 	const cluster = await createTablesCluster(ids, 7);
 	const watchers = watchersOf(cluster);
 	for (const id of watchers) {
