--- a/tests/endless-bytes.test.ts
+++ b/tests/endless-bytes.test.ts
@@ -77,6 +77,15 @@
 	return {address: as<Address>(`127.0.0.1:${port}`), sent: () => sent};
 }
 
+/** Signal that aborts when the test ends. */
+function closingOf(context: TestContext): AbortSignal {
+	const closing = new AbortController();
+	context.after(() => {
+		closing.abort();
+	});
+	return closing.signal;
+}
+
 function check(startedAt: number, sent: number): void {
 	assert.ok(performance.now() - startedAt < enoughMs, `given up after ${Math.round(performance.now() - startedAt)} ms`);
 	assert.ok(sent <= limit + buffered, `${sent} bytes were read`);
@@ -85,12 +94,8 @@
 for (const entry of endless) {
 	test(`a relayed request ends when the endpoint sends ${entry.name} without end`, async context => {
 		const endpoint = await startEndpoint(context, entry);
-		const closing = new AbortController();
-		context.after(() => {
-			closing.abort();
-		});
 		const startedAt = performance.now();
-		const ended = await createConnections(closing.signal).exchange(endpoint.address, {
+		const ended = await createConnections(closingOf(context)).exchange(endpoint.address, {
 			method: 'GET', path: '/', headers: [], body: new Uint8Array(), longestIdle: as<Milliseconds>(1000), onHead: () => true, onData: () => true, signal: AbortSignal.timeout(requestMs),
 		});
 		assert.equal(ended.kind, 'broken');
@@ -120,11 +125,7 @@
 for (const entry of endless) {
 	test(`a call ends when its back end sends ${entry.name} without end`, async context => {
 		const endpoint = await startEndpoint(context, entry);
-		const closing = new AbortController();
-		context.after(() => {
-			closing.abort();
-		});
-		const dispatch = createDispatch(closing.signal);
+		const dispatch = createDispatch(closingOf(context));
 		const startedAt = performance.now();
 		const signal = AbortSignal.timeout(requestMs);
 		const stream = await dispatch.send(endpointAt(endpoint.address), attemptOf(modelRequest), {...options, signal});
