--- a/tests/endpoint-protocol.test.ts
+++ b/tests/endpoint-protocol.test.ts
@@ -5,109 +5,12 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {connect, createServer, type Socket} from 'node:net';
-import {after, test} from 'node:test';
-import {createConnections} from '../src/links/connections.js';
-import {
-	as, type Address, type Milliseconds, type ObjectVersion,
-} from '../src/contracts/id.js';
-import {type RelayRoute} from '../src/contracts/relay.js';
-import {createRoutingTable} from '../src/contracts/routing-table.js';
-import {createQuarantine} from '../src/machines/quarantine.js';
-import {createRelay} from '../src/machines/relay.js';
-import {createRelayFleet} from '../src/machines/relay-fleet.js';
+import {connect} from 'node:net';
+import {test} from 'node:test';
+import {as, type Milliseconds} from '../src/contracts/id.js';
 import {systemClock} from '../src/programs/runtime.js';
-import {createEndpointLink} from '../platform/endpoint-link.js';
-import {serveIngress} from '../platform/ingress.js';
-import {createSeededRandom} from './fixtures/fake-clock.js';
-import {
-	configurationWith, dataCentre, endpointWith, routeWith, unlimitedBudgets,
-} from './fixtures/relay-harness.js';
-
-const closing = new AbortController();
-const closers: Array<() => void> = [];
-
-after(() => {
-	closing.abort();
-	for (const close of closers) {
-		close();
-	}
-});
-
-type Responder = (request: string, socket: Socket) => void;
-
-/** Starts an endpoint that responds to each request with raw bytes. */
-async function startEndpoint(answer: Responder): Promise<{readonly port: number; readonly requests: string[]}> {
-	const requests: string[] = [];
-	const server = createServer(socket => {
-		let text = '';
-		socket.on('error', () => undefined);
-		socket.on('data', chunk => {
-			text += chunk.toString();
-			const end = text.indexOf('\r\n\r\n');
-			const length = Number(/content-length: (\d+)/iv.exec(text)?.[1] ?? 0);
-			if (end !== -1 && text.length >= end + 4 + length) {
-				requests.push(text);
-				answer(text, socket);
-				text = '';
-			}
-		});
-		closers.push(() => {
-			socket.destroy();
-		});
-	});
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	closers.push(() => {
-		server.close();
-	});
-	const bound = server.address() ?? undefined;
-	return {port: typeof bound === 'object' ? bound.port : 0, requests};
-}
-
-/** Starts a front end for the endpoints on these ports. Its `send` writes raw bytes and reads until the connection closes. */
-async function startFrontEnd(route: RelayRoute, ports: readonly number[]) {
-	const fleet = createRelayFleet();
-	for (const [index, port] of ports.entries()) {
-		fleet.apply({kind: 'listed', revision: as<ObjectVersion>(1), endpoint: endpointWith(`e${index}`, {address: as<Address>(`127.0.0.1:${port}`)})});
-	}
-
-	const table = createRoutingTable(configurationWith([route]));
-	const relay = createRelay({
-		fleet,
-		dataCentre,
-		link: createEndpointLink(createConnections(closing.signal)),
-		budgets: unlimitedBudgets,
-		quarantine: createQuarantine(),
-		clock: systemClock,
-		random: createSeededRandom(1),
-		table: () => table,
-		onEvent: () => undefined,
-	});
-	const ingress = await serveIngress({
-		relay, host: '127.0.0.1', port: 0, limits: () => table.configuration.limits, onError: () => undefined,
-	});
-	closers.push(() => {
-		ingress.server.close();
-		ingress.server.closeAllConnections();
-	});
-	const bound = ingress.server.address() ?? undefined;
-	const port = typeof bound === 'object' ? bound.port : 0;
-	return {
-		port,
-		async send(bytes: string): Promise<string> {
-			const socket = connect(port, '127.0.0.1');
-			socket.write(bytes);
-			let text = '';
-			socket.on('error', () => undefined);
-			socket.on('data', chunk => {
-				text += chunk.toString();
-			});
-			await once(socket, 'close');
-			return text;
-		},
-	};
-}
+import {startFrontEnd, startRawEndpoint, type Responder} from './fixtures/raw-front-end.js';
+import {routeWith} from './fixtures/relay-harness.js';
 
 const responseHeaders = 'Attempt-Id: t1\r\nServer-Seal: seal\r\n';
 const whole = `HTTP/1.1 200 OK\r\n${responseHeaders}Content-Length: 5\r\n\r\nwhole`;
@@ -165,7 +68,7 @@
 
 for (const {name, repetition, answer, status} of cases) {
 	test(`${name} gives the caller status ${status}`, async () => {
-		const endpoint = await startEndpoint(answer);
+		const endpoint = await startRawEndpoint(answer);
 		const front = await startFrontEnd(routeWith({repetition}), [endpoint.port]);
 		const text = await front.send(call());
 		assert.match(text, new RegExp(String.raw`^HTTP/1\.1 ${status} `, 'v'));
@@ -176,7 +79,7 @@
 }
 
 test('reserved headers of a caller are removed, and those of the front end are added', async () => {
-	const endpoint = await startEndpoint(respondWith(whole));
+	const endpoint = await startRawEndpoint(respondWith(whole));
 	const front = await startFrontEnd(routeWith({repetition: 'once'}), [endpoint.port]);
 	await front.send(call('Hold: x\r\nKv-From: y\r\nPin-Ms: 9\r\nExpect-Instance: forged\r\nRequest-Urgency: 0\r\nX-Own: kept\r\n'));
 	const [request = ''] = endpoint.requests;
@@ -187,7 +90,7 @@
 });
 
 test('bytes after a complete response never reach the next caller', async () => {
-	const endpoint = await startEndpoint(respondWith(`${whole}HTTP/1.1 200 OK\r\nAttempt-Id: t1\r\nContent-Length: 5\r\n\r\nextra`));
+	const endpoint = await startRawEndpoint(respondWith(`${whole}HTTP/1.1 200 OK\r\nAttempt-Id: t1\r\nContent-Length: 5\r\n\r\nextra`));
 	const front = await startFrontEnd(routeWith({repetition: 'repeatable'}), [endpoint.port]);
 	for (let round = 0; round < 3; round++) {
 		const text = await front.send(call());
@@ -197,7 +100,7 @@
 
 test('a stream that breaks inside an event resumes after its last complete event', async () => {
 	let round = 0;
-	const endpoint = await startEndpoint((request, socket) => {
+	const endpoint = await startRawEndpoint((request, socket) => {
 		const head = `HTTP/1.1 200 OK\r\n${responseHeaders}Transfer-Encoding: chunked\r\n\r\n`;
 		const chunk = (text: string) => `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n`;
 		if (round++ === 0) {
@@ -226,7 +129,7 @@
 
 for (const {name, bytes, status} of rejectedRequests) {
 	test(`${name} is refused with ${status} and reaches no endpoint`, async () => {
-		const endpoint = await startEndpoint(respondWith(whole));
+		const endpoint = await startRawEndpoint(respondWith(whole));
 		const front = await startFrontEnd(routeWith(), [endpoint.port]);
 		assert.match(await front.send(bytes), new RegExp(String.raw`^HTTP/1\.1 ${status} `, 'v'));
 		assert.equal(endpoint.requests.length, 0);
@@ -235,7 +138,7 @@
 
 test('the connection to the endpoint is closed when the caller disconnects', async () => {
 	let isClosed = false;
-	const endpoint = await startEndpoint((_request, socket) => {
+	const endpoint = await startRawEndpoint((_request, socket) => {
 		socket.once('close', () => {
 			isClosed = true;
 		});
@@ -253,7 +156,7 @@
 });
 
 test('bytes that are not HTTP, sent after a request in progress, do not corrupt its response', async () => {
-	const endpoint = await startEndpoint((_request, socket) => {
+	const endpoint = await startRawEndpoint((_request, socket) => {
 		socket.write(`HTTP/1.1 200 OK\r\n${responseHeaders}Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n`);
 	});
 	const route = routeWith({
