Never deliver an error or an empty end after the head of a stream

Here no text of the error reached the stream; it was cut off at once, although another attempt was allowed, and the log said 'served'. A stream that ended without any event was worse: the front end wrote Node's implicit '200 OK' without the endpoint's proof, framed as a complete empty body. Cause: nextRelayStep delivered every complete answer and every finished stream, whatever the caller had received before. Change: once the head is out, an answer counts as a possible run (retried as long as the route and the time allow, then the stream is aborted); a stream that finishes without a head does so too. Evidence: tests/faulty-endpoints.test.ts; before: 'a stream whose continuation fails once goes on after the next attempt' and 'a stream that the caller resumes after its last event ends complete, with the proof' failed. The seven cases 'a stream that broke off is not continued with ...' passed before and stay. The test 'a turn is routed to the endpoint that served an earlier one' finished a stream without a head, which no endpoint does; it sends one event now, and checks the same.

--- a/src/contracts/relay-attempt.ts
+++ b/src/contracts/relay-attempt.ts
@@ -8,7 +8,7 @@
 export type RelayResult
 	/** A complete answer, whatever its status. */
 	= | {readonly kind: 'answered'; readonly head: AnswerHead; readonly body: Uint8Array}
-	/** The stream was completed. */
+	/** The stream was completed; its head and its events were passed to `onHead` and `onEvent`. */
 		| {readonly kind: 'finished'}
 	/** The connection could not be established, so nothing was sent. */
 		| {readonly kind: 'unreachable'; readonly reason: string}
@@ -35,7 +35,7 @@
 	readonly urgency: number;
 	/** Id of the event after which the stream continues. */
 	readonly resumeAfter: number | undefined;
-	/** Maximum time for which a pooled connection may have been idle to be used for this request. */
+	/** Maximum time for which a pooled connection may have been idle to be used for this request; zero opens a new one. */
 	readonly maximumIdle: Milliseconds;
 	/** Time without data that ends the attempt: before the first byte of the answer, and after it. */
 	readonly responseTimeouts: {readonly first: Milliseconds; readonly next: Milliseconds};
@@ -57,6 +57,8 @@
 	readonly maxEndpoints: number;
 	/** Number of attempts so far that may have run. */
 	readonly runs: number;
+	/** Whether the head of a stream was sent to the caller, after which only its events may follow. */
+	readonly hasSentHead: boolean;
 };
 
 /** Maximum number of attempts that may run for one request, on all endpoints together. */
@@ -97,12 +99,17 @@
 export function nextRelayStep(result: RelayResult, progress: RelayProgress): RelayStep {
 	switch (result.kind) {
 		case 'answered': {
+			if (progress.hasSentHead) {
+				return stepAfterPossibleRun(progress);
+			}
+
 			const mayRepeat = progress.repetition === 'repeatable' && progress.endpointsUsed < progress.maxEndpoints;
 			return result.head.status >= serverError && mayRepeat ? {kind: 'elsewhere'} : {kind: 'deliver'};
 		}
 
 		case 'finished': {
-			return {kind: 'deliver'};
+			// Without a head there is nothing that proves which endpoint answered.
+			return progress.hasSentHead ? {kind: 'deliver'} : stepAfterPossibleRun(progress);
 		}
 
 		case 'unreachable':
--- a/src/machines/relay-job.ts
+++ b/src/machines/relay-job.ts
@@ -191,7 +191,7 @@
 		}),
 		attempts: () => attempts,
 		progress: () => ({
-			repetition: route.repetition, endpointsUsed: usedEndpoints.size, maxEndpoints: route.maxEndpoints, runs,
+			repetition: route.repetition, endpointsUsed: usedEndpoints.size, maxEndpoints: route.maxEndpoints, runs, hasSentHead,
 		}),
 		mayHaveRun: () => runs > 0,
 		pinnedEndpoint: () => pinned,
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -206,11 +206,7 @@
 	function deliver(job: RelayJob, result: RelayResult): void {
 		quarantine.clear(job.fingerprint);
 		if (result.kind === 'answered') {
-			if (job.hasSentHead()) {
-				job.caller.abort();
-			} else {
-				job.caller.answer(result.head, result.body);
-			}
+			job.caller.answer(result.head, result.body);
 		} else {
 			job.caller.finish();
 		}
--- a/tests/relay.test.ts
+++ b/tests/relay.test.ts
@@ -196,7 +196,10 @@
 		const harness = createRelayHarness({
 			route: stream,
 			endpoints,
-			script: () => ({kind: 'finished'}),
+			script(attempt) {
+				sendEvents(attempt, 1, 1);
+				return {kind: 'finished'};
+			},
 			budgets: {
 				reserve: async () => ({
 					kind: 'granted',
