Accept answers only with the attempt's id, refusals only where they cannot be repeats

Change: an answer needs the id of the attempt; a refusal without an id counts only as the first response of a connection; a request opens a new connection to an endpoint that has responded to it before; a promise without the mark, and a success without the proof, are broken answers. Ruled out: bytes that arrive while a connection is idle close it (test).

--- a/src/links/connections.ts
+++ b/src/links/connections.ts
@@ -23,10 +23,13 @@
 	readonly path: string;
 	readonly headers: HeaderPairs;
 	readonly body: Uint8Array;
-	/** Maximum time for which a pooled connection may have been idle to be used for this request. */
+	/** Maximum time for which a pooled connection may have been idle to be used for this request; zero opens a new one. */
 	readonly maximumIdle: Milliseconds;
-	/** Returns whether the response belongs to this request; otherwise the connection is closed. */
-	readonly onHead: (head: AnswerHead) => boolean;
+	/**
+	Returns whether the response belongs to this request; otherwise the connection is closed. `isFirstResponse` tells
+	that the connection has carried no other response, which the endpoint might be repeating.
+	*/
+	readonly onHead: (head: AnswerHead, isFirstResponse: boolean) => boolean;
 	/** Returns whether to read on; otherwise the connection is closed. */
 	readonly onData: (chunk: Uint8Array) => boolean;
 	readonly signal: AbortSignal;
@@ -44,7 +47,7 @@
 	readonly exchange: (address: Address, exchange: Exchange) => Promise<ExchangeResult>;
 };
 
-type Connection = {readonly client: Client; idleSince: number};
+type Connection = {readonly client: Client; idleSince: number; responses: number};
 
 function connectWithTimeout(options: {readonly hostname: string; readonly port: string}, callback: buildConnector.Callback): void {
 	const socket = connectSocket({host: options.hostname, port: Number(options.port), noDelay: true});
@@ -82,7 +85,7 @@
 			keepAliveTimeout: defaultIdleTimeoutMs,
 			keepAliveTimeoutThreshold: idleMarginMs,
 		});
-		const connection: Connection = {client, idleSince: 0};
+		const connection: Connection = {client, idleSince: 0, responses: 0};
 		client.on('disconnect', () => {
 			// A connection that was just acquired is not idle; its client reconnects for the pending request.
 			if (idle.get(address)?.includes(connection)) {
@@ -106,7 +109,7 @@
 	function acquire(address: Address, maximumIdle: number): Connection {
 		const connection = idle.get(address)?.at(-1);
 		// The other connections have been idle for longer; they stay in the pool for repeatable requests, which allow a longer idle time.
-		if (!connection || performance.now() - connection.idleSince > maximumIdle) {
+		if (!connection || performance.now() - connection.idleSince >= maximumIdle) {
 			return open(address);
 		}
 
@@ -125,6 +128,7 @@
 		}
 
 		connection.idleSince = performance.now();
+		connection.responses++;
 		idle.set(address, [...(idle.get(address) ?? []), connection]);
 	}
 
@@ -166,8 +170,8 @@
 				},
 				onResponseStart(_controller, status, headers) {
 					isClosing = String(headers.connection ?? '').toLowerCase().includes('close');
-					if (!isEnded && status >= 200 && !parts.onHead({status, headers: toHeaderPairs(headers)})) {
-						end({kind: 'broken', reason: `the response of ${address} belongs to another request`}, false);
+					if (!isEnded && status >= 200 && !parts.onHead({status, headers: toHeaderPairs(headers)}, connection.responses === 0)) {
+						end({kind: 'broken', reason: `status ${status} of ${address} is no acceptable answer to this request`}, false);
 					}
 				},
 				onResponseData(_controller, chunk) {
--- a/src/machines/relay-job.ts
+++ b/src/machines/relay-job.ts
@@ -72,6 +72,8 @@
 	const startedAt = clock.now();
 	const endsAt = startedAt + Math.min(route.timeout, request.timeLeft ?? route.timeout);
 	const usedEndpoints = new Set<EndpointId>();
+	/** Endpoints that have responded, and may repeat that response on the connection that carried it. */
+	const responded = new Set<EndpointId>();
 	let excluded = new Set<EndpointId>();
 	let pinned: EndpointId | undefined;
 	let attempts = 0;
@@ -108,10 +110,23 @@
 		}
 	}
 
+	function maximumIdleFor(endpoint: EndpointId): Milliseconds {
+		if (responded.has(endpoint)) {
+			return as<Milliseconds>(0);
+		}
+
+		return as<Milliseconds>(route.repetition === 'once' ? maximumIdleOnceMs : maximumIdleMs);
+	}
+
 	function recordResult(endpoint: EndpointId, result: RelayResult): void {
 		attempts++;
 		switch (result.kind) {
-			case 'answered':
+			case 'answered': {
+				responded.add(endpoint);
+				markRun(endpoint);
+				return;
+			}
+
 			case 'finished':
 			case 'silent':
 			case 'expired':
@@ -126,13 +141,19 @@
 				return;
 			}
 
-			case 'unreachable':
+			case 'unreachable': {
+				markEnded(endpoint);
+				break;
+			}
+
 			case 'misdirected': {
+				responded.add(endpoint);
 				markEnded(endpoint);
 				break;
 			}
 
 			case 'rejected': {
+				responded.add(endpoint);
 				break;
 			}
 		}
@@ -178,7 +199,7 @@
 			timeLeft: as<Milliseconds>(Math.max(1, endsAt - clock.now())),
 			urgency: Math.min(leastUrgent, route.rank * urgencyPerRank),
 			resumeAfter: lastEvent,
-			maximumIdle: as<Milliseconds>(route.repetition === 'once' ? maximumIdleOnceMs : maximumIdleMs),
+			maximumIdle: maximumIdleFor(endpoint.id),
 			responseTimeouts: responseTimeoutsFor(expected),
 			onHead(head) {
 				if (!hasSentHead) {
