Attribute refusals of back ends to an attempt, and give at-most-once calls their own connections

An answer with another attempt's id was taken. Cause: nothing tied a response to its attempt. Change: a response with another x-attempt is no answer; a refusal on a shared connection needs the attempt's id; at-most-once calls have a connection each.

--- a/src/links/dispatch.ts
+++ b/src/links/dispatch.ts
@@ -12,12 +12,16 @@
 
 /** Creates the links to back ends. Connections close when the signal aborts. */
 export function createDispatch(signal: AbortSignal): Dispatch {
-	const agent = new Agent({connect: createBoundedConnector({timeout: connectTimeoutMs})});
+	const connect = createBoundedConnector({timeout: connectTimeoutMs});
+	const agent = new Agent({connect});
+	// Without pipelining, undici closes a connection after its first response.
+	const singleUseAgent = new Agent({connect, pipelining: 0});
 	signal.addEventListener('abort', () => {
 		void agent.destroy();
+		void singleUseAgent.destroy();
 	}, {once: true});
 	const engine = createEngineLink(agent);
-	const service = createServiceLink(agent);
+	const service = createServiceLink({shared: agent, own: singleUseAgent});
 
 	return {
 		async send(endpoint, attempt, options) {
--- a/src/links/engine.ts
+++ b/src/links/engine.ts
@@ -6,6 +6,7 @@
 import {type Agent, type Dispatcher} from 'undici';
 import {z} from 'zod';
 import {type Attempt, type AttemptResult, type DispatchOptions} from '../contracts/attempt.js';
+import {causeOfAbort} from '../contracts/abort-cause.js';
 import {describeError, failure, type FailureCode} from '../contracts/failure.js';
 import {
 	as, type AttemptId, type ProgramId, type Tokens,
@@ -13,7 +14,7 @@
 import {type Usage} from '../contracts/outcome.js';
 import {type Endpoint} from '../contracts/pool.js';
 import {maximumBodyBytes, readBoundedText} from './bounded-body.js';
-import {isNotSent, readJson} from './http.js';
+import {isNotSent, isTimeout, readJson} from './http.js';
 
 const controlTimeoutMs = 1000;
 
@@ -40,19 +41,39 @@
 	readonly cachedPrograms: (endpoint: Endpoint) => Promise<readonly ProgramId[] | undefined>;
 };
 
-/** Whether the endpoint reports that it did not start the request: 429 or 503 with `Retry-After`. */
-export function isNotAccepted(response: Dispatcher.ResponseData): boolean {
-	return (response.statusCode === 429 || response.statusCode === 503) && response.headers['retry-after'] !== undefined;
-}
+/** Whether the connection of an attempt may have carried others, whose responses the endpoint might repeat. */
+export type ConnectionUse = 'own' | 'shared';
+
+export type SentAttempt = {readonly endpoint: Endpoint; readonly attempt: AttemptId; readonly use: ConnectionUse};
+
+/**
+Result of an attempt that its response ends before the body is read: the endpoint did not start the attempt, or the
+response belongs to another one. Undefined if neither holds. On a shared connection, a refusal counts only with the id
+of the attempt.
+*/
+export async function unansweredResult(response: Dispatcher.ResponseData, {endpoint, attempt, use}: SentAttempt): Promise<AttemptResult | undefined> {
+	const {statusCode, headers, body} = response;
+	const echoed = headers['x-attempt'];
+	const isRefusal = (statusCode === 429 || statusCode === 503) && headers['retry-after'] !== undefined;
+	if (echoed === undefined ? isRefusal && use === 'shared' : echoed !== attempt) {
+		// Closes the connection. The error that undici then reports concerns a body that nobody reads.
+		body.once('error', () => undefined).destroy();
+		return {
+			kind: 'broken',
+			failure: failure('endpoint-failed', `Status ${statusCode} of ${endpoint.id} answers ${String(echoed ?? 'an unknown attempt')}, not ${attempt}`, {step: 'dispatch', peer: endpoint.id, execution: 'unknown'}),
+		};
+	}
+
+	if (!isRefusal) {
+		return undefined;
+	}
 
-/** Result of an attempt that the endpoint reports as not started. */
-export async function notAcceptedResult(response: Dispatcher.ResponseData, endpoint: Endpoint): Promise<AttemptResult> {
-	await response.body.dump();
-	const isLeaving = response.headers['x-leaving'] === 'true';
+	await body.dump();
+	const isLeaving = headers['x-leaving'] === 'true';
 	return {
 		kind: 'not-started',
 		isLeaving,
-		failure: failure(isLeaving ? 'leaving' : 'overloaded', `${endpoint.id} did not accept the request: status ${response.statusCode}`, {step: 'dispatch', peer: endpoint.id}),
+		failure: failure(isLeaving ? 'leaving' : 'overloaded', `${endpoint.id} did not accept the request: status ${statusCode}`, {step: 'dispatch', peer: endpoint.id}),
 	};
 }
 
@@ -67,19 +88,18 @@
 		};
 	}
 
-	const code = failureCodeOf(text, options);
 	return {
 		kind: 'broken',
-		failure: failure(code, `The connection to ${endpoint.id} broke: ${text}`, {step: 'stream', peer: endpoint.id, execution: 'unknown'}),
+		failure: failure(failureCodeOf(error, options), `The connection to ${endpoint.id} broke: ${text}`, {step: 'stream', peer: endpoint.id, execution: 'unknown'}),
 	};
 }
 
-function failureCodeOf(text: string, options: DispatchOptions): FailureCode {
+function failureCodeOf(error: unknown, options: DispatchOptions): FailureCode {
 	if (options.signal.aborted) {
-		return describeError(options.signal.reason).includes('deadline') ? 'deadline-exceeded' : 'cancelled';
+		return causeOfAbort(options.signal.reason);
 	}
 
-	return /timeout|timed out/iv.test(text) ? 'deadline-exceeded' : 'endpoint-failed';
+	return isTimeout(error) ? 'deadline-exceeded' : 'endpoint-failed';
 }
 
 /** Returns a signal that aborts with the call's signal or at the timeout of the attempt. */
@@ -125,9 +145,10 @@
 		return {tokens, end};
 	}
 
-	async function readStream(response: Dispatcher.ResponseData, endpoint: Endpoint, prefix: readonly string[], options: DispatchOptions): Promise<AttemptResult> {
-		if (isNotAccepted(response)) {
-			return notAcceptedResult(response, endpoint);
+	async function readStream(response: Dispatcher.ResponseData, endpoint: Endpoint, {id, prefix}: Pick<Attempt, 'id' | 'prefix'>, options: DispatchOptions): Promise<AttemptResult> {
+		const unanswered = await unansweredResult(response, {endpoint, attempt: id, use: 'shared'});
+		if (unanswered) {
+			return unanswered;
 		}
 
 		if (response.statusCode !== 200) {
@@ -184,7 +205,7 @@
 				bodyTimeout: options.timeout,
 				signal: attemptSignal(options),
 			});
-			return await readStream(response, endpoint, attempt.prefix, options);
+			return await readStream(response, endpoint, attempt, options);
 		} catch (error) {
 			await cancelIfAborted(endpoint, attempt.id, options);
 			return transportErrorResult(error, endpoint, options);
@@ -201,7 +222,7 @@
 				bodyTimeout: options.timeout,
 				signal: attemptSignal(options),
 			});
-			return await readStream(response, endpoint, [], options);
+			return await readStream(response, endpoint, {id: attempt, prefix: []}, options);
 		} catch (error) {
 			return transportErrorResult(error, endpoint, options);
 		}
--- a/src/links/http.ts
+++ b/src/links/http.ts
@@ -1,11 +1,14 @@
 /**
-Helpers shared by the HTTP clients: reading a JSON body, and detecting that a failed request was never sent.
+Helpers shared by the HTTP clients: reading a JSON body, and what the error of a failed request tells about it.
 */
 import {type Dispatcher} from 'undici';
 
 /** Codes of the errors that undici raises before it sends the first byte of a request. */
 const notSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT']);
 
+/** Codes of the errors by which undici reports that the response did not arrive in time. */
+const timeoutCodes = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT', 'ETIMEDOUT']);
+
 function codeOf(error: unknown): string | undefined {
 	if (typeof error !== 'object' || error === null) {
 		return undefined;
@@ -24,6 +27,12 @@
 	return code !== undefined && notSentCodes.has(code);
 }
 
+/** Whether a request failed because its timeout elapsed, including that of `AbortSignal.timeout`. */
+export function isTimeout(error: unknown): boolean {
+	const code = codeOf(error);
+	return (code !== undefined && timeoutCodes.has(code)) || (error instanceof Error && error.name === 'TimeoutError');
+}
+
 /** Reads a JSON body. Rejects if the body is not valid JSON. */
 export async function readJson(response: Dispatcher.ResponseData): Promise<unknown> {
 	return response.body.json();
--- a/src/links/service.ts
+++ b/src/links/service.ts
@@ -1,8 +1,7 @@
 /**
-Link to services over HTTP. Requests carry the idempotency key of the call. A request that is not
-repeatable should not share a connection: if a service closed a reused connection while it was idle, it
-would be unknown whether the request ran. `reset` only ensures that no later request uses the connection
-of such a request, which may itself be sent over an idle one.
+Link to services over HTTP. Requests carry the idempotency key of the call. A request that is not repeatable has a
+connection of its own: if a service closed a shared connection while it was idle, or repeated a response on it, it
+would be unknown whether the request ran.
 */
 import {type Agent} from 'undici';
 import {type Attempt, type AttemptResult, type DispatchOptions} from '../contracts/attempt.js';
@@ -10,7 +9,7 @@
 import {type Endpoint} from '../contracts/pool.js';
 import {readBoundedText} from './bounded-body.js';
 import {
-	transportErrorResult, isNotAccepted, attemptSignal, notAcceptedResult,
+	attemptSignal, type ConnectionUse, transportErrorResult, unansweredResult,
 } from './engine.js';
 
 /** Maximum size of the response body of a service. */
@@ -20,16 +19,20 @@
 	readonly send: (endpoint: Endpoint, attempt: Attempt, options: DispatchOptions) => Promise<AttemptResult>;
 };
 
-/** Creates the service link over a connection agent. */
-export function createServiceLink(agent: Agent): ServiceLink {
+/** Agents by the use of their connections. */
+export type ServiceAgents = Readonly<Record<ConnectionUse, Agent>>;
+
+/** Creates the service link. */
+export function createServiceLink(agents: ServiceAgents): ServiceLink {
 	async function send(endpoint: Endpoint, attempt: Attempt, options: DispatchOptions): Promise<AttemptResult> {
 		const {request} = attempt;
 		if (request.kind !== 'service') {
 			throw new TypeError('The service link accepts only service requests');
 		}
 
+		const use: ConnectionUse = attempt.isRepeatable ? 'shared' : 'own';
 		try {
-			const response = await agent.request({
+			const response = await agents[use].request({
 				origin: `http://${endpoint.address}`,
 				path: request.path,
 				method: request.method,
@@ -40,10 +43,10 @@
 				headersTimeout: options.timeout,
 				bodyTimeout: options.timeout,
 				signal: attemptSignal(options),
-				reset: !attempt.isRepeatable,
 			});
-			if (isNotAccepted(response)) {
-				return await notAcceptedResult(response, endpoint);
+			const unanswered = await unansweredResult(response, {endpoint, attempt: attempt.id, use});
+			if (unanswered) {
+				return unanswered;
 			}
 
 			const body = await readBoundedText(response.body, () => maximumServiceBodyBytes);
--- a/src/zones/call-attempts.ts
+++ b/src/zones/call-attempts.ts
@@ -2,11 +2,12 @@
 Attempts of a call: records the intent, sends the request, and reports the result to the back end's health
 and to the quarantine.
 */
+import {causeOfAbort} from '../contracts/abort-cause.js';
 import {type Spend} from '../contracts/budget.js';
 import {type Call, type Message} from '../contracts/call.js';
 import {type Attempt, type AttemptResult} from '../contracts/attempt.js';
 import {
-	describeError, type ExecutionStatus, type Failure, failure, type FailureCode, type Step,
+	describeError, type ExecutionStatus, type Failure, failure, type Step,
 } from '../contracts/failure.js';
 import {
 	as, type AttemptId, type EndpointId, type Milliseconds,
@@ -56,8 +57,7 @@
 
 /** Failure of a call that was cancelled or ran past its deadline. */
 export function stop(step: Step, reason: unknown, certainty: ExecutionStatus): Failure {
-	const code: FailureCode = describeError(reason).includes('deadline') ? 'deadline-exceeded' : 'cancelled';
-	return failure(code, `The call was stopped: ${describeError(reason)}`, {step, peer: 'home', execution: certainty});
+	return failure(causeOfAbort(reason), `The call was stopped: ${describeError(reason)}`, {step, peer: 'home', execution: certainty});
 }
 
 export type CallAttempts = {
--- a/src/zones/executor.ts
+++ b/src/zones/executor.ts
@@ -6,6 +6,7 @@
 once, but its answer is shown to the caller only after the intent is durable, so that no caller sees
 the effect of a call that the next owner of the shard does not know of.
 */
+import {abortReason} from '../contracts/abort-cause.js';
 import {type Spend} from '../contracts/budget.js';
 import {type Call, type Message, type Request} from '../contracts/call.js';
 import {nextStep} from '../contracts/attempt.js';
@@ -95,7 +96,7 @@
 		const remaining = expiryOf(execution.program) - clock.wall();
 		const timeout = Math.min(call.timeout, route.timeout, remaining);
 		if (execution.signal.aborted || timeout <= 0) {
-			return stop('admit', execution.signal.aborted ? execution.signal.reason : new Error('deadline passed'), 'not-run');
+			return stop('admit', execution.signal.aborted ? execution.signal.reason : abortReason('deadline-exceeded', 'deadline passed'), 'not-run');
 		}
 
 		const request = call.request.kind === 'model' && route.kind === 'model'
@@ -143,7 +144,7 @@
 		const timeLeft = as<Milliseconds>(job.deadline - clock.now());
 		const expiryController = new AbortController();
 		void clock.sleep(timeLeft, expiryController.signal).then(() => {
-			expiryController.abort(new Error('deadline passed while waiting for a back-end slot'));
+			expiryController.abort(abortReason('deadline-exceeded', 'deadline passed while waiting for a back-end slot'));
 		});
 		const attainedTokens = job.execution.program.account.spent().tokens;
 		const found = await fleet.acquire(job.route.pool, {
--- a/src/zones/running-calls.ts
+++ b/src/zones/running-calls.ts
@@ -2,6 +2,7 @@
 Running and queued calls of a shard. The calls of a program run one at a time, in order of arrival.
 */
 import PQueue from 'p-queue';
+import {abortReason} from '../contracts/abort-cause.js';
 import {describeError, failure} from '../contracts/failure.js';
 import {type IdempotencyKey, type ProgramId} from '../contracts/id.js';
 import {type Program, type Programs} from '../contracts/program.js';
@@ -92,9 +93,9 @@
 		total: () => [...running.values()].reduce((sum, calls) => sum + calls.size, 0),
 		start,
 		abort(program, closing) {
-			const code = closing === 'expired' ? 'deadline-exceeded' : 'cancelled';
+			const cause = closing === 'expired' ? 'deadline-exceeded' : 'cancelled';
 			for (const entry of running.get(program)?.values() ?? []) {
-				entry.controller.abort(new Error(code));
+				entry.controller.abort(abortReason(cause, `the program is ${closing}`));
 			}
 		},
 		async onIdle() {
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -214,7 +214,7 @@
 		app.post('/v1/chat/completions', asyncHandler(async (request, response) => {
 			const body = completionBody.parse(await readJsonBody(request));
 			if (faults.leaving) {
-				answer(response, 503, {message: 'leaving'}, {'x-leaving': 'true', 'retry-after': '1'});
+				answer(response, 503, {message: 'leaving'}, {'x-leaving': 'true', 'retry-after': '1', 'x-attempt': String(request.headers['x-attempt'] ?? '')});
 				return;
 			}
 
--- a/standins/service.ts
+++ b/standins/service.ts
@@ -65,7 +65,7 @@
 		app.all('/*', asyncHandler(async (request, response) => {
 			const body = await readTextBody(request);
 			if (faults.leaving) {
-				answer(response, 503, {message: 'leaving'}, {'x-leaving': 'true', 'retry-after': '1'});
+				answer(response, 503, {message: 'leaving'}, {'x-leaving': 'true', 'retry-after': '1', 'x-attempt': String(request.headers['x-attempt'] ?? '')});
 				return;
 			}
 
