--- a/src/links/engine.ts
+++ b/src/links/engine.ts
@@ -58,10 +58,8 @@
 	if (echoed === undefined ? isRefusal && use === 'shared' : echoed !== attempt) {
 		// Closes the connection. The error that undici then reports concerns a body that nobody reads.
 		body.once('error', () => undefined).destroy();
-		return {
-			kind: 'broken',
-			failure: failure('endpoint-failed', `Status ${statusCode} of ${endpoint.id} answers ${String(echoed ?? 'an unknown attempt')}, not ${attempt}`, {step: 'dispatch', peer: endpoint.id, execution: 'unknown'}),
-		};
+		const message = `Status ${statusCode} of ${endpoint.id} answers ${String(echoed ?? 'an unknown attempt')}, not ${attempt}`;
+		return {kind: 'broken', failure: failure('endpoint-failed', message, {step: 'dispatch', peer: endpoint.id, execution: 'unknown'})};
 	}
 
 	if (!isRefusal) {
