Make instances known to each other before they grant budgets after a loss of all memory

Seeds were asked one after the other with 800 ms each, and the addresses in the records only after the instance was warm. Until then each was 'the only member', so it needed no confirmation, and knew one data centre, its own, so it was 'exclusive' and granted the whole rest of each budget. Change: the store path of the warm-up first introduces the instance, by one datagram each, to all addresses in the records and the seeds, then reads the records that count; data centres come from the settings (deploy/entry.toml), so the second half of a budget needs all of them; seeds are asked side by side. Ruled out: a 'pause' of the exploration that ended after a loss of power woke the old instance with its memory; the fixture does not do that any more.

--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -48,6 +48,8 @@
 export type RelayInstanceOptions = {
 	readonly id: InstanceId;
 	readonly dataCentre: DataCentreId;
+	/** All data centres that have instances, whether or not these can be reached. */
+	readonly dataCentres: readonly DataCentreId[];
 	/** Address at which peers reach this instance. */
 	readonly address: Address;
 	readonly seeds: readonly Address[];
@@ -94,7 +96,7 @@
 	const incarnation = as<Incarnation>(clock.wall());
 	const membership = createMembership({
 		id, dataCentre, address, incarnation,
-	}, random);
+	}, random, options.dataCentres);
 	const fleet = createRelayFleet();
 	const quarantine = createQuarantine();
 	const ledger = createTokenLedger(as<CounterId>(`${id}@${incarnation}`), dataCentre);
@@ -184,10 +186,7 @@
 		hasNoPeers: () => others().length === 0,
 		hasWarmPeer: () => others().some(member => digests.get(member.id)?.isWarm),
 		joinCluster: gossipProtocol.joinCluster,
-		async joinClusterAt(peer) {
-			const members = await greet(peer);
-			gossipProtocol.mergeMembers(members.unwrapOr([]));
-		},
+		contact: async addresses => gossipProtocol.contact([...options.seeds, ...addresses]),
 		async fetchHomes() {
 			gossipProtocol.gossipNow();
 			const warm = others().filter(member => digests.get(member.id)?.isWarm);
--- a/src/programs/relay-settings.ts
+++ b/src/programs/relay-settings.ts
@@ -12,7 +12,9 @@
 } from './settings-file.js';
 
 const schema = z.strictObject({
-	instance: z.strictObject({id: z.string().min(1), dataCentre: z.string().min(1), firstStart: z.boolean().default(false)}),
+	instance: z.strictObject({
+		id: z.string().min(1), dataCentre: z.string().min(1), dataCentres: z.array(z.string().min(1)).default([]), firstStart: z.boolean().default(false),
+	}),
 	platform: z.strictObject({address: addressField, heartbeatMs: z.number().positive().max(60_000)}),
 	callers: z.strictObject({address: addressField, readiness: addressField}).optional(),
 	peers: z.strictObject({address: addressField, seeds: z.array(addressField).default([])}).optional(),
@@ -26,6 +28,8 @@
 export type RelaySettings = {
 	readonly id: InstanceId;
 	readonly dataCentre: DataCentreId;
+	/** All data centres that have instances. */
+	readonly dataCentres: readonly DataCentreId[];
 	/** Whether the whole system starts for the first time, with nothing to recover. */
 	readonly isFirstStart: boolean;
 	readonly platform: Address;
@@ -45,6 +49,7 @@
 	return {
 		id: as<InstanceId>(instance.id),
 		dataCentre: as<DataCentreId>(instance.dataCentre),
+		dataCentres: instance.dataCentres.map(dataCentre => as<DataCentreId>(dataCentre)),
 		isFirstStart: instance.firstStart,
 		platform: as<Address>(platform.address),
 		endpointHeartbeat: as<Milliseconds>(platform.heartbeatMs),
--- a/src/zones/gossip-protocol.ts
+++ b/src/zones/gossip-protocol.ts
@@ -43,6 +43,8 @@
 	readonly generations: () => ReadonlyMap<InstanceId, ConfigurationGeneration>;
 	/** Fetches the member lists of seeds and known peers, so that this instance derives ownership from the same view as they do. */
 	readonly joinCluster: () => Promise<void>;
+	/** Sends a gossip message to each address, whether or not its instance is known, and merges the replies. */
+	readonly contact: (addresses: readonly Address[]) => Promise<void>;
 	/** Probes peers until the signal aborts. */
 	readonly run: (signal: AbortSignal) => Promise<void>;
 	/** Announces to the peers in this data centre that this instance is leaving. */
@@ -188,17 +190,29 @@
 		});
 	}
 
-	async function joinSeeds(): Promise<void> {
+	/** The instances at the addresses, other than this one. Their ids are not known before they reply. */
+	function strangersAt(addresses: readonly Address[]): readonly Member[] {
 		const self = membership.self();
-		for (const address of options.seeds) {
-			if (address !== self.address) {
-				const seed: Member = {...self, id: as<InstanceId>(address), address};
-				const members = await peers.members(seed);
-				if (members.isOk()) {
-					mergeReportedMembers(members.value.filter(member => member.status !== 'dead'), self.dataCentre);
-				}
+		return [...new Set(addresses)].filter(address => address !== self.address).map(address => ({...self, id: as<InstanceId>(address), address}));
+	}
+
+	async function joinSeeds(): Promise<void> {
+		await Promise.all(strangersAt(options.seeds).map(async seed => {
+			const members = await peers.members(seed);
+			if (members.isOk()) {
+				mergeReportedMembers(members.value.filter(member => member.status !== 'dead'), seed.dataCentre);
 			}
-		}
+		}));
+	}
+
+	async function contact(addresses: readonly Address[]): Promise<void> {
+		const message = compose();
+		await Promise.all(strangersAt(addresses).map(async stranger => {
+			const reply = await peers.gossip(stranger, message);
+			if (reply.isOk()) {
+				mergeMessage(reply.value);
+			}
+		}));
 	}
 
 	async function joinLocalPeers(): Promise<void> {
@@ -227,6 +241,7 @@
 	}
 
 	return {
+		contact,
 		async joinCluster() {
 			await Promise.all([joinSeeds(), joinLocalPeers()]);
 		},
--- a/src/zones/membership.ts
+++ b/src/zones/membership.ts
@@ -61,7 +61,7 @@
 	readonly takeUpdates: () => readonly Member[];
 	readonly self: () => Member;
 	readonly members: () => readonly Member[];
-	/** Data centres of the members, and those that peers reported when this instance started. */
+	/** Data centres in the settings, those of the members, and those that peers reported when this instance started. */
 	readonly dataCentres: () => readonly DataCentreId[];
 	/** Hash of the view; views with equal digests are taken as equal. */
 	readonly digest: () => number;
@@ -89,8 +89,8 @@
 	return hash;
 }
 
-/** Creates the view of one instance, which at first contains only that instance. */
-export function createMembership(own: Omit<Member, 'status'>, random: Random): Membership {
+/** Creates the view of one instance, which at first contains only that instance and the data centres in its settings. */
+export function createMembership(own: Omit<Member, 'status'>, random: Random, configuredDataCentres: readonly DataCentreId[] = []): Membership {
 	let self: Member = {...own, status: 'alive'};
 	const known = new Map<InstanceId, Member>();
 	const suspectedAt = new Map<InstanceId, Milliseconds>();
@@ -310,7 +310,7 @@
 		takeUpdates: () => updateQueue.take(updatesPerMessage),
 		self: () => self,
 		members: () => [self, ...known.values()],
-		dataCentres: () => [...new Set([self.dataCentre, ...[...known.values()].map(member => member.dataCentre), ...dataCentreReportedAt.keys()])],
+		dataCentres: () => [...new Set([self.dataCentre, ...configuredDataCentres, ...[...known.values()].map(member => member.dataCentre), ...dataCentreReportedAt.keys()])],
 		digest() {
 			let sum = memberDigest(self);
 			for (const member of known.values()) {
--- a/src/zones/warm-up.ts
+++ b/src/zones/warm-up.ts
@@ -1,12 +1,14 @@
 /**
 Warm-up of an instance: before it grants budgets it has to recover what programs have used. Peers that have been
 running send it the accounts that it coordinates or replicates. When there are none, all instances have lost their
-memory, and the records in the store show what may have been used.
+memory, and the records in the store show what may have been used. Other instances then start at the same time, and
+each would grant as if it were the only one. So an instance introduces itself to all that have records before it reads
+the records that count: any other instance either knows it by then, or has recorded what it granted without it.
 */
 import {type Clock} from '../contracts/clock.js';
 import {as, type Address, type Milliseconds} from '../contracts/id.js';
 import {type TokenLedger} from '../contracts/token-ledger.js';
-import {type BudgetRecords} from './budget-records.js';
+import {type BudgetRecords, type StoredRecords} from './budget-records.js';
 
 /** Time within which peers that see this instance join send it accounts. */
 const handoverMs = 700;
@@ -36,8 +38,8 @@
 	readonly hasWarmPeer: () => boolean;
 	/** Fetches the member lists of seeds and known peers. */
 	readonly joinCluster: () => Promise<void>;
-	/** Joins the cluster through the instance at the address. */
-	readonly joinClusterAt: (address: Address) => Promise<void>;
+	/** Makes this instance and those at the addresses known to each other. Resolves when they have replied or timed out. */
+	readonly contact: (addresses: readonly Address[]) => Promise<void>;
 	/**
 	Announces this instance to all members of its data centre, so that they hand over accounts, and fetches the homes
 	of programs from a warm peer. Resolves to whether that succeeded.
@@ -59,20 +61,33 @@
 		options.onEvent({kind: 'warm', source, records: count});
 	}
 
-	async function loadRecords(): Promise<void> {
+	async function loadRecords(): Promise<StoredRecords | undefined> {
 		const loaded = await records.load();
 		if (loaded.isErr()) {
 			options.onEvent({kind: 'records-unavailable', reason: loaded.error.message});
+			return undefined;
+		}
+
+		return loaded.value;
+	}
+
+	async function recoverFromStore(): Promise<void> {
+		const found = await loadRecords();
+		if (!found) {
+			return;
+		}
+
+		await options.contact(found.addresses);
+		const latest = await loadRecords();
+		if (!latest) {
 			return;
 		}
 
-		const {records: stored, addresses} = loaded.value;
-		for (const record of stored) {
+		for (const record of latest.records) {
 			ledger.restore(record.program, record.used, record.retention, clock.now());
 		}
 
-		finish('store', stored.length);
-		await Promise.all(addresses.map(async address => options.joinClusterAt(address)));
+		finish('store', latest.records.length);
 	}
 
 	async function recoverFromPeers(signal: AbortSignal): Promise<void> {
@@ -99,7 +114,7 @@
 			if (options.hasWarmPeer()) {
 				await recoverFromPeers(signal);
 			} else if (clock.now() - startedAt >= searchMs) {
-				await loadRecords();
+				await recoverFromStore();
 			}
 
 			if (isWarm) {
--- a/tests/budget-exploration.test.ts
+++ b/tests/budget-exploration.test.ts
@@ -24,6 +24,12 @@
 /** Time by which every fault has started. */
 const faultsUntilMs = 6000;
 
+/** After a loss of power: how late instances answer and hear of each other, how slow the store is, and how far apart the starts are. */
+const maximumBusyMs = 1500;
+const maximumGossipDelayMs = 4000;
+const maximumStoreLatencyMs = 80;
+const maximumStartDelayMs = 1500;
+
 const seedsPerPair = Number(process.env.HICKORYFORK_SCHEDULES ?? 8);
 
 type Draw = {
@@ -44,9 +50,9 @@
 	};
 }
 
-type Fault = 'none' | 'data-centre-partition' | 'instance-partition' | 'pause' | 'restart' | 'restart-in-turn' | 'store-down' | 'views-differ' | 'restart-all';
+type Fault = 'none' | 'data-centre-partition' | 'instance-partition' | 'pause' | 'restart' | 'restart-in-turn' | 'store-down' | 'views-differ' | 'restart-all' | 'power-loss';
 
-const faults: readonly Fault[] = ['data-centre-partition', 'instance-partition', 'pause', 'restart', 'restart-in-turn', 'store-down', 'views-differ', 'restart-all'];
+const faults: readonly Fault[] = ['data-centre-partition', 'instance-partition', 'pause', 'restart', 'restart-in-turn', 'store-down', 'views-differ', 'restart-all', 'power-loss'];
 
 async function injectFault(cluster: BudgetCluster, fault: Fault, draw: Draw): Promise<void> {
 	const duration = as<Milliseconds>(500 + draw.below(3500));
@@ -80,7 +86,8 @@
 			const node = cluster.node(draw.oneOf(instances));
 			node.isUp = false;
 			await clock.sleep(duration);
-			node.isUp = true;
+			// An instance that lost its power meanwhile does not wake with the memory that it had.
+			node.isUp = !node.stop.signal.aborted;
 			return;
 		}
 
@@ -118,6 +125,14 @@
 
 		case 'restart-all': {
 			await cluster.recover(...instances);
+			return;
+		}
+
+		case 'power-loss': {
+			cluster.busyPeriod = as<Milliseconds>(draw.below(maximumBusyMs));
+			cluster.gossipDelay = as<Milliseconds>(draw.below(maximumGossipDelayMs));
+			cluster.storeLatency = as<Milliseconds>(1 + draw.below(maximumStoreLatencyMs));
+			await cluster.losePower(() => as<Milliseconds>(draw.below(maximumStartDelayMs)));
 		}
 	}
 }
--- a/tests/shared-budgets.test.ts
+++ b/tests/shared-budgets.test.ts
@@ -173,6 +173,46 @@
 	assert.equal(total, 500);
 });
 
+/** Time after which the instances of the tests below have all started and know their data centre. */
+const restartMs = 3000;
+
+test('data centres that have not reached each other since all memory was lost grant no second half of a budget', async () => {
+	const cluster = createBudgetCluster(['a1', 'a2', 'a3', 'b1', 'b2', 'b3']);
+	const before = await spend(cluster, ['a1', 'b1'], 600, 3);
+	cluster.areDataCentresPartitioned = true;
+	void cluster.losePower(() => as<Milliseconds>(0));
+	await cluster.clock.advance(restartMs);
+	const apart = await spend(cluster, ['a1', 'b1'], 600, 8);
+	cluster.areDataCentresPartitioned = false;
+	cluster.rebalance();
+	await cluster.clock.advance(restartMs);
+	const after = await spend(cluster, ['a1', 'b1'], 600, 8);
+	assert.deepEqual([before, apart, after], [300, 0, 300]);
+});
+
+test('instances that start one after the other after a loss of all memory know of each other before they grant', async () => {
+	const ids = ['a1', 'a2', 'a3', 'a4'];
+	const cluster = createBudgetCluster(ids);
+	const before = await spend(cluster, ['a1'], 600, 3);
+	cluster.gossipDelay = as<Milliseconds>(60_000);
+	cluster.busyPeriod = as<Milliseconds>(2000);
+	let delay = 0;
+	void cluster.losePower(() => {
+		delay += 100;
+		return as<Milliseconds>(delay);
+	});
+	await cluster.clock.advance(500);
+	while (ids.some(id => !cluster.node(id).isWarm)) {
+		await cluster.clock.advance(10);
+	}
+
+	const reserving = ids.flatMap(id => [1, 2, 3].map(async number => cluster.startReservation(id, 'p', `${id}-${number}`, 600)));
+	await cluster.clock.advance(3000);
+	const outcomes = await Promise.all(reserving);
+	const after = outcomes.filter(outcome => outcome.kind === 'granted').length * most;
+	assert.ok(after > 0 && before + after <= 600 + most, `${before} before and ${after} after the loss, of 600`);
+});
+
 test('every entry receives the endpoint that served an earlier turn', async () => {
 	const cluster = createBudgetCluster(instances);
 	const place = {part: as<PromptPartId>('last'), endpoint: as<EndpointId>('model-1')};
