--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -2,9 +2,9 @@
 An entry instance that relays requests: joins the cluster, shares tables and budgets with its peers, serves
 requests, reports whether it is ready, and leaves without interrupting a request.
 */
-import {err, ok, type Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import {type Clock, type Random} from '../contracts/clock.js';
-import {type Failure, failure} from '../contracts/failure.js';
+import {failure} from '../contracts/failure.js';
 import {
 	as, type Address, type ChangeNumber, type ConfigurationGeneration, type CounterId, type DataCentreId, type Incarnation, type InstanceId,
 	type Milliseconds,
@@ -21,9 +21,8 @@
 import {createMembership, type Member} from '../zones/membership.js';
 import {createGossipProtocol} from '../zones/gossip-protocol.js';
 import {
-	type Greeting, type MessageOptions, type RelayMessage, type RelayPeers, type RelayReply, type RelayTables,
+	type Greeting, type RelayMessage, type RelayPeers, type RelayReply, type RelayTables,
 } from '../zones/relay-peers.js';
-import {type GossipMessage} from '../zones/peers.js';
 import {createSharedTables, type SharedObjects, type SharedTablesEvent} from '../zones/shared-tables.js';
 import {createWatcherElection} from '../zones/watcher-election.js';
 import {createWarmUp, type WarmUpEvent} from '../zones/warm-up.js';
@@ -33,10 +32,9 @@
 import {type RelayEvent} from './relay-event.js';
 import {createRelayFleet} from './relay-fleet.js';
 
-const gossipOptions: MessageOptions = {timeout: as<Milliseconds>(250), attempts: 2};
-
-/** Shorter than for probes: an instance that starts waits for addresses at which nobody may answer. */
-const contactOptions: MessageOptions = {timeout: as<Milliseconds>(100), attempts: 2};
+/** Timeout of one attempt of a gossip probe, and the maximum number of attempts. */
+const gossipTimeoutMs = 250;
+const gossipAttempts = 2;
 
 /** Events of an instance, for logs and metrics. */
 export type RelayInstanceEvent
@@ -152,8 +150,12 @@
 		clock,
 		seeds: options.seeds,
 		peers: {
-			gossip: async (peer, message) => exchangeGossip(peer, message, gossipOptions),
-			contact: async (peer, message) => exchangeGossip(peer, message, contactOptions),
+			async gossip(peer, gossip) {
+				const reply = await peers.request(peer.address, {kind: 'gossip', gossip}, {timeout: as<Milliseconds>(gossipTimeoutMs), attempts: gossipAttempts});
+				return reply?.kind === 'gossip'
+					? ok(reply.gossip)
+					: err(failure('peer-unreachable', `${peer.id} did not answer a probe within ${gossipAttempts} attempts of ${gossipTimeoutMs} ms`, {step: 'forward', peer: peer.id}));
+			},
 			members: async peer => greet(peer.address),
 		},
 		generation: () => table?.configuration.generation ?? as<ConfigurationGeneration>(0),
@@ -233,13 +235,6 @@
 		tables.receiveDigest(peer, digest);
 	}
 
-	async function exchangeGossip(peer: Member, message: GossipMessage, {timeout, attempts}: MessageOptions): Promise<Result<GossipMessage, Failure>> {
-		const reply = await peers.request(peer.address, {kind: 'gossip', gossip: message}, {timeout, attempts});
-		return reply?.kind === 'gossip'
-			? ok(reply.gossip)
-			: err(failure('peer-unreachable', `${peer.id} did not answer a probe within ${attempts} attempts of ${timeout} ms`, {step: 'forward', peer: peer.id}));
-	}
-
 	/** Requests a peer's greeting, and applies the members, data centres and digest in it. */
 	async function greet(peer: Address) {
 		const result = await peers.greet(peer);
--- a/src/zones/budget-replication.ts
+++ b/src/zones/budget-replication.ts
@@ -181,15 +181,6 @@
 		}
 	}
 
-	/**
-	Whether this instance has discovered members of all data centres. After a loss of all memory it discovers them one by
-	one, and a notice that starts before could only be acknowledged late.
-	*/
-	function hasDiscoveredAll(): boolean {
-		const discovered = dataCentresOf(options.members());
-		return options.dataCentres().every(dataCentre => discovered.includes(dataCentre));
-	}
-
 	/** Notifies all data centres that only the home may grant. Replies arrive only after the notice has been stored. */
 	function startNotice(program: ProgramId): Notice {
 		ledger.markSecondHalf(program);
@@ -220,10 +211,8 @@
 			}
 		},
 		async acquireExclusivity(program) {
-			const notice = notices.get(program) ?? (hasDiscoveredAll() ? startNotice(program) : undefined);
-			if (notice) {
-				await withTimeout(clock, noticeTimeoutMs, notice.delivered);
-			}
+			const notice = notices.get(program) ?? startNotice(program);
+			await withTimeout(clock, noticeTimeoutMs, notice.delivered);
 		},
 		isExclusive(program) {
 			const notice = notices.get(program);
--- a/src/zones/gossip-protocol.ts
+++ b/src/zones/gossip-protocol.ts
@@ -53,10 +53,7 @@
 
 export type GossipProtocolOptions = {
 	readonly membership: Membership;
-	readonly peers: Pick<Peers, 'gossip' | 'members'> & {
-		/** Like `gossip`, with a shorter timeout, for addresses whose instances may be gone. */
-		readonly contact?: Peers['gossip'];
-	};
+	readonly peers: Pick<Peers, 'gossip' | 'members'>;
 	readonly clock: Clock;
 	readonly seeds: readonly Address[];
 	readonly generation: () => ConfigurationGeneration;
@@ -211,7 +208,7 @@
 	async function contact(addresses: readonly Address[]): Promise<void> {
 		const message = compose();
 		await Promise.all(strangersAt(addresses).map(async stranger => {
-			const reply = await (peers.contact ?? peers.gossip)(stranger, message);
+			const reply = await peers.gossip(stranger, message);
 			if (reply.isOk()) {
 				mergeMessage(reply.value);
 			}
