--- a/bench/proofs.ts
+++ b/bench/proofs.ts
@@ -69,7 +69,7 @@
 	},
 	{
 		name: 'Nothing but events follows the head of a stream',
-		tests: ['a stream that broke off is not continued with', 'a stream without any event'],
+		tests: ['a stream that broke off is not continued with', 'a stream without any event', 'goes on after the next attempt'],
 		mutation: {
 			without: 'the check of the head', file: 'src/contracts/relay-attempt.js', find: 'if (progress.hasSentHead) {', replace: 'if (false) {',
 		},
