--- a/review/lib/deployment.js
+++ b/review/lib/deployment.js
@@ -165,7 +165,7 @@
 				start(machine, true);
 			}
 
-			const deadline = Date.now() + 15_000;
+			const deadline = Date.now() + 20_000;
 			while (!machines.every(machine => machine.isInRotation)) {
 				if (Date.now() > deadline) {
 					throw new Error(`machines not ready: ${machines.filter(machine => !machine.isInRotation).map(machine => machine.name).join(' ')}`);
