Break off responses whose connection was reset together with their last bytes

Cause: the reset was recognised by the error ECONNRESET. When bytes and reset arrive together, the event loop takes the short read with a hang-up for the end of the stream, and Node.js emits 'end' without an error. The kernel still tells the two apart: a reset connection has no peer. A guarded socket without a peer at its end now fails instead of ending, which everything that reads from endpoints goes through.

Ruled out: undici dropping the error (the socket's own listeners see none either).

--- a/src/links/bounded-socket.ts
+++ b/src/links/bounded-socket.ts
@@ -1,7 +1,11 @@
 /**
 Sockets to endpoints that may be faulty. The bytes that an endpoint may send for one request are limited: headers, interim
 (1xx) responses and framing count like bodies, so that an endpoint that keeps sending does not use up memory and CPU
-time until the request times out. A connection that is reset never ends a response as complete.
+time until the request times out.
+
+A response with neither a length nor chunks is complete when its connection ends, unless the connection was reset. So a
+socket guarded here emits `end` only if the endpoint closed it; if it was reset, it fails with an error instead. Whoever
+reads from such a socket may therefore take its end as the end of the response.
 */
 import {type Socket} from 'node:net';
 import {buildConnector} from 'undici';
@@ -37,10 +41,28 @@
 	});
 }
 
+/**
+Fails the socket instead of ending it if it was reset. When a reset arrives together with the last bytes, the event loop
+reports the end of the stream and no error. The kernel knows no peer of a reset connection any more, but still knows that
+of a closed one. Node.js caches the peer's address, so that it must not be read before the end.
+*/
+function failOnReset(socket: Socket): void {
+	const emit = socket.emit.bind(socket) as (event: string | symbol, ...parameters: unknown[]) => boolean;
+	socket.emit = (event: string | symbol, ...parameters: unknown[]) => {
+		if (event !== 'end' || socket.remoteAddress !== undefined) {
+			return emit(event, ...parameters);
+		}
+
+		socket.destroy(Object.assign(new Error('the connection was reset'), {code: resetCode}));
+		return false;
+	};
+}
+
 /** Prepares a connected socket for an endpoint, before undici gets it. */
 export function guardSocket(socket: Socket): void {
 	limitResponseSize(socket);
 	breakOffOnReset(socket);
+	failOnReset(socket);
 }
 
 /** Creates undici's connector, with guarded sockets. */
--- a/tests/unframed-answers.test.ts
+++ b/tests/unframed-answers.test.ts
@@ -32,13 +32,43 @@
 const event = (id: number) => `id: ${id}\ndata: ${id}\n\n`;
 
 /** Sends bytes and then resets the connection. */
-function sendAndReset(socket: Socket, bytes: string): void {
-	socket.write(bytes, () => {
-		setTimeout(() => {
-			socket.resetAndDestroy();
-		}, deliveryMs);
-	});
-}
+type Reset = {readonly name: string; readonly send: (socket: Socket, bytes: string) => void};
+
+const laterReset: Reset = {
+	name: '',
+	send(socket, bytes) {
+		socket.write(bytes, () => {
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, deliveryMs);
+		});
+	},
+};
+
+/** The caller's event loop finds the bytes and the reset together, for which Node.js reports no error. */
+const immediateReset: Reset = {
+	name: ' at once',
+	send(socket, bytes) {
+		socket.write(bytes);
+		socket.resetAndDestroy();
+	},
+};
+
+const segments = 4;
+
+const segmentedReset: Reset = {
+	name: ' at once, in several segments',
+	send(socket, bytes) {
+		const length = Math.ceil(bytes.length / segments);
+		for (let start = 0; start < bytes.length; start += length) {
+			socket.write(bytes.slice(start, start + length));
+		}
+
+		socket.resetAndDestroy();
+	},
+};
+
+const resets: readonly Reset[] = [laterReset, immediateReset, segmentedReset];
 
 type Ending = {
 	readonly name: string;
@@ -47,6 +77,23 @@
 	readonly end: (socket: Socket, attempt: string, body: string) => void;
 };
 
+/** Endings by the bytes that are sent before the connection is reset. */
+const cutBytes: ReadonlyArray<readonly [string, (attempt: string, body: string) => string]> = [
+	['that is reset after its body', (attempt, body) => head(attempt) + body],
+	['that is reset within its body', (attempt, body) => head(attempt) + body.slice(0, -3)],
+	['that is reset before its body', attempt => head(attempt)],
+	['that is reset within its head', attempt => head(attempt).slice(0, 30)],
+	['that announces the end of the connection and is reset within its body', (attempt, body) => head(attempt).replace('\r\n\r\n', '\r\nConnection: close\r\n\r\n') + body.slice(0, -3)],
+	['in an earlier version of HTTP that is reset within its body', (attempt, body) => head(attempt, '1.0') + body.slice(0, -3)],
+];
+
+const resetEndings: readonly Ending[] = cutBytes.flatMap(([name, bytes]) => resets.map(reset => ({
+	name: name + reset.name,
+	end(socket: Socket, attempt: string, body: string) {
+		reset.send(socket, bytes(attempt, body));
+	},
+})));
+
 const broken: readonly Ending[] = [
 	{
 		name: 'that is closed within its body',
@@ -62,48 +109,13 @@
 			socket.end(head(attempt));
 		},
 	},
-	{
-		name: 'that is reset after its body',
-		end(socket, attempt, body) {
-			sendAndReset(socket, head(attempt) + body);
-		},
-	},
-	{
-		name: 'that is reset within its body',
-		end(socket, attempt, body) {
-			sendAndReset(socket, head(attempt) + body.slice(0, -3));
-		},
-	},
-	{
-		name: 'that is reset before its body',
-		end(socket, attempt) {
-			sendAndReset(socket, head(attempt));
-		},
-	},
-	{
-		name: 'that is reset within its head',
-		end(socket, attempt) {
-			sendAndReset(socket, head(attempt).slice(0, 30));
-		},
-	},
+	...resetEndings,
 	{
 		name: 'that is closed within its head',
 		end(socket, attempt) {
 			socket.end(head(attempt).slice(0, 30));
 		},
 	},
-	{
-		name: 'that announces the end of the connection and is reset within its body',
-		end(socket, attempt, body) {
-			sendAndReset(socket, head(attempt).replace('\r\n\r\n', '\r\nConnection: close\r\n\r\n') + body.slice(0, -3));
-		},
-	},
-	{
-		name: 'in an earlier version of HTTP that is reset within its body',
-		end(socket, attempt, body) {
-			sendAndReset(socket, head(attempt, '1.0') + body.slice(0, -3));
-		},
-	},
 	{
 		name: 'without any byte, closed',
 		end(socket) {
@@ -191,7 +203,20 @@
 	}
 }
 
-for (const [name, cut, isReset] of [['reset between two events', event(1).length, true], ['closed within an event', event(1).length + 5, false]] as const) {
+type Cut = {readonly name: string; readonly length: number; readonly send: (socket: Socket, bytes: string) => void};
+
+const cuts: readonly Cut[] = [
+	...resets.map(({name, send}) => ({name: `reset${name} between two events`, length: event(1).length, send})),
+	{
+		name: 'closed within an event',
+		length: event(1).length + 5,
+		send(socket, bytes) {
+			socket.end(bytes);
+		},
+	},
+];
+
+for (const {name, length, send} of cuts) {
 	test(`a resumable stream without a length that is ${name} goes on after its last whole event`, async () => {
 		let attempts = 0;
 		const endpoint = await startRawEndpoint((request, socket) => {
@@ -199,14 +224,13 @@
 			if (attempts++ > 0) {
 				assert.match(request, /^last-event-id: 1\r$/imv);
 				socket.end(bytes + event(2));
-			} else if (isReset) {
-				sendAndReset(socket, bytes + (event(1) + event(2)).slice(0, cut));
 			} else {
-				socket.end(bytes + (event(1) + event(2)).slice(0, cut));
+				send(socket, bytes + (event(1) + event(2)).slice(0, length));
 			}
 		});
 		const front = await startFrontEnd(routes['resumable stream'], [endpoint.port]);
 		const response = await front.send(requestBytes('t1'));
+		assert.equal(attempts, 2);
 		assert.equal(bodyOf(response), event(1) + event(2));
 	});
 }
@@ -280,15 +304,18 @@
 		assert.equal(result.kind, 'answered');
 	});
 
-	test(`an answer of a back end that is reset within its body is broken (${kind})`, async context => {
-		const closing = new AbortController();
-		context.after(() => {
-			closing.abort();
-		});
-		const endpoint = await startRawEndpoint((request, socket) => {
-			sendAndReset(socket, headOf(request) + body.slice(0, 3));
+	for (const {name, send} of resets) {
+		test(`an answer of a back end that is reset${name} within its body is broken (${kind})`, async context => {
+			const closing = new AbortController();
+			context.after(() => {
+				closing.abort();
+			});
+			const endpoint = await startRawEndpoint((request, socket) => {
+				// A model call is reset after its last event: only the reset tells that the answer is not whole.
+				send(socket, headOf(request) + (kind === 'model call' ? body : body.slice(0, 3)));
+			});
+			const result = await createDispatch(closing.signal).send(endpointAt(endpoint.port), attemptWith(kind, 't1'), optionsWith(closing.signal));
+			assert.equal(result.kind, 'broken');
 		});
-		const result = await createDispatch(closing.signal).send(endpointAt(endpoint.port), attemptWith(kind, 't1'), optionsWith(closing.signal));
-		assert.equal(result.kind, 'broken');
-	});
+	}
 }
