Count the record as used where nobody knows what was granted within it

Cause: instances of other data centres know the home of a program and a record, but not what was granted within it. New instances at home took over both and counted nothing as used. The same holds for an instance at home that takes over when the coordinator and its replicas are lost. Accounts now say whether they are complete; an instance at home without a complete one asks all others of its data centre, then the store, and counts what was recorded there as used.

--- a/src/contracts/token-account.ts
+++ b/src/contracts/token-account.ts
@@ -26,6 +26,11 @@
 	readonly home?: DataCentreId | undefined;
 	/** The home has reached the second half of the budget: no other data centre may grant any more. */
 	readonly isSecondHalf: boolean;
+	/**
+	Whether the slots are all that was granted at home. Instances outside the home, and those at home that hold no replica,
+	know only the home and the record, up to which others may have granted.
+	*/
+	readonly isComplete: boolean;
 	/** Tokens that the store has recorded as used. */
 	readonly recorded: Tokens;
 	readonly retention: Milliseconds;
@@ -37,5 +42,5 @@
 
 /** The part of an account that instances outside its home need: the home, the amount recorded in the store, and whether they may grant. */
 export function withStoreSlotOnly(account: TokenAccount): TokenAccount {
-	return {...account, slots: account.slots.filter(slot => slot.counter === storeCounter)};
+	return {...account, isComplete: false, slots: account.slots.filter(slot => slot.counter === storeCounter)};
 }
--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -38,6 +38,15 @@
 	/** The budget covers the call, but this instance is not entitled to grant it. */
 		| {readonly kind: 'withheld'};
 
+/** What the store has recorded of a program whose account is lost. */
+export type RestoredRecord = {
+	readonly program: ProgramId;
+	readonly recorded: Tokens;
+	/** The part of the record that no instance is known to have granted. */
+	readonly unaccounted: Tokens;
+	readonly retention: Milliseconds;
+};
+
 export type TokenLedger = {
 	/** Reserves the tokens of a call if the budget covers it. A repeated request for the same attempt counts once. */
 	readonly reserve: (request: ReservationRequest, entitlement: Entitlement, now: Milliseconds) => LedgerDecision;
@@ -53,8 +62,10 @@
 	readonly settle: (program: ProgramId, attempt: AttemptId, used: Tokens, now: Milliseconds) => void;
 	/** Updates the amount that the store has recorded for the program. */
 	readonly markRecorded: (program: ProgramId, recorded: Tokens) => void;
-	/** Counts as used the amount that the store recorded before instances lost their memory. */
-	readonly restore: (program: ProgramId, recorded: Tokens, retention: Milliseconds, now: Milliseconds) => void;
+	/** Counts as used what the store recorded before the instances that knew more lost their memory. The account is complete then. */
+	readonly restore: (record: RestoredRecord, now: Milliseconds) => void;
+	/** Whether the slots are all that was granted at home, or what replaces them after a loss of memory. */
+	readonly isComplete: (program: ProgramId) => boolean;
 	/** Returns whether that changed the home or the second-half state, so that the home may lack what this instance counted. */
 	readonly merge: (account: TokenAccount, now: Milliseconds) => boolean;
 	/** Number of changes of the account; zero if there is none. */
@@ -92,6 +103,7 @@
 	readonly reservations: Map<AttemptId, Tokens>;
 	home: DataCentreId | undefined;
 	isSecondHalf: boolean;
+	isComplete: boolean;
 	recorded: Tokens;
 	retention: Milliseconds;
 	touchedAt: Milliseconds;
@@ -106,16 +118,21 @@
 	return total;
 }
 
-function toAccount(program: ProgramId, entry: Entry): TokenAccount {
-	return {
-		program, home: entry.home, isSecondHalf: entry.isSecondHalf, recorded: entry.recorded, retention: entry.retention, slots: [...entry.slots.values()],
-	};
-}
-
 /** Creates an empty ledger; `counter` identifies this incarnation of the instance. */
 export function createTokenLedger(counter: CounterId, dataCentre: DataCentreId): TokenLedger {
 	const entries = new Map<ProgramId, Entry>();
 
+	/** Whether this instance holds all that was granted at home. One elsewhere is not told of later grants. */
+	function isHolder(entry: Entry): boolean {
+		return entry.isComplete && entry.home === dataCentre;
+	}
+
+	function toAccount(program: ProgramId, entry: Entry): TokenAccount {
+		return {
+			program, home: entry.home, isSecondHalf: entry.isSecondHalf, isComplete: isHolder(entry), recorded: entry.recorded, retention: entry.retention, slots: [...entry.slots.values()],
+		};
+	}
+
 	function entryOf(program: ProgramId, retention: Milliseconds, now: Milliseconds): Entry {
 		const existing = entries.get(program);
 		if (existing) {
@@ -125,7 +142,7 @@
 		}
 
 		const entry: Entry = {
-			revision: 0, slots: new Map(), reservations: new Map(), home: undefined, isSecondHalf: false, recorded: as<Tokens>(0), retention, touchedAt: now,
+			revision: 0, slots: new Map(), reservations: new Map(), home: undefined, isSecondHalf: false, isComplete: false, recorded: as<Tokens>(0), retention, touchedAt: now,
 		};
 		entries.set(program, entry);
 		return entry;
@@ -169,9 +186,11 @@
 			const entry = entryOf(program, retention, now);
 			if (entry.home === undefined) {
 				entry.home = home;
+				entry.isComplete = true;
 				entry.revision++;
 			}
 		},
+		isComplete: program => entries.get(program)?.isComplete ?? false,
 		reserve(request, entitlement, now) {
 			const {program, attempt, budget, most, retention} = request;
 			const entry = entryOf(program, retention, now);
@@ -204,6 +223,7 @@
 			const entry = entries.get(program);
 			if (entry && sum(entry.slots.values()) === 0) {
 				entry.home = undefined;
+				entry.isComplete = false;
 				entry.revision++;
 			}
 		},
@@ -233,14 +253,14 @@
 				entry.revision++;
 			}
 		},
-		restore(program, recorded, retention, now) {
+		restore({program, recorded, unaccounted, retention}, now) {
 			const entry = entryOf(program, retention, now);
 			entry.recorded = as<Tokens>(Math.max(entry.recorded, recorded));
+			entry.isComplete = true;
 			entry.revision++;
-			const slot = entry.slots.get(storeCounter);
-			if (!slot || slot.settled < recorded) {
+			if (unaccounted > (entry.slots.get(storeCounter)?.settled ?? 0)) {
 				entry.slots.set(storeCounter, {
-					counter: storeCounter, dataCentre: undefined, version: recorded, settled: recorded, reserved: as<Tokens>(0),
+					counter: storeCounter, dataCentre: undefined, version: unaccounted, settled: unaccounted, reserved: as<Tokens>(0),
 				});
 			}
 		},
@@ -250,6 +270,7 @@
 			// Two partitioned data centres may both have claimed the program; all instances keep the same home, the lowest id.
 			entry.home = home !== undefined && (account.home === undefined || home < account.home) ? home : account.home;
 			entry.isSecondHalf ||= account.isSecondHalf;
+			entry.isComplete ||= account.isComplete;
 			const isReassigned = entry.home !== home || entry.isSecondHalf !== isSecondHalf;
 			if (isReassigned || account.recorded > entry.recorded) {
 				entry.recorded = as<Tokens>(Math.max(entry.recorded, account.recorded));
@@ -267,14 +288,15 @@
 			return isReassigned;
 		},
 		revision: program => entries.get(program)?.revision ?? 0,
-		isAheadOf({program, home, isSecondHalf, slots}) {
+		isAheadOf({program, home, isSecondHalf, isComplete, slots}) {
 			const entry = entries.get(program);
 			if (!entry) {
 				return false;
 			}
 
 			const accountVersions = new Map(slots.map(slot => [slot.counter, slot.version]));
-			return entry.home !== home || entry.isSecondHalf !== isSecondHalf || [...entry.slots.values()].some(slot => slot.version > (accountVersions.get(slot.counter) ?? -1));
+			const isOtherState = entry.home !== home || entry.isSecondHalf !== isSecondHalf || (isHolder(entry) && !isComplete);
+			return isOtherState || [...entry.slots.values()].some(slot => slot.version > (accountVersions.get(slot.counter) ?? -1));
 		},
 		account(program) {
 			const entry = entries.get(program);
--- a/src/zones/budget-coordinator.ts
+++ b/src/zones/budget-coordinator.ts
@@ -14,6 +14,7 @@
 import {type BudgetRecord, type BudgetRecords} from './budget-records.js';
 import {createBudgetReplication} from './budget-replication.js';
 import {createBudgetConfirmation} from './budget-confirmation.js';
+import {createBudgetRecovery} from './budget-recovery.js';
 import {type Member} from './membership.js';
 import {isOwner} from './ownership.js';
 import {withTimeout} from './with-timeout.js';
@@ -76,6 +77,7 @@
 	};
 	const replication = createBudgetReplication(exchange);
 	const confirmation = createBudgetConfirmation(exchange);
+	const recovery = createBudgetRecovery(exchange);
 	const writer = createRecordWriter(exchange);
 	const {markDirty} = replication;
 
@@ -142,13 +144,8 @@
 		return isInTime || ledger.isWithinUnrecordedLimit(request);
 	}
 
-	/**
-	Whether this instance decides as the home. One that has not received the account yet is treated like an instance
-	elsewhere.
-	*/
 	function isAtHome(program: ProgramId): boolean {
-		const hasAccount = (ledger.account(program)?.slots.length ?? 0) > 0;
-		return hasAccount && ledger.home(program) === options.self().dataCentre;
+		return ledger.home(program) === options.self().dataCentre;
 	}
 
 	function entitlementOf(program: ProgramId): Entitlement {
@@ -204,6 +201,10 @@
 
 	async function decide(request: ReservationRequest, isNew: boolean): Promise<ReservationOutcome> {
 		const {program} = request;
+		if (isAtHome(program) && !ledger.isComplete(program) && !await recovery.recover(program)) {
+			return withhold(request, entitlementOf(program), 'unrecovered');
+		}
+
 		const decision = await reserve(request);
 		switch (decision.kind) {
 			case 'granted': {
--- a/src/zones/budget-event.ts
+++ b/src/zones/budget-event.ts
@@ -8,14 +8,17 @@
 
 /**
 Why a call is not granted now although the budget covers it: this instance may grant no more (`limit`), no other
-instance confirmed the reservation (`unconfirmed`), other instances have granted the rest (`spent-elsewhere`), or
+instance confirmed the reservation (`unconfirmed`), what was used before the instances that knew it were lost cannot be
+read (`unrecovered`), other instances have granted the rest (`spent-elsewhere`), or
 the store has been unreachable for too many calls (`unrecorded`).
 */
-export type WithholdReason = 'limit' | 'unconfirmed' | 'spent-elsewhere' | 'unrecorded';
+export type WithholdReason = 'limit' | 'unconfirmed' | 'unrecovered' | 'spent-elsewhere' | 'unrecorded';
 
 export type BudgetEvent
 	/** The store did not confirm the record in time; the call may proceed without it. */
 	= | {readonly kind: 'unrecorded'; readonly request: AttemptId; readonly program: ProgramId}
+	/** Instances that knew the account were lost; of what the store recorded, no instance is known to have granted `unaccounted`. */
+		| {readonly kind: 'recovered'; readonly program: ProgramId; readonly recorded: Tokens; readonly unaccounted: Tokens}
 	/** A coordinator, here called `keeper`, did not answer. */
 		| {readonly kind: 'keeper-silent'; readonly request: AttemptId; readonly program: ProgramId; readonly keeper: InstanceId}
 		| {
--- a/src/zones/budget-records.ts
+++ b/src/zones/budget-records.ts
@@ -8,7 +8,7 @@
 import {type Clock} from '../contracts/clock.js';
 import {type Failure} from '../contracts/failure.js';
 import {
-	as, type Address, type InstanceId, type Milliseconds, type ObjectName, type ObjectVersion, type ProgramId, type Tokens,
+	as, type Address, type DataCentreId, type InstanceId, type Milliseconds, type ObjectName, type ObjectVersion, type ProgramId, type Tokens,
 } from '../contracts/id.js';
 import {type VersionedObject, type ObjectStore, type WriteResult} from '../contracts/object-store.js';
 
@@ -23,14 +23,18 @@
 
 const recordBody = z.object({
 	address: z.string(),
+	dataCentre: z.string().optional(),
 	/** Used tokens, and the wall-clock time in ms at which the record expires. */
 	programs: z.record(z.string(), z.tuple([z.number(), z.number()])),
 });
 
 export type BudgetRecord = {readonly program: ProgramId; readonly used: Tokens; readonly retention: Milliseconds};
 
+/** A record with the data centre of the instance that wrote it. */
+export type StoredRecord = BudgetRecord & {readonly dataCentre: DataCentreId | undefined};
+
 /** What all instances recorded, and the addresses that they had when they wrote it. */
-export type StoredRecords = {readonly records: readonly BudgetRecord[]; readonly addresses: readonly Address[]};
+export type StoredRecords = {readonly records: readonly StoredRecord[]; readonly addresses: readonly Address[]};
 
 export type BudgetRecords = {
 	/** Resolves to true once the store holds the record, or to false after the last attempt. */
@@ -41,6 +45,7 @@
 
 export type BudgetRecordsOptions = {
 	readonly id: InstanceId;
+	readonly dataCentre: DataCentreId;
 	readonly address: Address;
 	readonly store: ObjectStore;
 	readonly clock: Clock;
@@ -74,7 +79,7 @@
 			}
 		}
 
-		return {address: options.address, programs: Object.fromEntries([...programs].map(([program, stored]) => [program, [stored.used, stored.expiresAt]]))};
+		return {address: options.address, dataCentre: options.dataCentre, programs: Object.fromEntries([...programs].map(([program, stored]) => [program, [stored.used, stored.expiresAt]]))};
 	}
 
 	/** Adopts what an earlier incarnation of this instance wrote. */
@@ -140,14 +145,17 @@
 			}
 
 			const now = clock.wall();
-			const records: BudgetRecord[] = [];
+			const records: StoredRecord[] = [];
 			const addresses: Address[] = [];
 			for (const object of list.value.objects) {
 				const parsed = recordBody.safeParse(object.spec);
 				addresses.push(...(parsed.data ? [as<Address>(parsed.data.address)] : []));
+				const dataCentre = parsed.data?.dataCentre === undefined ? undefined : as<DataCentreId>(parsed.data.dataCentre);
 				for (const [program, [used, expiresAt]] of Object.entries(parsed.data?.programs ?? {})) {
 					if (expiresAt >= now) {
-						records.push({program: as<ProgramId>(program), used: as<Tokens>(used), retention: as<Milliseconds>(expiresAt - now)});
+						records.push({
+							program: as<ProgramId>(program), used: as<Tokens>(used), retention: as<Milliseconds>(expiresAt - now), dataCentre,
+						});
 					}
 				}
 			}
--- a/src/zones/budget-replication.ts
+++ b/src/zones/budget-replication.ts
@@ -12,7 +12,7 @@
 import {type TokenLedger} from '../contracts/token-ledger.js';
 import {type Member} from './membership.js';
 import {
-	type AccountExchange, homeReplicas, replicasFor, sendAccounts,
+	type AccountExchange, askNeighbours, homeReplicas, replicasFor, sendAccounts,
 } from './replicas.js';
 import {candidatesIn, dataCentresOf} from './ownership.js';
 import {withTimeout} from './with-timeout.js';
@@ -182,21 +182,6 @@
 		}
 	}
 
-	/**
-	Merges what all other members of this data centre have counted, also those that count as dead here. An instance that
-	takes over without having granted may not be among those that hold the account, and only believe the others dead.
-	*/
-	async function askNeighbours(program: ProgramId): Promise<void> {
-		const self = options.self();
-		const account = ledger.account(program);
-		const neighbours = options.members().filter(member => member.dataCentre === self.dataCentre && member.id !== self.id);
-		await Promise.all(account
-			? neighbours.map(async member => sendAccounts(options, member, {kind: 'accounts', accounts: [account], isPassedOn: true}, {
-				timeout: as<Milliseconds>(sendTimeoutMs), attempts: 1,
-			}))
-			: []);
-	}
-
 	/** Notifies all data centres that only the home may grant. Replies arrive only after the notice has been stored. */
 	function startNotice(program: ProgramId): Notice {
 		ledger.markSecondHalf(program);
@@ -228,7 +213,8 @@
 		},
 		async acquireExclusivity(program) {
 			if (!notices.has(program) && !ledger.hasGranted(program)) {
-				await askNeighbours(program);
+				const account = ledger.account(program);
+				await (account && askNeighbours(options, account));
 			}
 
 			const notice = notices.get(program) ?? startNotice(program);
--- a/src/zones/replicas.ts
+++ b/src/zones/replicas.ts
@@ -2,7 +2,9 @@
 The instances that hold replicas of a program's account and would take over as its coordinator, and the exchange of
 accounts with them.
 */
-import {type DataCentreId, type InstanceId, type ProgramId} from '../contracts/id.js';
+import {
+	as, type DataCentreId, type InstanceId, type Milliseconds, type ProgramId,
+} from '../contracts/id.js';
 import {type TokenAccount} from '../contracts/token-account.js';
 import {type Member} from './membership.js';
 import {candidatesIn, rankOwners} from './ownership.js';
@@ -12,6 +14,9 @@
 /** Number of instances of a program's home that hold its account, including the coordinator. */
 export const homeReplicas = 3;
 
+/** Timeout of a message to an instance of the same data centre. */
+const neighbourTimeoutMs = 40;
+
 /** The other instances, as seen from this one. */
 export type PeerView = {
 	readonly self: () => Member;
@@ -59,3 +64,16 @@
 
 	return true;
 }
+
+/**
+Merges what all other members of this data centre have counted, also those that count as dead here: an instance that is
+not among those that hold the account may only believe them dead. Resolves to whether any replied.
+*/
+export async function askNeighbours(exchange: AccountExchange, account: TokenAccount): Promise<boolean> {
+	const self = exchange.self();
+	const neighbours = exchange.members().filter(member => member.dataCentre === self.dataCentre && member.id !== self.id);
+	const replies = await Promise.all(neighbours.map(async member => sendAccounts(exchange, member, {kind: 'accounts', accounts: [account], isPassedOn: true}, {
+		timeout: as<Milliseconds>(neighbourTimeoutMs), attempts: 1,
+	})));
+	return replies.includes(true);
+}
--- a/src/zones/warm-up.ts
+++ b/src/zones/warm-up.ts
@@ -84,7 +84,9 @@
 		}
 
 		for (const record of latest.records) {
-			ledger.restore(record.program, record.used, record.retention, clock.now());
+			ledger.restore({
+				program: record.program, recorded: record.used, unaccounted: record.used, retention: record.retention,
+			}, clock.now());
 		}
 
 		finish('store', latest.records.length);
--- a/tests/budget-exploration.test.ts
+++ b/tests/budget-exploration.test.ts
@@ -50,9 +50,9 @@
 	};
 }
 
-type Fault = 'none' | 'data-centre-partition' | 'instance-partition' | 'pause' | 'restart' | 'restart-in-turn' | 'store-down' | 'views-differ' | 'restart-all' | 'power-loss';
+type Fault = 'none' | 'data-centre-partition' | 'data-centre-loss' | 'instance-partition' | 'pause' | 'restart' | 'restart-in-turn' | 'store-down' | 'views-differ' | 'restart-all' | 'power-loss';
 
-const faults: readonly Fault[] = ['data-centre-partition', 'instance-partition', 'pause', 'restart', 'restart-in-turn', 'store-down', 'views-differ', 'restart-all', 'power-loss'];
+const faults: readonly Fault[] = ['data-centre-partition', 'data-centre-loss', 'instance-partition', 'pause', 'restart', 'restart-in-turn', 'store-down', 'views-differ', 'restart-all', 'power-loss'];
 
 async function injectFault(cluster: BudgetCluster, fault: Fault, draw: Draw): Promise<void> {
 	const duration = as<Milliseconds>(500 + draw.below(3500));
@@ -74,6 +74,19 @@
 			return;
 		}
 
+		case 'data-centre-loss': {
+			// Sometimes one instance survives, which may hold no account.
+			const dataCentre = draw.oneOf(dataCentres);
+			const lost = instances.filter(id => id.startsWith(dataCentre)).slice(draw.below(2));
+			for (const id of lost) {
+				cluster.node(id).isUp = false;
+			}
+
+			await clock.sleep(as<Milliseconds>(draw.below(maximumStartDelayMs)));
+			await cluster.recover(...lost);
+			return;
+		}
+
 		case 'instance-partition': {
 			const partitioned = draw.oneOf(instances);
 			cluster.partitioned.add(partitioned);
--- a/tests/object-store-contract.test.ts
+++ b/tests/object-store-contract.test.ts
@@ -5,7 +5,7 @@
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
 import {
-	as, type Address, type InstanceId, type Milliseconds, type ObjectName, type ObjectVersion, type ProgramId, type Tokens,
+	as, type Address, type DataCentreId, type InstanceId, type Milliseconds, type ObjectName, type ObjectVersion, type ProgramId, type Tokens,
 } from '../src/contracts/id.js';
 import {type ObjectStore} from '../src/contracts/object-store.js';
 import {createRetirement} from '../src/machines/retirement.js';
@@ -125,7 +125,7 @@
 
 function recordsOf(id: string) {
 	return createBudgetRecords({
-		id: as<InstanceId>(id), address: as<Address>('10.0.0.1:1'), store, clock: systemClock, signal: closing.signal,
+		id: as<InstanceId>(id), dataCentre: as<DataCentreId>('a'), address: as<Address>('10.0.0.1:1'), store, clock: systemClock, signal: closing.signal,
 	});
 }
 
--- a/tests/shared-budgets.test.ts
+++ b/tests/shared-budgets.test.ts
@@ -63,6 +63,49 @@
 	});
 }
 
+// Guards against a budget that is granted anew by instances that learn of its program from other data centres.
+test('a budget holds when all instances of its home lose their memory while others run', async () => {
+	for (const budget of [500, 1000]) {
+		const cluster = createBudgetCluster(instances);
+		const before = await spend(cluster, ['a1', 'a2'], budget, 4);
+		const recovering = cluster.recover('a1', 'a2', 'a3');
+		await cluster.clock.advance(3000);
+		await recovering;
+		const after = await spend(cluster, instances, budget, 20);
+		assert.ok(before + after <= budget + most, `${before + after} of ${budget}`);
+		assert.ok(after > 0 || before >= budget / 2);
+	}
+});
+
+// Guards against an instance that takes over without the account, because all that held it were lost.
+test('a budget holds when the instances of its home that hold its account are lost', async () => {
+	const larger = [...instances, 'a4', 'a5'];
+	for (const survivor of larger.filter(id => id.startsWith('a'))) {
+		const cluster = createBudgetCluster(larger);
+		const before = await spend(cluster, ['a1', 'a2'], 500, 2);
+		const lost = larger.filter(id => id.startsWith('a') && id !== survivor);
+		const recovering = cluster.recover(...lost);
+		await cluster.clock.advance(3000);
+		await recovering;
+		const after = await spend(cluster, larger, 500, 20);
+		assert.ok(before + after <= 500 + most, `${before + after} of 500 with ${survivor} left`);
+	}
+});
+
+test('a program whose home lost its memory while the store is away is served once the store is back', async () => {
+	const cluster = createBudgetCluster(instances);
+	const before = await spend(cluster, ['a1'], 500, 1);
+	cluster.isStoreDown = true;
+	const recovering = cluster.recover('a1', 'a2', 'a3');
+	await cluster.clock.advance(3000);
+	await recovering;
+	assert.equal(await spend(cluster, instances, 500, 3), 0);
+	cluster.isStoreDown = false;
+	const after = await spend(cluster, instances, 500, 20);
+	assert.ok(after > 0);
+	assert.ok(before + after <= 500 + most);
+});
+
 test('a coordinator that restarts has the grants made while it was down', async () => {
 	const cluster = createBudgetCluster(instances);
 	let total = await spend(cluster, ['a1'], 600, 1);
--- a/tests/token-ledger.test.ts
+++ b/tests/token-ledger.test.ts
@@ -134,7 +134,9 @@
 		if (step.kind === 'lose-memory') {
 			ledger = createTokenLedger(as<CounterId>(`life-${++restarts}`), home);
 			if (recorded > 0) {
-				ledger.restore(program, as<Tokens>(recorded), as<Milliseconds>(60_000), now);
+				ledger.restore({
+					program, recorded: as<Tokens>(recorded), unaccounted: as<Tokens>(recorded), retention: as<Milliseconds>(60_000),
+				}, now);
 			}
 		} else {
 			const used = step.kind === 'call' ? step.used : most;
