Keep records of budgets for a retention after the last call

Cause: a record expired one retention after the write that raised it, and the calls within it wrote nothing. Records are now kept for twice the retention, a call that finds less than one and a quarter of it left writes the record again, and a write of the same amount extends it. Accounts carry the time, so that an instance that takes over renews what another wrote.

Ruled out: records that aren't read (the start reports source 'store'), accounts that expire in memory (they count from the last call).

--- a/src/contracts/token-account.ts
+++ b/src/contracts/token-account.ts
@@ -33,6 +33,8 @@
 	readonly isComplete: boolean;
 	/** Tokens that the store has recorded as used. */
 	readonly recorded: Tokens;
+	/** Wall-clock time at which that record expires. */
+	readonly recordedUntil: Milliseconds;
 	readonly retention: Milliseconds;
 	readonly slots: readonly LedgerSlot[];
 };
--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -42,6 +42,8 @@
 export type RestoredRecord = {
 	readonly program: ProgramId;
 	readonly recorded: Tokens;
+	/** Wall-clock time at which the record expires. */
+	readonly until: Milliseconds;
 	/** The part of the record that no instance is known to have granted. */
 	readonly unaccounted: Tokens;
 	readonly retention: Milliseconds;
@@ -60,8 +62,12 @@
 	/** Whether the used and reserved tokens are still within the entitlement after accounts were merged. */
 	readonly isWithin: (request: ReservationRequest, entitlement: Entitlement) => boolean;
 	readonly settle: (program: ProgramId, attempt: AttemptId, used: Tokens, now: Milliseconds) => void;
-	/** Updates the amount that the store has recorded for the program. */
-	readonly markRecorded: (program: ProgramId, recorded: Tokens) => void;
+	/** Updates the amount that the store has recorded for the program, and the wall-clock time until which it keeps the record. */
+	readonly markRecorded: (program: ProgramId, recorded: Tokens, until: Milliseconds) => void;
+	/** Tokens that the store has recorded as used. */
+	readonly recorded: (program: ProgramId) => Tokens;
+	/** Wall-clock time until which the store keeps the program's record; zero if there is none. */
+	readonly recordedUntil: (program: ProgramId) => Milliseconds;
 	/** Counts as used what the store recorded before the instances that knew more lost their memory. The account is complete then. */
 	readonly restore: (record: RestoredRecord, now: Milliseconds) => void;
 	/** Whether the slots are all that was granted at home, or what replaces them after a loss of memory. */
@@ -105,6 +111,7 @@
 	isSecondHalf: boolean;
 	isComplete: boolean;
 	recorded: Tokens;
+	recordedUntil: Milliseconds;
 	retention: Milliseconds;
 	touchedAt: Milliseconds;
 };
@@ -129,7 +136,14 @@
 
 	function toAccount(program: ProgramId, entry: Entry): TokenAccount {
 		return {
-			program, home: entry.home, isSecondHalf: entry.isSecondHalf, isComplete: isHolder(entry), recorded: entry.recorded, retention: entry.retention, slots: [...entry.slots.values()],
+			program,
+			home: entry.home,
+			isSecondHalf: entry.isSecondHalf,
+			isComplete: isHolder(entry),
+			recorded: entry.recorded,
+			recordedUntil: entry.recordedUntil,
+			retention: entry.retention,
+			slots: [...entry.slots.values()],
 		};
 	}
 
@@ -142,12 +156,29 @@
 		}
 
 		const entry: Entry = {
-			revision: 0, slots: new Map(), reservations: new Map(), home: undefined, isSecondHalf: false, isComplete: false, recorded: as<Tokens>(0), retention, touchedAt: now,
+			revision: 0,
+			slots: new Map(),
+			reservations: new Map(),
+			home: undefined,
+			isSecondHalf: false,
+			isComplete: false,
+			recorded: as<Tokens>(0),
+			recordedUntil: as<Milliseconds>(0),
+			retention,
+			touchedAt: now,
 		};
 		entries.set(program, entry);
 		return entry;
 	}
 
+	function updateRecord(entry: Entry, recorded: Tokens, until: Milliseconds): void {
+		if (recorded > entry.recorded || until > entry.recordedUntil) {
+			entry.recorded = as<Tokens>(Math.max(entry.recorded, recorded));
+			entry.recordedUntil = as<Milliseconds>(Math.max(entry.recordedUntil, until));
+			entry.revision++;
+		}
+	}
+
 	/** Adds to the slot of this instance. */
 	function count(entry: Entry, settled: number, reserved: number): void {
 		const slot = entry.slots.get(counter);
@@ -246,16 +277,19 @@
 			entry.reservations.delete(attempt);
 			count(entry, used, -reserved);
 		},
-		markRecorded(program, recorded) {
+		markRecorded(program, recorded, until) {
 			const entry = entries.get(program);
-			if (entry && recorded > entry.recorded) {
-				entry.recorded = recorded;
-				entry.revision++;
+			if (entry) {
+				updateRecord(entry, recorded, until);
 			}
 		},
-		restore({program, recorded, unaccounted, retention}, now) {
+		recorded: program => entries.get(program)?.recorded ?? as<Tokens>(0),
+		recordedUntil: program => entries.get(program)?.recordedUntil ?? as<Milliseconds>(0),
+		restore({
+			program, recorded, until, unaccounted, retention,
+		}, now) {
 			const entry = entryOf(program, retention, now);
-			entry.recorded = as<Tokens>(Math.max(entry.recorded, recorded));
+			updateRecord(entry, recorded, until);
 			entry.isComplete = true;
 			entry.revision++;
 			if (unaccounted > (entry.slots.get(storeCounter)?.settled ?? 0)) {
@@ -272,10 +306,8 @@
 			entry.isSecondHalf ||= account.isSecondHalf;
 			entry.isComplete ||= account.isComplete;
 			const isReassigned = entry.home !== home || entry.isSecondHalf !== isSecondHalf;
-			if (isReassigned || account.recorded > entry.recorded) {
-				entry.recorded = as<Tokens>(Math.max(entry.recorded, account.recorded));
-				entry.revision++;
-			}
+			entry.revision += isReassigned ? 1 : 0;
+			updateRecord(entry, account.recorded, account.recordedUntil);
 
 			for (const slot of account.slots) {
 				const current = entry.slots.get(slot.counter);
--- a/src/zones/budget-coordinator.ts
+++ b/src/zones/budget-coordinator.ts
@@ -4,7 +4,7 @@
 */
 import {type Clock} from '../contracts/clock.js';
 import {
-	as, type AttemptId, type DataCentreId, type InstanceId, type ProgramId, type Tokens,
+	as, type AttemptId, type DataCentreId, type InstanceId, type Milliseconds, type ProgramId, type Tokens,
 } from '../contracts/id.js';
 import {type TokenAccount} from '../contracts/token-account.js';
 import {
@@ -25,6 +25,13 @@
 /** Timeout of a write to the store, after which a call may proceed without the record. */
 const recordTimeoutMs = 150;
 
+/**
+Lifetime of a record, as a multiple of the program's retention, and the remainder below which it is renewed. A program may
+return within its retention after its last call, which ends some seconds after it was granted.
+*/
+const recordLifetime = 2;
+const renewalRemainder = 1.25;
+
 export type MergedAccounts = {
 	/** Accounts of which this instance has newer data than the peer sent. */
 	readonly newer: readonly TokenAccount[];
@@ -117,22 +124,29 @@
 		return {reassigned, newer: accounts.filter(account => ledger.isAheadOf(account)).flatMap(({program}) => ledger.account(program) ?? [])};
 	}
 
-	async function writeRecord(record: BudgetRecord): Promise<boolean> {
-		const {program, used} = record;
+	/** Writes a record that outlives the program's retention. */
+	async function writeRecord({program, used, retention}: BudgetRecord): Promise<boolean> {
+		const lifetime = as<Milliseconds>(retention * recordLifetime);
+		const until = as<Milliseconds>(clock.wall() + lifetime);
 		pendingRecords.set(program, as<Tokens>(Math.max(used, pendingRecords.get(program) ?? 0)));
-		const isWritten = await writer.write(record);
+		const isWritten = await writer.write({program, used, retention: lifetime});
 		if (pendingRecords.get(program) === used) {
 			pendingRecords.delete(program);
 		}
 
 		if (isWritten) {
-			ledger.markRecorded(program, used);
+			ledger.markRecorded(program, used, until);
 			markDirty(program);
 		}
 
 		return isWritten;
 	}
 
+	/** Whether the store may drop the record before the program's retention has passed since this call. */
+	function isRecordExpiring({program, retention}: ReservationRequest): boolean {
+		return ledger.recordedUntil(program) - clock.wall() < retention * renewalRemainder;
+	}
+
 	/** Writes the record and waits for the store up to a timeout. Resolves to whether the call may proceed. */
 	async function record(request: ReservationRequest, upTo: TokenAccount['recorded']): Promise<boolean> {
 		const writing = writeRecord({program: request.program, used: upTo, retention: request.retention});
@@ -208,7 +222,8 @@
 		const decision = await reserve(request);
 		switch (decision.kind) {
 			case 'granted': {
-				return confirm(request, isNew, Promise.resolve(true));
+				const renewal = isRecordExpiring(request) ? record(request, ledger.recorded(program)) : Promise.resolve(true);
+				return confirm(request, isNew, renewal);
 			}
 
 			case 'record-first': {
--- a/src/zones/budget-records.ts
+++ b/src/zones/budget-records.ts
@@ -28,7 +28,12 @@
 	programs: z.record(z.string(), z.tuple([z.number(), z.number()])),
 });
 
-export type BudgetRecord = {readonly program: ProgramId; readonly used: Tokens; readonly retention: Milliseconds};
+export type BudgetRecord = {
+	readonly program: ProgramId;
+	readonly used: Tokens;
+	/** Time for which the store keeps the record. */
+	readonly retention: Milliseconds;
+};
 
 /** A record with the data centre of the instance that wrote it. */
 export type StoredRecord = BudgetRecord & {readonly dataCentre: DataCentreId | undefined};
@@ -66,9 +71,10 @@
 
 	function put(program: ProgramId, stored: Stored): void {
 		const known = programs.get(program);
-		if (!known || stored.used > known.used) {
-			programs.set(program, stored);
-		}
+		programs.set(program, {
+			used: as<Tokens>(Math.max(stored.used, known?.used ?? 0)),
+			expiresAt: Math.max(stored.expiresAt, known?.expiresAt ?? 0),
+		});
 	}
 
 	function compose(): z.output<typeof recordBody> {
--- a/src/zones/budget-recovery.ts
+++ b/src/zones/budget-recovery.ts
@@ -85,9 +85,10 @@
 			if (!account.isComplete) {
 				const stored = records.filter(record => record.program === program);
 				const recorded = as<Tokens>(highest(stored));
+				const until = as<Milliseconds>(clock.wall() + Math.max(0, ...stored.map(record => record.retention)));
 				const unaccounted = unaccountedIn(stored, account);
 				ledger.restore({
-					program, recorded, unaccounted, retention: account.retention,
+					program, recorded, until, unaccounted, retention: account.retention,
 				}, clock.now());
 				options.onEvent({
 					kind: 'recovered', program, recorded, unaccounted,
--- a/src/zones/warm-up.ts
+++ b/src/zones/warm-up.ts
@@ -85,7 +85,7 @@
 
 		for (const record of latest.records) {
 			ledger.restore({
-				program: record.program, recorded: record.used, unaccounted: record.used, retention: record.retention,
+				program: record.program, recorded: record.used, until: as<Milliseconds>(clock.wall() + record.retention), unaccounted: record.used, retention: record.retention,
 			}, clock.now());
 		}
 
--- a/tests/budget-exploration.test.ts
+++ b/tests/budget-exploration.test.ts
@@ -18,11 +18,13 @@
 const dataCentres = ['a', 'b', 'c'];
 const budgets = [2 * most, 3 * most, 5 * most];
 
-/** Time for which the program makes calls. */
-const callPeriodMs = 8000;
+/** How a program makes calls: for how long, how far apart at most, and by when every fault has started; in ms. */
+type Pace = {readonly calls: number; readonly gap: number; readonly faults: number};
 
-/** Time by which every fault has started. */
-const faultsUntilMs = 6000;
+const busy: Pace = {calls: 8000, gap: 100, faults: 6000};
+
+/** A program that lives for longer than its retention, of 60 s, without ever being inactive for as long. */
+const slow: Pace = {calls: 180_000, gap: 40_000, faults: 150_000};
 
 /** After a loss of power: how late instances answer and hear of each other, how slow the store is, and how far apart the starts are. */
 const maximumBusyMs = 1500;
@@ -151,7 +153,7 @@
 }
 
 /** Runs one history. Returns the tokens granted beyond the budget. */
-async function tokensOverBudget(injected: readonly [Fault, Fault], seed: number): Promise<number> {
+async function tokensOverBudget(injected: readonly [Fault, Fault], seed: number, pace = busy): Promise<number> {
 	const cluster = createBudgetCluster(instances);
 	const draw = createDraw(seed);
 	const budget = draw.oneOf(budgets);
@@ -169,12 +171,12 @@
 	}
 
 	const injecting = injected.map(async fault => {
-		await cluster.clock.sleep(as<Milliseconds>(draw.below(faultsUntilMs)));
+		await cluster.clock.sleep(as<Milliseconds>(draw.below(pace.faults)));
 		await injectFault(cluster, fault, draw);
 	});
-	for (let number = 0; cluster.clock.now() < callPeriodMs; number++) {
+	for (let number = 0; cluster.clock.now() < pace.calls; number++) {
 		calls.push(call(number));
-		await cluster.clock.advance(draw.below(100));
+		await cluster.clock.advance(draw.below(pace.gap));
 	}
 
 	await cluster.clock.advance(20_000);
@@ -199,6 +201,17 @@
 	});
 }
 
+const losses = ['data-centre-loss', 'restart-all', 'power-loss'] as const;
+
+for (const loss of losses) {
+	test(`a budget of a slow program is exceeded by at most one call under ${loss}`, async () => {
+		for (let seed = 1; seed <= seedsPerPair; seed++) {
+			const excess = await tokensOverBudget(['none', loss], seed, slow);
+			assert.ok(excess <= most, `seed ${seed}: ${excess} tokens beyond the budget`);
+		}
+	});
+}
+
 /** Regression seeds: histories that have failed. Those that still fail are listed in KNOWN-RED.txt. */
 const regressions: ReadonlyArray<readonly [Fault, Fault, number]> = [
 	// Two calls went unrecorded while the store was unreachable, and then all memory was lost.
--- a/tests/object-store-contract.test.ts
+++ b/tests/object-store-contract.test.ts
@@ -149,6 +149,17 @@
 	assert.deepEqual([all.p1, all.p2, all.p3, all.p4], [50, 50, 50, 70]);
 });
 
+test('a record that is written again lasts from its last write on', async () => {
+	const records = recordsOf('entry-3');
+	const {program} = recordWith('p6', 80);
+	const lifetime = (ms: number) => as<Milliseconds>(ms);
+	await records.write({program, used: as<Tokens>(80), retention: lifetime(100)});
+	await records.write({program, used: as<Tokens>(80), retention: lifetime(60_000)});
+	await systemClock.sleep(lifetime(150));
+	const all = await loadUsedTokens();
+	assert.equal(all.p6, 80);
+});
+
 test('a record whose write response was lost is written again', async () => {
 	const records = recordsOf('entry-2');
 	standIn.setFaults({loseAnswers: true});
--- a/tests/shared-budgets.test.ts
+++ b/tests/shared-budgets.test.ts
@@ -92,6 +92,23 @@
 	}
 });
 
+// Guards against a record that expires by its first write although the program is still active.
+test('a budget holds when all memory is lost later than the retention after the first call', async () => {
+	const cluster = createBudgetCluster(instances);
+	let total = 0;
+	for (let call = 0; call < 3; call++) {
+		total += await spend(cluster, ['a1'], 800, 1);
+		await cluster.clock.advance(18_000);
+	}
+
+	await cluster.clock.advance(5000);
+	const recovering = cluster.recover(...instances);
+	await cluster.clock.advance(28_000);
+	await recovering;
+	total += await spend(cluster, instances, 800, 20);
+	assert.ok(total <= 800 + most, `${total} of 800`);
+});
+
 test('a program whose home lost its memory while the store is away is served once the store is back', async () => {
 	const cluster = createBudgetCluster(instances);
 	const before = await spend(cluster, ['a1'], 500, 1);
--- a/tests/token-ledger.test.ts
+++ b/tests/token-ledger.test.ts
@@ -124,7 +124,7 @@
 		const decision = ledger.reserve(call(++number, budget), 'whole', now);
 		if (decision.kind === 'record-first') {
 			recorded = Math.max(recorded, decision.upTo);
-			ledger.markRecorded(program, as<Tokens>(recorded));
+			ledger.markRecorded(program, as<Tokens>(recorded), as<Milliseconds>(60_000));
 		}
 
 		return decision.kind === 'granted' || decision.kind === 'record-first';
@@ -135,7 +135,7 @@
 			ledger = createTokenLedger(as<CounterId>(`life-${++restarts}`), home);
 			if (recorded > 0) {
 				ledger.restore({
-					program, recorded: as<Tokens>(recorded), unaccounted: as<Tokens>(recorded), retention: as<Milliseconds>(60_000),
+					program, recorded: as<Tokens>(recorded), until: as<Milliseconds>(60_000), unaccounted: as<Tokens>(recorded), retention: as<Milliseconds>(60_000),
 				}, now);
 			}
 		} else {
