Record calls granted in place of a home on top of its record

Cause: a data centre that grants in place of the home compared its own calls with the home's record, within which the home may have granted as much. Both fitted into the record, which alone counts after the loss. An instance away from home now takes the part of the record that no known call accounts for as granted, and records its own calls on top. While the store doesn't answer it grants as before.

Price: a write for each such call, only while the home can't be reached.

--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -112,6 +112,8 @@
 	isComplete: boolean;
 	recorded: Tokens;
 	recordedUntil: Milliseconds;
+	/** Tokens that instances at the home may have granted within the record, beyond what is known here. */
+	hidden: Tokens;
 	retention: Milliseconds;
 	touchedAt: Milliseconds;
 };
@@ -164,6 +166,7 @@
 			isComplete: false,
 			recorded: as<Tokens>(0),
 			recordedUntil: as<Milliseconds>(0),
+			hidden: as<Tokens>(0),
 			retention,
 			touchedAt: now,
 		};
@@ -206,6 +209,11 @@
 		}
 	}
 
+	/** Tokens that a record has to cover: those known here and, away from home, those that the home may have granted within its record. */
+	function toRecord(entry: Entry): number {
+		return sum(entry.slots.values()) + (entry.home === dataCentre ? 0 : entry.hidden);
+	}
+
 	function unrecorded(program: ProgramId): Tokens {
 		const entry = entries.get(program);
 		return as<Tokens>(entry ? Math.max(0, sum(entry.slots.values()) - entry.recorded) : 0);
@@ -236,12 +244,13 @@
 
 			entry.reservations.set(attempt, most);
 			count(entry, 0, most);
-			if (used + most <= entry.recorded) {
+			const covered = toRecord(entry);
+			if (covered <= entry.recorded) {
 				return {kind: 'granted'};
 			}
 
 			// Records half of the budget at once, so that most programs need one write and half of the budget remains after a loss of memory.
-			return {kind: 'record-first', upTo: as<Tokens>(Math.min(budget, Math.max(used + most, budget * firstRecordFraction)))};
+			return {kind: 'record-first', upTo: as<Tokens>(Math.min(budget, Math.max(covered, budget * firstRecordFraction)))};
 		},
 		markSecondHalf(program) {
 			const entry = entries.get(program);
@@ -317,6 +326,7 @@
 				}
 			}
 
+			entry.hidden = as<Tokens>(Math.max(0, entry.recorded - sum(entry.slots.values())));
 			return isReassigned;
 		},
 		revision: program => entries.get(program)?.revision ?? 0,
--- a/tests/shared-budgets.test.ts
+++ b/tests/shared-budgets.test.ts
@@ -109,6 +109,23 @@
 	assert.ok(total <= 800 + most, `${total} of 800`);
 });
 
+// Guards against calls that are granted in place of the home within its record, which nothing counts after a loss of memory.
+test('a budget holds when others grant in place of the home, and then all memory is lost', async () => {
+	const cluster = createBudgetCluster(instances);
+	let total = await spend(cluster, ['a1'], 500, 2);
+	for (const id of ['a1', 'a2', 'a3']) {
+		cluster.node(id).isUp = false;
+	}
+
+	total += await spend(cluster, ['b1', 'c1'], 500, 6);
+	assert.ok(total > 200);
+	const recovering = cluster.recover(...instances);
+	await cluster.clock.advance(3000);
+	await recovering;
+	total += await spend(cluster, instances, 500, 20);
+	assert.ok(total <= 500 + most, `${total} of 500`);
+});
+
 test('a program whose home lost its memory while the store is away is served once the store is back', async () => {
 	const cluster = createBudgetCluster(instances);
 	const before = await spend(cluster, ['a1'], 500, 1);
