Ask everybody at home before others confirm a grant

Cause: requests of the paused coordinator ran into their timeouts, so that it skipped all others at home as unresponsive when it woke, and had instances of other data centres confirm its grants. These do not know what was granted at home, where its successor had granted the rest. Now all others at home are asked as well before that, whatever this instance believes of them; their replies carry what they counted.

Evidence: trace of history 68 (c4 paused at 8 ms, c1 grants four calls until 690 ms, c4 has a1 and b1 confirm call 17 at 833 ms); the regression case failed before and passes. Ruled out: the notice of the second half (a1 and b1 had it, with an account of before c1's last grants).

--- a/src/zones/budget-confirmation.ts
+++ b/src/zones/budget-confirmation.ts
@@ -3,6 +3,10 @@
 over as coordinator has to reply, and its reply contains what it has counted itself. Two instances that both act as
 the coordinator, because one was paused or their membership views differ, thus learn of each other's grants, and one
 that reaches no other instance grants nothing.
+
+An instance that was paused finds that none of the others has replied, and skips them as unresponsive, although they are
+granting. So without a reply from a replica, all others at home are asked, and other data centres, which do not know
+what was granted at home, count only if none of these replies.
 */
 import {type Clock} from '../contracts/clock.js';
 import {as, type Milliseconds, type ProgramId} from '../contracts/id.js';
@@ -10,7 +14,7 @@
 import {type TokenLedger} from '../contracts/token-ledger.js';
 import {type Member} from './membership.js';
 import {
-	type AccountExchange, homeReplicas, replicasFor, sendAccounts,
+	type AccountExchange, askNeighbours, homeReplicas, replicasFor, sendAccounts,
 } from './replicas.js';
 import {dataCentresOf} from './ownership.js';
 import {withTimeout} from './with-timeout.js';
@@ -45,17 +49,19 @@
 export function createBudgetConfirmation(options: BudgetConfirmationOptions): BudgetConfirmation {
 	const {ledger, clock} = options;
 
-	/**
-	Instances that may have granted as well: the replicas in this data centre and, away from home or without any
-	replica here, one instance of each other data centre except the home.
-	*/
+	/** The replicas in this data centre and, away from home, one instance of each other data centre except the home. */
 	function confirmersOf(program: ProgramId): readonly Member[] {
 		const own = options.self().dataCentre;
 		const home = ledger.home(program) ?? own;
-		const local = replicasFor(options, own, program, homeReplicas);
-		const shouldAskElsewhere = local.length === 0 || home !== own;
-		const elsewhere = dataCentresOf(options.members()).filter(dataCentre => shouldAskElsewhere && dataCentre !== own && dataCentre !== home);
-		return [...local, ...elsewhere.flatMap(dataCentre => replicasFor(options, dataCentre, program, 1))];
+		return [...replicasFor(options, own, program, homeReplicas), ...(home === own ? [] : elsewhere(program))];
+	}
+
+	/** One instance of each other data centre except the home. */
+	function elsewhere(program: ProgramId): readonly Member[] {
+		const own = options.self().dataCentre;
+		return dataCentresOf(options.members())
+			.filter(dataCentre => dataCentre !== own && dataCentre !== ledger.home(program))
+			.flatMap(dataCentre => replicasFor(options, dataCentre, program, 1));
 	}
 
 	/** Whether this data centre has no other member, alive or dead, that could be granting. */
@@ -103,7 +109,9 @@
 				}
 			}
 
-			return isOnlyMember();
+			const account = ledger.account(program);
+			const answers: readonly boolean[] = await Promise.all(account ? [askNeighbours(options, account), askConfirmers(elsewhere(program), account)] : []);
+			return answers.includes(true) || isOnlyMember();
 		},
 	};
 }
--- a/tests/budget-exploration.test.ts
+++ b/tests/budget-exploration.test.ts
@@ -227,6 +227,8 @@
 	// An instance that took over, since it believed the coordinator dead, knew only what had been spent when the second half began.
 	['views-differ', 'views-differ', 58],
 	['pause', 'views-differ', 26],
+	// A coordinator that was paused had another data centre, which did not know of its successor's grants, confirm its own.
+	['pause', 'pause', 68],
 ];
 
 for (const [first, second, seed] of regressions) {
