Suspect requests of a crash until their endpoint answers or is gone

Others' requests were lost with each endpoint.

Cause: a crash was recorded only when a second attempt of the same request found the endpoint gone; such a request has one attempt. A broken connection now makes its request suspect for 10 s, and any other request that can't reach the endpoint, a list that drops it, or another start under its id confirms it. Answers of the endpoint clear it, and contents that were answered within a minute aren't blamed. The quarantine counts incarnations of endpoints.

Ruled out: a fingerprint that varies, crashes that aren't shared (no instance had recorded any).

--- a/src/links/relay-log.ts
+++ b/src/links/relay-log.ts
@@ -91,8 +91,8 @@
 
 		case 'crash-suspected': {
 			log.warn({
-				event: 'crash-suspected', ...requestFields(event.request), endpoint: event.endpoint, fingerprint: event.fingerprint,
-			}, `request may have crashed ${event.endpoint}`);
+				event: 'crash-suspected', request: event.attempt, ...event.crash,
+			}, `request ${event.crash.fingerprint} may have crashed ${event.crash.endpoint}`);
 		}
 	}
 }
--- a/src/machines/quarantine.ts
+++ b/src/machines/quarantine.ts
@@ -4,12 +4,22 @@
 */
 import {type EndpointId, type Milliseconds} from '../contracts/id.js';
 
-/** Number of endpoints that a request must have crashed before it is refused. */
+/** Number of endpoints, or of their incarnations, that a request must have crashed before it is refused. */
 export const crashesBeforeQuarantine = 2;
 
 const quarantineMs = 600_000;
 
-export type Crash = {readonly fingerprint: string; readonly endpoint: EndpointId};
+export type Crash = {
+	readonly fingerprint: string;
+	readonly endpoint: EndpointId;
+	/** Start of the endpoint's incarnation, if it is known: one that starts again under its id can be crashed again. */
+	readonly bornAt?: Milliseconds | undefined;
+};
+
+/** Identifies a crash of one incarnation by one request. */
+export function crashKey({fingerprint, endpoint, bornAt}: Crash): string {
+	return `${fingerprint}|${endpoint}|${bornAt ?? ''}`;
+}
 
 export type Quarantine = {
 	/** Records a crash that was observed by this instance or reported by a peer. Returns whether it was not yet recorded. */
@@ -22,7 +32,7 @@
 
 /** Creates an empty quarantine. Entries expire ten minutes after the last crash. */
 export function createQuarantine(): Quarantine {
-	const suspects = new Map<string, {readonly endpoints: Set<EndpointId>; lastCrashAt: Milliseconds}>();
+	const suspects = new Map<string, {readonly crashes: Map<string, Crash>; lastCrashAt: Milliseconds}>();
 
 	function expire(now: Milliseconds): void {
 		for (const [fingerprint, suspect] of suspects) {
@@ -35,10 +45,10 @@
 	return {
 		record(crash, now) {
 			expire(now);
-			const suspect = suspects.get(crash.fingerprint) ?? {endpoints: new Set<EndpointId>(), lastCrashAt: now};
+			const suspect = suspects.get(crash.fingerprint) ?? {crashes: new Map<string, Crash>(), lastCrashAt: now};
 			suspects.set(crash.fingerprint, suspect);
-			const isNew = !suspect.endpoints.has(crash.endpoint);
-			suspect.endpoints.add(crash.endpoint);
+			const isNew = !suspect.crashes.has(crashKey(crash));
+			suspect.crashes.set(crashKey(crash), crash);
 			suspect.lastCrashAt = isNew ? now : suspect.lastCrashAt;
 			return isNew;
 		},
@@ -47,8 +57,8 @@
 		},
 		isBlocked(fingerprint, now) {
 			expire(now);
-			return (suspects.get(fingerprint)?.endpoints.size ?? 0) >= crashesBeforeQuarantine;
+			return (suspects.get(fingerprint)?.crashes.size ?? 0) >= crashesBeforeQuarantine;
 		},
-		crashes: () => [...suspects].flatMap(([fingerprint, suspect]) => [...suspect.endpoints].map(endpoint => ({fingerprint, endpoint}))),
+		crashes: () => [...suspects.values()].flatMap(suspect => [...suspect.crashes.values()]),
 	};
 }
--- a/src/machines/relay-attempts.ts
+++ b/src/machines/relay-attempts.ts
@@ -3,12 +3,13 @@
 response tell about the endpoint.
 */
 import {type Clock} from '../contracts/clock.js';
-import {as, type Milliseconds} from '../contracts/id.js';
+import {as, type EndpointId, type Milliseconds} from '../contracts/id.js';
 import {type EndpointNotice} from '../contracts/endpoint-notice.js';
 import {type RelayLink, type RelayResult} from '../contracts/relay-attempt.js';
 import {type ListedEndpoint} from '../contracts/relay.js';
 import {type RelayRequest} from '../contracts/relay-request.js';
 import {type Choice} from './endpoint-choice.js';
+import {createCrashSuspects} from './crash-suspects.js';
 import {type Quarantine} from './quarantine.js';
 import {type RelayEndpoint} from './relay-endpoint.js';
 import {type RelayEvent} from './relay-event.js';
@@ -28,12 +29,54 @@
 	/** Sends the request to an endpoint. */
 	readonly run: (job: RelayJob, choice: Extract<Choice, {kind: 'endpoint'}>) => Promise<RelayResult>;
 	/** What the job of a request calls when its attempts reveal something about an endpoint. */
-	readonly observer: (request: RelayRequest) => Pick<RelayJobOptions, 'onCrash' | 'onNotice'>;
+	readonly observer: (request: RelayRequest) => Pick<RelayJobOptions, 'onNotice'>;
+	/** Records that an endpoint, or its incarnation, has ended; requests that it had when it broke off may have crashed it. */
+	readonly recordEnd: (endpoint: EndpointId) => void;
+	/** Records that a request was answered as a whole, so that its content is not what crashes endpoints. */
+	readonly recordAnswered: (fingerprint: string) => void;
 };
 
 /** Creates the attempts of an instance. */
 export function createRelayAttempts(options: RelayAttemptsOptions): RelayAttempts {
 	const {fleet, clock, quarantine} = options;
+	const suspects = createCrashSuspects();
+
+	function recordEnd(endpoint: EndpointId): void {
+		for (const {attempt, crash} of suspects.takeFor(endpoint, clock.now())) {
+			if (quarantine.record(crash, clock.now())) {
+				options.onEvent({kind: 'crash-suspected', attempt, crash});
+			}
+		}
+	}
+
+	/** Records what the result of an attempt, sent at a time, tells about crashes of its endpoint. Silence tells nothing. */
+	function recordSuspicion(job: RelayJob, endpoint: ListedEndpoint, result: RelayResult, sentAt: Milliseconds): void {
+		switch (result.kind) {
+			case 'broken': {
+				suspects.recordBroken(endpoint, {attempt: job.request.attempt, fingerprint: job.fingerprint}, clock.now());
+				break;
+			}
+
+			case 'unreachable':
+			case 'misdirected': {
+				recordEnd(endpoint.id);
+				break;
+			}
+
+			case 'answered':
+			case 'finished':
+			case 'rejected': {
+				suspects.recordAnswer(endpoint.id, sentAt);
+				break;
+			}
+
+			case 'silent':
+			case 'expired':
+			case 'cancelled': {
+				break;
+			}
+		}
+	}
 
 	/** Records what a response says about its endpoint. */
 	function recordNotice(request: RelayRequest, {id, bornAt}: ListedEndpoint, notice: EndpointNotice): void {
@@ -113,6 +156,7 @@
 		const took = as<Milliseconds>(clock.now() - startedAt);
 		release();
 		job.recordResult(listed.id, result);
+		recordSuspicion(job, listed, result, startedAt);
 		updateEndpoint(endpoint, result, unloadedLatency(took, load));
 		options.onEvent({
 			kind: 'attempted', request: job.request, attempt: {
@@ -124,14 +168,12 @@
 
 	return {
 		run,
+		recordEnd,
+		recordAnswered(fingerprint) {
+			quarantine.clear(fingerprint);
+			suspects.recordAnswered(fingerprint, clock.now());
+		},
 		observer: request => ({
-			onCrash(endpoint, fingerprint) {
-				if (quarantine.record({fingerprint, endpoint}, clock.now())) {
-					options.onEvent({
-						kind: 'crash-suspected', request, endpoint, fingerprint,
-					});
-				}
-			},
 			onNotice(endpoint, notice) {
 				recordNotice(request, endpoint, notice);
 			},
--- a/src/machines/relay-event.ts
+++ b/src/machines/relay-event.ts
@@ -2,11 +2,12 @@
 Events of a relayed request, for logs and metrics.
 */
 import {
-	type ConfigurationGeneration, type EndpointId, type Milliseconds, type SoftwareVersion,
+	type AttemptId, type ConfigurationGeneration, type EndpointId, type Milliseconds, type SoftwareVersion,
 } from '../contracts/id.js';
 import {type RateLimit} from '../contracts/rate-limit.js';
 import {type RelayResult} from '../contracts/relay-attempt.js';
 import {type Refusal, type RelayRequest} from '../contracts/relay-request.js';
+import {type Crash} from './quarantine.js';
 
 /** The result of an attempt, and the data by which its endpoint was chosen. */
 export type AttemptOutcome = {
@@ -36,4 +37,4 @@
 		| {readonly kind: 'rate-limit-unreadable'; readonly request: RelayRequest; readonly endpoint: EndpointId; readonly text: string}
 	/** The request was not sent to an endpoint, because its rate limit leaves no permit. */
 		| {readonly kind: 'no-permit'; readonly request: RelayRequest; readonly endpoint: EndpointId; readonly wait: Milliseconds}
-		| {readonly kind: 'crash-suspected'; readonly request: RelayRequest; readonly endpoint: EndpointId; readonly fingerprint: string};
+		| {readonly kind: 'crash-suspected'; readonly attempt: AttemptId; readonly crash: Crash};
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -19,6 +19,7 @@
 import {createSharedBudgets} from '../zones/shared-budgets.js';
 import {type BudgetRecords} from '../zones/budget-records.js';
 import {createMembership, type Member} from '../zones/membership.js';
+import {type DirectoryEntry} from '../zones/endpoint-directory.js';
 import {createGossipProtocol} from '../zones/gossip-protocol.js';
 import {
 	type Greeting, type RelayMessage, type RelayPeers, type RelayReply, type RelayTables,
@@ -114,6 +115,10 @@
 			table = createRoutingTable(configuration);
 		},
 		onEntry(entry) {
+			if (hasEnded(entry)) {
+				relay.recordEnd(entry.kind === 'listed' ? entry.endpoint.id : entry.id);
+			}
+
 			fleet.apply(entry);
 			origins.apply(entry);
 		},
@@ -239,11 +244,21 @@
 		onEvent(event) {
 			options.onEvent({kind: 'relay', relay: event});
 			if (event.kind === 'crash-suspected') {
-				gossipProtocol.announceCrash({fingerprint: event.fingerprint, endpoint: event.endpoint});
+				gossipProtocol.announceCrash(event.crash);
 			}
 		},
 	});
 
+	/** Whether a change of the list shows that an endpoint, or its incarnation, has ended without leaving. */
+	function hasEnded(entry: DirectoryEntry): boolean {
+		const known = fleet.endpoint(entry.kind === 'listed' ? entry.endpoint.id : entry.id);
+		if (!known || known.isLeaving()) {
+			return false;
+		}
+
+		return entry.kind === 'removed' || entry.endpoint.bornAt !== known.listed().bornAt;
+	}
+
 	function receiveDigest(peer: Member, digest: RelayDigest): void {
 		digests.set(peer.id, digest);
 		if (digest.storeAge !== undefined) {
--- a/src/machines/relay-job.ts
+++ b/src/machines/relay-job.ts
@@ -45,13 +45,12 @@
 	readonly signal: AbortSignal;
 	/** Generation of the configuration by which the request is handled. */
 	readonly generation: ConfigurationGeneration;
-	readonly onCrash: (endpoint: EndpointId, fingerprint: string) => void;
 	readonly onNotice: (endpoint: ListedEndpoint, notice: EndpointNotice) => void;
 	/** Called before the caller receives its first event; `first` is the attempt of the caller that received the first one of the stream. */
 	readonly onStreamStart: (first: AttemptId, version: SoftwareVersion) => void;
 };
 
-export type RelayJob = Omit<RelayJobOptions, 'clock' | 'originVersion' | 'onCrash' | 'onNotice' | 'onStreamStart'> & {
+export type RelayJob = Omit<RelayJobOptions, 'clock' | 'originVersion' | 'onNotice' | 'onStreamStart'> & {
 	readonly elapsed: () => Milliseconds;
 	readonly timeLeft: () => Milliseconds;
 	/** Records the result of an attempt. */
@@ -88,7 +87,6 @@
 	let pinned: EndpointId | undefined;
 	let attempts = 0;
 	let runs = 0;
-	let brokenAt: EndpointId | undefined;
 	let hasSentHead = false;
 	let isUnframed = false;
 	let events = 0;
@@ -115,16 +113,10 @@
 		runs++;
 	}
 
-	/**
-	Handles a terminated or unreachable endpoint: it no longer counts as used, and the request is not pinned to it. If
-	the connection to it broke earlier, the request may have crashed it.
-	*/
+	/** Handles a terminated or unreachable endpoint: it no longer counts as used, and the request is not pinned to it. */
 	function markEnded(endpoint: EndpointId): void {
 		usedEndpoints.delete(endpoint);
 		pinned = pinned === endpoint ? undefined : pinned;
-		if (brokenAt === endpoint) {
-			options.onCrash(endpoint, options.fingerprint);
-		}
 	}
 
 	function maximumIdleFor(endpoint: EndpointId): Milliseconds {
@@ -147,14 +139,9 @@
 			case 'finished':
 			case 'silent':
 			case 'expired':
-			case 'cancelled': {
-				markRun(endpoint);
-				return;
-			}
-
+			case 'cancelled':
 			case 'broken': {
 				markRun(endpoint);
-				brokenAt = endpoint;
 				return;
 			}
 
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -53,6 +53,8 @@
 	/** Serves one request; resolves when the caller has received its answer or has disconnected. */
 	readonly serve: (request: RelayRequest, caller: Caller, signal: AbortSignal) => Promise<void>;
 	readonly active: () => number;
+	/** Records that an endpoint, or its incarnation, has ended. */
+	readonly recordEnd: (endpoint: EndpointId) => void;
 	/** Announces that the process ends at a time of the clock: requests that may not end before are refused from now on. */
 	readonly endBy: (end: Milliseconds) => void;
 };
@@ -156,7 +158,7 @@
 	}
 
 	function deliver(job: RelayJob, result: RelayResult): void {
-		quarantine.clear(job.fingerprint);
+		attempts.recordAnswered(job.fingerprint);
 		if (result.kind === 'answered') {
 			job.caller.answer(result.head, result.body);
 		} else {
@@ -268,6 +270,7 @@
 
 	return {
 		active: () => active,
+		recordEnd: attempts.recordEnd,
 		endBy(end) {
 			endsAt = end;
 		},
--- a/src/zones/gossip-protocol.ts
+++ b/src/zones/gossip-protocol.ts
@@ -10,7 +10,7 @@
 import {type ListedInstance} from '../contracts/platform.js';
 import {type RelayDigest} from '../contracts/relay-digest.js';
 import {type PoolLatency} from '../machines/fleet.js';
-import {type Crash} from '../machines/quarantine.js';
+import {type Crash, crashKey} from '../machines/quarantine.js';
 import {createBroadcastQueue} from './broadcast-queue.js';
 import {
 	type Member, type Membership, type MembershipEffect, type MembershipEvent, probeIntervalMs,
@@ -257,7 +257,7 @@
 		mergeListing,
 		announceEndpoint: applyEndpointUpdate,
 		announceCrash(crash) {
-			crashUpdates.put(`${crash.fingerprint}|${crash.endpoint}`, crash);
+			crashUpdates.put(crashKey(crash), crash);
 		},
 		gossipNow() {
 			void gossipToLocalPeers();
--- a/tests/caller-resets.test.ts
+++ b/tests/caller-resets.test.ts
@@ -25,6 +25,7 @@
 				caller.abort();
 			},
 			active: () => 0,
+			recordEnd: () => undefined,
 			endBy: () => undefined,
 		},
 	});
