Bound the endpoints of a request where they are chosen

Cause: the step after an attempt says that no other endpoint may run the request, but the choice gave the pin up when the endpoint had no permit left, left or wasn't listed, and took any other. The choice now allows only endpoints that may have run the request once these are as many as the route allows. Endpoints that have ended don't count: one that was unreachable, has started anew, or, if it gets no requests any more, accepts no connection.

Ruled out by reading: time handed on (each attempt gets what is left of the first). Without logs it can't be said which path the users met.

--- a/src/contracts/relay-attempt.ts
+++ b/src/contracts/relay-attempt.ts
@@ -50,6 +50,8 @@
 /** Sends attempts; implemented by a link. The promise never rejects. */
 export type RelayLink = {
 	readonly send: (attempt: RelayAttempt) => Promise<RelayResult>;
+	/** Whether the endpoint accepts a connection, over which nothing is sent. */
+	readonly canConnect: (endpoint: ListedEndpoint) => Promise<boolean>;
 };
 
 /** What is known about a request when one of its attempts has ended. */
--- a/src/links/connections.ts
+++ b/src/links/connections.ts
@@ -5,7 +5,7 @@
 import {connect as connectSocket} from 'node:net';
 import {type buildConnector, Client, type Dispatcher} from 'undici';
 import {describeError} from '../contracts/failure.js';
-import {type Address, type Milliseconds} from '../contracts/id.js';
+import {type Address, type Milliseconds, splitAddress} from '../contracts/id.js';
 import {type HeaderPairs, type AnswerHead} from '../contracts/relay-request.js';
 import {guardSocket} from './bounded-socket.js';
 
@@ -49,6 +49,8 @@
 export type Connections = {
 	/** Sends a request and reads its response. Never rejects. */
 	readonly exchange: (address: Address, exchange: Exchange) => Promise<ExchangeResult>;
+	/** Opens a connection and closes it at once. Resolves to whether it was established. */
+	readonly canConnect: (address: Address) => Promise<boolean>;
 };
 
 type Connection = {readonly client: Client; idleSince: number; responses: number};
@@ -230,5 +232,16 @@
 
 		idle.clear();
 	}, {once: true});
-	return {exchange};
+	return {
+		exchange,
+		async canConnect(address) {
+			const {host, port} = splitAddress(address);
+			return new Promise(resolve => {
+				connectWithTimeout({hostname: host, port: String(port)}, (_error, socket) => {
+					socket?.destroy();
+					resolve(socket !== null);
+				});
+			});
+		},
+	};
 }
--- a/src/machines/endpoint-choice.ts
+++ b/src/machines/endpoint-choice.ts
@@ -1,11 +1,13 @@
 /**
 Choice of the endpoint for the next attempt of a relayed request. An endpoint with a rate limit is chosen only with a
-permit; one that has none left is passed over in favour of the others.
+permit; one that has none left is passed over in favour of the others. Once as many endpoints as the route allows may have
+run the request, it goes to none but these, whatever the reason for which another would be better.
 */
 import {type Clock} from '../contracts/clock.js';
 import {
 	as, type DataCentreId, type Milliseconds,
 } from '../contracts/id.js';
+import {type RelayLink} from '../contracts/relay-attempt.js';
 import {type RatePermits} from './rate-permits.js';
 import {type RelayEndpoint} from './relay-endpoint.js';
 import {type RelayEvent} from './relay-event.js';
@@ -20,6 +22,8 @@
 	= | {readonly kind: 'endpoint'; readonly endpoint: RelayEndpoint; readonly expected: Milliseconds | undefined}
 	/** The endpoints that could serve the request have no permits left; one may have after `wait`. */
 		| {readonly kind: 'exhausted'; readonly wait: Milliseconds}
+	/** The endpoints that may have run the request cannot be used, and the route allows no other. */
+		| {readonly kind: 'used-up'}
 	/** No endpoint runs the software version that began the stream. */
 		| {readonly kind: 'version-gone'}
 		| {readonly kind: 'none'};
@@ -28,6 +32,7 @@
 
 export type EndpointChoiceOptions = {
 	readonly fleet: RelayFleet;
+	readonly link: Pick<RelayLink, 'canConnect'>;
 	readonly permits: RatePermits;
 	readonly clock: Clock;
 	readonly dataCentre: DataCentreId;
@@ -75,22 +80,38 @@
 			return {kind: 'endpoint', endpoint, expected: undefined};
 		}
 
-		// A stream may be resumed elsewhere, at the price of computing its prompt again.
-		return job.route.repetition === 'resumable' ? undefined : {kind: 'exhausted', wait};
+		// A stream may be resumed elsewhere if the route allows it, at the price of computing its prompt again.
+		return job.route.repetition === 'resumable' && !job.hasUsedAll() ? undefined : {kind: 'exhausted', wait};
+	}
+
+	/** Frees the request from endpoints that have started anew since they may have run it. */
+	function forgetEnded(job: RelayJob): void {
+		for (const {id, bornAt, version} of job.usedEndpoints()) {
+			const current = fleet.endpoint(id)?.listed();
+			if (current && (current.bornAt !== bornAt || current.version !== version)) {
+				job.recordEnd(id);
+			}
+		}
 	}
 
 	function choose(job: RelayJob): Choice {
+		forgetEnded(job);
 		const pinned = choosePinned(job);
 		if (pinned) {
 			return pinned;
 		}
 
 		job.unpin();
-		const endpoints = fleet.serving(job.pool, job.version());
-		if (endpoints.length === 0 && job.version() !== undefined) {
+		const serving = fleet.serving(job.pool, job.version());
+		if (serving.length === 0 && job.version() !== undefined) {
 			return {kind: 'version-gone'};
 		}
 
+		const endpoints = serving.filter(endpoint => job.mayUse(endpoint.listed()));
+		if (endpoints.length === 0 && job.hasUsedAll()) {
+			return {kind: 'used-up'};
+		}
+
 		const exhausted = endpoints.filter(endpoint => permitWait(job, endpoint) > 0);
 		const placement = place(endpoints, {
 			prompt: job.request.prompt,
@@ -106,9 +127,24 @@
 		return waits.length > 0 ? {kind: 'exhausted', wait: as<Milliseconds>(Math.min(...waits))} : {kind: 'none'};
 	}
 
+	/** Frees the request from endpoints that get no requests any more and have ended. Returns whether there were any. */
+	async function forgetUnreachable(job: RelayJob): Promise<boolean> {
+		const unused = job.usedEndpoints().filter(({id}) => !fleet.isServing(id));
+		const ended = await Promise.all(unused.map(async endpoint => await options.link.canConnect(endpoint) ? [] : [endpoint.id]));
+		for (const id of ended.flat()) {
+			job.recordEnd(id);
+		}
+
+		return ended.flat().length > 0;
+	}
+
 	async function chooseWithPermit(job: RelayJob): Promise<Choice> {
 		for (;;) {
-			const choice = choose(job);
+			let choice = choose(job);
+			if (choice.kind === 'used-up' && await forgetUnreachable(job)) {
+				choice = choose(job);
+			}
+
 			if (choice.kind !== 'endpoint' || choice.endpoint.rateLimit().limit.kind === 'none') {
 				return choice;
 			}
--- a/src/machines/relay-attempts.ts
+++ b/src/machines/relay-attempts.ts
@@ -155,7 +155,7 @@
 		const result = await options.link.send(linkAttempt);
 		const took = as<Milliseconds>(clock.now() - startedAt);
 		release();
-		job.recordResult(listed.id, result);
+		job.recordResult(listed, result);
 		recordSuspicion(job, listed, result, startedAt);
 		updateEndpoint(endpoint, result, unloadedLatency(took, load));
 		options.onEvent({
--- a/src/machines/relay-job.ts
+++ b/src/machines/relay-job.ts
@@ -54,13 +54,21 @@
 	readonly elapsed: () => Milliseconds;
 	readonly timeLeft: () => Milliseconds;
 	/** Records the result of an attempt. */
-	readonly recordResult: (endpoint: EndpointId, result: RelayResult) => void;
+	readonly recordResult: (endpoint: ListedEndpoint, result: RelayResult) => void;
 	/** Creates an attempt; `expected` is the time after which an answer is expected to begin. */
 	readonly createAttempt: (endpoint: ListedEndpoint, expected?: Milliseconds) => RelayAttempt;
 	readonly attempts: () => number;
 	readonly progress: () => RelayProgress;
 	/** Whether an endpoint may have run the request. */
 	readonly mayHaveRun: () => boolean;
+	/** Whether the route lets the endpoint run the request, given those that may have run it and have not ended since. */
+	readonly mayUse: (endpoint: ListedEndpoint) => boolean;
+	/** Whether only endpoints that may have run the request may run it again. */
+	readonly hasUsedAll: () => boolean;
+	/** Endpoints that may have run the request and are not known to have ended. */
+	readonly usedEndpoints: () => readonly ListedEndpoint[];
+	/** Records that an endpoint that may have run the request has ended. */
+	readonly recordEnd: (endpoint: EndpointId) => void;
 	/** The only endpoint that may be used, if the request is pinned to one. */
 	readonly pinnedEndpoint: () => EndpointId | undefined;
 	readonly pinTo: (endpoint: EndpointId) => void;
@@ -80,7 +88,7 @@
 	const {request, route, clock, caller} = options;
 	const startedAt = clock.now();
 	const endsAt = startedAt + Math.min(route.timeout, request.timeLeft ?? route.timeout);
-	const usedEndpoints = new Set<EndpointId>();
+	const usedEndpoints = new Map<EndpointId, ListedEndpoint>();
 	/** Endpoints that have responded, and may repeat that response on the connection that carried it. */
 	const responded = new Set<EndpointId>();
 	let excluded = new Set<EndpointId>();
@@ -108,8 +116,8 @@
 		caller.event(event.bytes);
 	}
 
-	function markRun(endpoint: EndpointId): void {
-		usedEndpoints.add(endpoint);
+	function markRun(endpoint: ListedEndpoint): void {
+		usedEndpoints.set(endpoint.id, endpoint);
 		runs++;
 	}
 
@@ -127,11 +135,11 @@
 		return as<Milliseconds>(route.repetition === 'once' ? maximumIdleOnceMs : maximumIdleMs);
 	}
 
-	function recordResult(endpoint: EndpointId, result: RelayResult): void {
+	function recordResult(endpoint: ListedEndpoint, result: RelayResult): void {
 		attempts++;
 		switch (result.kind) {
 			case 'answered': {
-				responded.add(endpoint);
+				responded.add(endpoint.id);
 				markRun(endpoint);
 				return;
 			}
@@ -146,18 +154,18 @@
 			}
 
 			case 'unreachable': {
-				markEnded(endpoint);
+				markEnded(endpoint.id);
 				break;
 			}
 
 			case 'misdirected': {
-				responded.add(endpoint);
-				markEnded(endpoint);
+				responded.add(endpoint.id);
+				markEnded(endpoint.id);
 				break;
 			}
 
 			case 'rejected': {
-				responded.add(endpoint);
+				responded.add(endpoint.id);
 				break;
 			}
 		}
@@ -226,6 +234,10 @@
 			repetition: route.repetition, endpointsUsed: usedEndpoints.size, maxEndpoints: route.maxEndpoints, runs, hasSentHead, isUnframed,
 		}),
 		mayHaveRun: () => runs > 0,
+		mayUse: endpoint => usedEndpoints.has(endpoint.id) || usedEndpoints.size < route.maxEndpoints,
+		hasUsedAll: () => usedEndpoints.size >= route.maxEndpoints,
+		usedEndpoints: () => [...usedEndpoints.values()],
+		recordEnd: markEnded,
 		pinnedEndpoint: () => pinned,
 		pinTo(endpoint) {
 			pinned = endpoint;
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -109,6 +109,11 @@
 				return undefined;
 			}
 
+			if (choice.kind === 'used-up') {
+				giveUp(job, lastResult);
+				return undefined;
+			}
+
 			if (choice.kind !== 'endpoint') {
 				const wait = choice.kind === 'exhausted' ? choice.wait : undefined;
 				// Permits that come too late cannot serve the request, so it is refused at once.
