Ask the store before the version of a resumed stream is concluded

Cause: an instance that finds no record of a stream takes the only version that it has seen for the one that began it, as long as its tables are younger than two seconds. A version may have joined within them, or while the process stood still: it then takes messages that it reads late for new ones. It now asks the store which versions are listed, and refuses without an answer; and what it has seen counts as complete only for a time without a gap.

Price: a list of the store for resumptions without a record only.

--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -212,6 +212,7 @@
 		members: membership.members,
 		peers,
 		store,
+		objects: options.objects,
 		isWatcher: () => watcherElection.isWatcher(),
 		pools: () => table?.resumablePools() ?? [],
 		tablesAge: tables.age,
--- a/src/zones/shared-origins.ts
+++ b/src/zones/shared-origins.ts
@@ -10,6 +10,7 @@
 import {type OriginLookup, type StreamOrigins} from '../machines/stream-origins.js';
 import {type DirectoryEntry} from './endpoint-directory.js';
 import {type Member} from './membership.js';
+import {createListedVersions, type ListedVersionsOptions} from './listed-versions.js';
 import {createOriginRecords} from './origin-records.js';
 import {type RelayMessage, type RelayPeers, type RelayReply} from './relay-peers.js';
 import {createVersionHistory, type VersionHistoryEvent} from './version-history.js';
@@ -25,6 +26,7 @@
 	readonly members: () => readonly Member[];
 	readonly peers: Pick<RelayPeers, 'request' | 'post'>;
 	readonly store: ObjectStore;
+	readonly objects: ListedVersionsOptions['objects'];
 	readonly isWatcher: () => boolean;
 	/** Pools whose streams may be resumed. */
 	readonly pools: () => readonly PoolName[];
@@ -46,16 +48,25 @@
 /** Creates the origins of an instance. */
 export function createSharedOrigins(options: SharedOriginsOptions): SharedOrigins {
 	const records = createOriginRecords({...options, lifetimeMs: streamLifetimeMs});
-	const history = createVersionHistory({...options, lifetimeMs: streamLifetimeMs});
+	const history = createVersionHistory({...options, lifetimeMs: streamLifetimeMs, maximumTablesAgeMs});
+	const listed = createListedVersions(options);
 
-	/** The origin of a stream that no instance knows, if only one version can have begun it. */
+	/**
+	The origin of a stream that no instance knows, if only one version can have begun it. A version may have joined and begun
+	streams since this instance last heard from the others, so the store is asked for those that are listed now.
+	*/
 	async function conclude(request: RelayRequest, route: RelayRoute): Promise<OriginLookup> {
 		const [pool, ...otherPools] = route.shares.filter(({weight}) => weight > 0).map(share => share.pool);
 		if (pool === undefined || otherPools.length > 0 || options.tablesAge() > maximumTablesAgeMs) {
 			return unknown;
 		}
 
-		const candidates: readonly SoftwareVersion[] = [...await history.candidates(pool) ?? []];
+		const [served, serving] = await Promise.all([history.candidates(pool), listed.read()]);
+		if (!served || !serving) {
+			return unknown;
+		}
+
+		const candidates: readonly SoftwareVersion[] = [...new Set([...served, ...serving.get(pool) ?? []])];
 		const [version] = candidates;
 		return version !== undefined && candidates.length === 1 ? {kind: 'found', origin: {pool, version, program: request.program?.id}} : unknown;
 	}
--- a/src/zones/version-history.ts
+++ b/src/zones/version-history.ts
@@ -40,6 +40,10 @@
 	readonly pools: () => readonly PoolName[];
 	/** Time after which no caller resumes a stream any more, in ms. */
 	readonly lifetimeMs: number;
+	/** Time since this instance last knew everything that the store had acknowledged. */
+	readonly tablesAge: () => Milliseconds;
+	/** Age of the tables, in ms, above which versions may have served that this instance has not seen. */
+	readonly maximumTablesAgeMs: number;
 	readonly clock: Clock;
 	readonly onEvent: (event: VersionHistoryEvent) => void;
 };
@@ -62,6 +66,21 @@
 	let stored: Map<PoolName, StoredVersions> | undefined;
 	let firstListedAt: Milliseconds | undefined;
 	let retryAt = as<Milliseconds>(0);
+	let checkedAt = clock.now();
+
+	/**
+	Starts to observe anew if versions may have come and gone unseen: after the tables were too old, or after the process
+	stood still, which then takes what it reads for new.
+	*/
+	function checkContinuity(): void {
+		const now = clock.now();
+		if (now - checkedAt > options.maximumTablesAgeMs || options.tablesAge() > options.maximumTablesAgeMs) {
+			firstListedAt = firstListedAt === undefined ? undefined : now;
+			stored = undefined;
+		}
+
+		checkedAt = now;
+	}
 
 	function end(id: EndpointId): void {
 		const ended = serving.get(id);
@@ -176,6 +195,7 @@
 	return {
 		apply,
 		async candidates(pool) {
+			checkContinuity();
 			if (isComplete()) {
 				return observed(pool);
 			}
@@ -187,6 +207,7 @@
 		async run(signal) {
 			while (!signal.aborted) {
 				await clock.sleep(as<Milliseconds>(writeIntervalMs), signal);
+				checkContinuity();
 				if (!options.isWatcher() || firstListedAt === undefined || clock.now() < retryAt) {
 					continue;
 				}
--- a/tests/stream-versions.test.ts
+++ b/tests/stream-versions.test.ts
@@ -6,12 +6,16 @@
 import process from 'node:process';
 import {test} from 'node:test';
 import {
-	as, type AttemptId, type DataCentreId, type Milliseconds, type ProgramId, type SoftwareVersion,
+	as, type AttemptId, type DataCentreId, type Milliseconds, type ObjectVersion, type PoolName, type ProgramId, type SoftwareVersion,
 } from '../src/contracts/id.js';
 import {type RelayRequest} from '../src/contracts/relay-request.js';
-import {createSeededRandom} from './fixtures/fake-clock.js';
+import {createVersionHistory} from '../src/zones/version-history.js';
+import {createFakeClock, createSeededRandom} from './fixtures/fake-clock.js';
+import {createFakeObjectStore} from './fixtures/fake-object-store.js';
 import {createModelEngines, eventsPerStream, type ModelEngines} from './fixtures/model-engines.js';
-import {type RecordingCaller, requestWith, routeWith} from './fixtures/relay-harness.js';
+import {
+	endpointWith, type RecordingCaller, requestWith, routeWith,
+} from './fixtures/relay-harness.js';
 import {createTablesCluster, type TablesCluster} from './fixtures/tables-cluster.js';
 
 const ids = ['a1', 'a2', 'a3', 'b1', 'b2', 'b3', 'c1', 'c2', 'c3'];
@@ -164,6 +168,67 @@
 	assert.equal(first.versions().length + second.versions().length, eventsPerStream);
 });
 
+// Guards against an instance that is out of step and takes the only version that it has seen for the one that began a stream.
+for (const [name, isolate] of [
+	['is cut off from the others', ({isolated}: TablesCluster, id: string) => {
+		isolated.add(id);
+	}],
+	['is cut off from the others and the store', ({isolated, storeAccess}: TablesCluster, id: string) => {
+		isolated.add(id);
+		storeAccess.set(id, 'silent');
+	}],
+] as const) {
+	test(`a stream of a version that has just joined is not resumed at another one by an instance that ${name}`, async () => {
+		const scene = await createScene(1, ['v1', 'v1', 'v1']);
+		await scene.cluster.clock.advance(32_000);
+		isolate(scene.cluster, 'c3');
+		for (const id of ['new-0', 'new-1', 'new-2']) {
+			addEngine(scene, id, 'v2');
+		}
+
+		for (const id of ['engine-0', 'engine-1', 'engine-2']) {
+			scene.cluster.removeEndpoint(id);
+		}
+
+		await scene.cluster.clock.advance(400);
+		const first = await begin(scene, 'a1');
+		assertOneVersion(first);
+		assert.equal(first.versions()[0], 'v2');
+		scene.cluster.kill('a1');
+		const second = await resume(scene, first, 'c3');
+		scene.cluster.stop();
+		assertOneVersion(first, second);
+	});
+}
+
+// Guards against an instance that stood still and takes what it had seen before for all that served meanwhile.
+test('an instance that stood still asks the store for the versions that served meanwhile', async () => {
+	const clock = createFakeClock();
+	const store = createFakeObjectStore(clock);
+	const pool = as<PoolName>('pool');
+	const history = createVersionHistory({
+		store: store.connect(() => 'answering'),
+		isWatcher: () => false,
+		pools: () => [pool],
+		lifetimeMs: 30_000,
+		tablesAge: () => as<Milliseconds>(0),
+		maximumTablesAgeMs: 2000,
+		clock,
+		onEvent: () => undefined,
+	});
+	const stop = new AbortController();
+	void history.run(stop.signal);
+	history.apply({kind: 'listed', revision: as<ObjectVersion>(1), endpoint: endpointWith('old', {version: as<SoftwareVersion>('v1')})});
+	await clock.advance(32_000);
+	// Aborting its loop leaves the instance as one that stands still.
+	stop.abort();
+	await clock.advance(5000);
+	store.put('hickoryfork-versions', 'pool', {versions: ['v1', 'v2']});
+	const reading = history.candidates(pool);
+	await clock.advance(100);
+	assert.deepEqual(await reading, new Set(['v1', 'v2']));
+});
+
 const unusable: ReadonlyArray<{readonly name: string; readonly resumption: (first: Attempt) => Partial<RelayRequest>}> = [
 	{name: 'no first attempt', resumption: () => ({firstAttempt: undefined})},
 	{name: 'an unknown first attempt', resumption: () => ({firstAttempt: as<AttemptId>('never-sent')})},
