Limit what all responses of an instance hold together

Cause: the limits on responses are each a response's, and each small chunk that is kept takes far more than its bytes. Bodies are copied into one buffer.

--- a/src/links/bounded-body.ts
+++ b/src/links/bounded-body.ts
@@ -3,31 +3,47 @@
 */
 import {Buffer} from 'node:buffer';
 
-/** Maximum size of a buffered response body; an instance with 186 MB of memory can hold about thirty of them at a time. */
+/** Maximum size of a buffered response body. */
 export const maximumBodyBytes = 2 * 1024 * 1024;
 
+/** Size of a buffer for the first chunk of a body; it doubles as the body grows. */
+const initialBytes = 4096;
+
 export type BoundedBody = {
 	/** Returns whether the body is still within the limit. */
 	readonly push: (chunk: Uint8Array) => boolean;
 	/** Returns everything that was pushed so far. */
 	readonly whole: () => Uint8Array;
+	/** Memory that the body takes, in bytes. */
+	readonly heldBytes: () => number;
 };
 
-/** Creates an empty body of at most `limit` bytes. */
+/**
+Creates an empty body of at most `limit` bytes. It is copied into one buffer: an endpoint decides how small its chunks are,
+and each chunk that is kept takes far more memory than its bytes.
+*/
 export function createBoundedBody(limit: () => number): BoundedBody {
-	const chunks: Uint8Array[] = [];
+	let buffer = Buffer.alloc(0);
 	let size = 0;
 	return {
 		push(chunk) {
-			size += chunk.length;
-			if (size > limit()) {
+			const end = size + chunk.length;
+			if (end > limit()) {
 				return false;
 			}
 
-			chunks.push(chunk);
+			if (end > buffer.length) {
+				const grown = Buffer.alloc(Math.max(end, 2 * buffer.length, initialBytes));
+				buffer.copy(grown, 0, 0, size);
+				buffer = grown;
+			}
+
+			buffer.set(chunk, size);
+			size = end;
 			return true;
 		},
-		whole: () => Buffer.concat(chunks),
+		whole: () => buffer.subarray(0, size),
+		heldBytes: () => buffer.length,
 	};
 }
 
--- a/src/links/event-splitter.ts
+++ b/src/links/event-splitter.ts
@@ -15,6 +15,8 @@
 	readonly push: (bytes: Uint8Array) => readonly StreamEvent[] | undefined;
 	/** Whether an incomplete event is buffered. */
 	readonly hasPartialEvent: () => boolean;
+	/** Memory that the incomplete event takes, in bytes. */
+	readonly heldBytes: () => number;
 };
 
 const lfBlankLine = '\n\n';
@@ -53,5 +55,6 @@
 			return remainder.length > maximumEventBytes ? undefined : events;
 		},
 		hasPartialEvent: () => remainder.length > 0,
+		heldBytes: () => remainder.length,
 	};
 }
--- a/tests/caller-resets.test.ts
+++ b/tests/caller-resets.test.ts
@@ -6,6 +6,7 @@
 import {Buffer} from 'node:buffer';
 import {connect} from 'node:net';
 import {test} from 'node:test';
+import {createHeldBytes, maximumHeldBytes} from '../src/links/held-bytes.js';
 import {serveIngress} from '../platform/ingress.js';
 import {requestBytes} from './fixtures/raw-requests.js';
 
@@ -14,6 +15,7 @@
 // Guards against a reset that overtakes the caller's event loop, which then reports a regular end.
 test('a caller whose stream is broken off right after an event sees a reset', async context => {
 	const ingress = await serveIngress({
+		held: createHeldBytes(maximumHeldBytes),
 		host: '127.0.0.1',
 		port: 0,
 		limits: () => undefined,
