--- a/tests/held-bytes.test.ts
+++ b/tests/held-bytes.test.ts
@@ -32,7 +32,7 @@
 // Guards against a process that keeps the events of callers which do not read them.
 test('a caller that does not take its stream is disconnected when the limit is exceeded', async context => {
 	const event = Buffer.alloc(64 * 1024);
-	let aborted: Promise<unknown> | undefined;
+	const disconnected = new AbortController();
 	const ingress = await serveIngress({
 		held: createHeldBytes(1024 * 1024),
 		host: '127.0.0.1',
@@ -41,13 +41,13 @@
 		onError: () => undefined,
 		relay: {
 			async serve(request, caller, signal) {
-				aborted = once(signal, 'abort');
 				caller.open({status: 200, headers: []});
 				for (let sent = 0; sent < 400; sent++) {
 					caller.event(event);
 				}
 
-				await aborted;
+				await once(signal, 'abort');
+				disconnected.abort();
 			},
 			active: () => 0,
 			recordEnd: () => undefined,
@@ -62,11 +62,5 @@
 	});
 	socket.on('error', () => undefined);
 	socket.write(requestBytes('t1'));
-	while (aborted === undefined) {
-		await new Promise(resolve => {
-			setTimeout(resolve, 10);
-		});
-	}
-
-	await aborted;
+	await once(disconnected.signal, 'abort');
 });
