Count the end of a call once, however often it is reported

Cause: an entry reports the end of a call again until it is acknowledged. The copies wait in the socket of a coordinator that stands still, and each was counted, as settling didn't need a reservation. The ledger now remembers what it has counted for a call that has ended, and counts only what a later report exceeds it by: a report without tokens, of a caller that got no reply, may precede that of the tokens used.

--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -61,6 +61,7 @@
 	readonly withdrawClaim: (program: ProgramId) => void;
 	/** Whether the used and reserved tokens are still within the entitlement after accounts were merged. */
 	readonly isWithin: (request: ReservationRequest, entitlement: Entitlement) => boolean;
+	/** Ends a reservation. An end that is reported again, because its acknowledgement was lost or late, counts once. */
 	readonly settle: (program: ProgramId, attempt: AttemptId, used: Tokens, now: Milliseconds) => void;
 	/** Updates the amount that the store has recorded for the program, and the wall-clock time until which it keeps the record. */
 	readonly markRecorded: (program: ProgramId, recorded: Tokens, until: Milliseconds) => void;
@@ -107,6 +108,8 @@
 	revision: number;
 	readonly slots: Map<CounterId, LedgerSlot>;
 	readonly reservations: Map<AttemptId, Tokens>;
+	/** Tokens counted for calls that have ended. */
+	readonly ended: Map<AttemptId, Tokens>;
 	home: DataCentreId | undefined;
 	isSecondHalf: boolean;
 	isComplete: boolean;
@@ -161,6 +164,7 @@
 			revision: 0,
 			slots: new Map(),
 			reservations: new Map(),
+			ended: new Map(),
 			home: undefined,
 			isSecondHalf: false,
 			isComplete: false,
@@ -283,8 +287,13 @@
 
 			entry.touchedAt = now;
 			const reserved = entry.reservations.get(attempt) ?? 0;
+			const counted = entry.ended.get(attempt) ?? 0;
+			const uncounted = Math.max(0, used - counted);
 			entry.reservations.delete(attempt);
-			count(entry, used, -reserved);
+			entry.ended.set(attempt, as<Tokens>(counted + uncounted));
+			if (reserved > 0 || uncounted > 0) {
+				count(entry, uncounted, -reserved);
+			}
 		},
 		markRecorded(program, recorded, until) {
 			const entry = entries.get(program);
--- a/tests/token-ledger.test.ts
+++ b/tests/token-ledger.test.ts
@@ -44,6 +44,23 @@
 	assert.equal(ledger.reserve(call(2, 100), 'whole', now).kind, 'exhausted');
 });
 
+// Guards against budgets that are spent early because a coordinator that stood still reads the same report several times.
+test('the end of a call that is reported several times counts once', () => {
+	const ledger = createTokenLedger(as<CounterId>('a'), home);
+	ledger.reserve(call(1, 300), 'whole', now);
+	for (const used of [0, 80, 80, 0, 80]) {
+		settle(ledger, 1, used);
+	}
+
+	assert.equal(ledger.used(program), 80);
+	// Reserved at an incarnation of this instance that is gone.
+	for (const used of [50, 50]) {
+		settle(ledger, 2, used);
+	}
+
+	assert.equal(ledger.used(program), 130);
+});
+
 test('ledgers merged in any order count each grant once', () => {
 	const left = createTokenLedger(as<CounterId>('left'), home);
 	const right = createTokenLedger(as<CounterId>('right'), home);
