Split the entry of a program from the ledger, and the end of endpoints from the instance

No change of behaviour: what one instance knows of a program stands in contracts/ledger-entry, and the fleet says which endpoint a change of the list shows to have ended.

--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -10,7 +10,10 @@
 import {
 	as, type AttemptId, type CounterId, type DataCentreId, type Milliseconds, type ProgramId, type Tokens,
 } from './id.js';
-import {type LedgerSlot, storeCounter, type TokenAccount} from './token-account.js';
+import {
+	accountOf, createLedgerEntry, grantedTokens, type LedgerEntry, updateRecord,
+} from './ledger-entry.js';
+import {storeCounter, type TokenAccount} from './token-account.js';
 
 export type ReservationRequest = {
 	readonly program: ProgramId;
@@ -105,56 +108,16 @@
 /** Fraction of a budget that the first record covers. */
 const firstRecordFraction = 0.5;
 
-type Entry = {
-	/** Number of changes. */
-	revision: number;
-	readonly slots: Map<CounterId, LedgerSlot>;
-	readonly reservations: Map<AttemptId, Tokens>;
-	/** Tokens counted for calls that have ended. */
-	readonly ended: Map<AttemptId, Tokens>;
-	home: DataCentreId | undefined;
-	isSecondHalf: boolean;
-	isComplete: boolean;
-	recorded: Tokens;
-	recordedUntil: Milliseconds;
-	/** Tokens that instances at the home may have granted within the record, beyond what is known here. */
-	hidden: Tokens;
-	retention: Milliseconds;
-	touchedAt: Milliseconds;
-};
-
-function sum(slots: Iterable<LedgerSlot>): number {
-	let total = 0;
-	for (const slot of slots) {
-		total += slot.settled + slot.reserved;
-	}
-
-	return total;
-}
-
 /** Creates an empty ledger; `counter` identifies this incarnation of the instance. */
 export function createTokenLedger(counter: CounterId, dataCentre: DataCentreId): TokenLedger {
-	const entries = new Map<ProgramId, Entry>();
+	const entries = new Map<ProgramId, LedgerEntry>();
 
 	/** Whether this instance holds all that was granted at home. One elsewhere is not told of later grants. */
-	function isHolder(entry: Entry): boolean {
+	function isHolder(entry: LedgerEntry): boolean {
 		return entry.isComplete && entry.home === dataCentre;
 	}
 
-	function toAccount(program: ProgramId, entry: Entry): TokenAccount {
-		return {
-			program,
-			home: entry.home,
-			isSecondHalf: entry.isSecondHalf,
-			isComplete: isHolder(entry),
-			recorded: entry.recorded,
-			recordedUntil: entry.recordedUntil,
-			retention: entry.retention,
-			slots: [...entry.slots.values()],
-		};
-	}
-
-	function entryOf(program: ProgramId, retention: Milliseconds, now: Milliseconds): Entry {
+	function entryOf(program: ProgramId, retention: Milliseconds, now: Milliseconds): LedgerEntry {
 		const existing = entries.get(program);
 		if (existing) {
 			existing.touchedAt = now;
@@ -162,34 +125,13 @@
 			return existing;
 		}
 
-		const entry: Entry = {
-			revision: 0,
-			slots: new Map(),
-			reservations: new Map(),
-			ended: new Map(),
-			home: undefined,
-			isSecondHalf: false,
-			isComplete: false,
-			recorded: as<Tokens>(0),
-			recordedUntil: as<Milliseconds>(0),
-			hidden: as<Tokens>(0),
-			retention,
-			touchedAt: now,
-		};
+		const entry = createLedgerEntry(retention, now);
 		entries.set(program, entry);
 		return entry;
 	}
 
-	function updateRecord(entry: Entry, recorded: Tokens, until: Milliseconds): void {
-		if (recorded > entry.recorded || until > entry.recordedUntil) {
-			entry.recorded = as<Tokens>(Math.max(entry.recorded, recorded));
-			entry.recordedUntil = as<Milliseconds>(Math.max(entry.recordedUntil, until));
-			entry.revision++;
-		}
-	}
-
 	/** Adds to the slot of this instance. */
-	function count(entry: Entry, settled: number, reserved: number): void {
+	function count(entry: LedgerEntry, settled: number, reserved: number): void {
 		const slot = entry.slots.get(counter);
 		entry.revision++;
 		entry.slots.set(counter, {
@@ -202,7 +144,7 @@
 	}
 
 	/** Number of tokens, used and reserved, up to which this instance may grant calls. */
-	function limitOf(entry: Entry, {budget, most}: ReservationRequest, entitlement: Entitlement): number {
+	function limitOf(entry: LedgerEntry, {budget, most}: ReservationRequest, entitlement: Entitlement): number {
 		switch (entitlement) {
 			case 'whole': {
 				return budget;
@@ -216,13 +158,13 @@
 	}
 
 	/** Tokens that a record has to cover: those known here and, away from home, those that the home may have granted within its record. */
-	function toRecord(entry: Entry): number {
-		return sum(entry.slots.values()) + (entry.home === dataCentre ? 0 : entry.hidden);
+	function toRecord(entry: LedgerEntry): number {
+		return grantedTokens(entry) + (entry.home === dataCentre ? 0 : entry.hidden);
 	}
 
 	function unrecorded(program: ProgramId): Tokens {
 		const entry = entries.get(program);
-		return as<Tokens>(entry ? Math.max(0, sum(entry.slots.values()) - entry.recorded) : 0);
+		return as<Tokens>(entry ? Math.max(0, grantedTokens(entry) - entry.recorded) : 0);
 	}
 
 	return {
@@ -249,7 +191,7 @@
 				return {kind: 'granted'};
 			}
 
-			const used = sum(entry.slots.values());
+			const used = grantedTokens(entry);
 			if (used + most > limitOf(entry, request, entitlement)) {
 				return used + most > budget ? {kind: 'exhausted', used: as<Tokens>(used)} : {kind: 'withheld'};
 			}
@@ -273,7 +215,7 @@
 		},
 		withdrawClaim(program) {
 			const entry = entries.get(program);
-			if (entry && sum(entry.slots.values()) === 0) {
+			if (entry && grantedTokens(entry) === 0) {
 				entry.home = undefined;
 				entry.isComplete = false;
 				entry.revision++;
@@ -285,7 +227,7 @@
 				return false;
 			}
 
-			return sum(entry.slots.values()) <= limitOf(entry, request, entitlement);
+			return grantedTokens(entry) <= limitOf(entry, request, entitlement);
 		},
 		settle(program, attempt, used, now) {
 			const entry = entries.get(program);
@@ -343,7 +285,7 @@
 				}
 			}
 
-			entry.hidden = as<Tokens>(Math.max(0, entry.recorded - sum(entry.slots.values())));
+			entry.hidden = as<Tokens>(Math.max(0, entry.recorded - grantedTokens(entry)));
 			return isReassigned;
 		},
 		revision: program => entries.get(program)?.revision ?? 0,
@@ -359,14 +301,17 @@
 		},
 		account(program) {
 			const entry = entries.get(program);
-			return entry && toAccount(program, entry);
+			return entry && accountOf(program, entry, isHolder(entry));
 		},
-		accounts: () => [...entries].map(([program, entry]) => toAccount(program, entry)),
+		accounts: () => [...entries].map(([program, entry]) => accountOf(program, entry, isHolder(entry))),
 		hasGranted(program) {
 			const slot = entries.get(program)?.slots.get(counter);
 			return slot !== undefined && slot.settled + slot.reserved > 0;
 		},
-		used: program => as<Tokens>(sum(entries.get(program)?.slots.values() ?? [])),
+		used(program) {
+			const entry = entries.get(program);
+			return as<Tokens>(entry ? grantedTokens(entry) : 0);
+		},
 		isWithinUnrecordedLimit: ({program, most}) => unrecorded(program) <= most * maximumUnrecordedCalls,
 		unrecorded,
 		programs: () => [...entries.keys()],
--- a/src/machines/relay-fleet.ts
+++ b/src/machines/relay-fleet.ts
@@ -15,6 +15,8 @@
 
 export type RelayFleet = {
 	readonly apply: (entry: DirectoryEntry) => void;
+	/** The endpoint of which a change of the list, not yet applied, shows that it or its incarnation has ended without leaving. */
+	readonly endedBy: (entry: DirectoryEntry) => EndpointId | undefined;
 	/** The endpoints of the pool, or of one software version in it, that are not leaving. */
 	readonly serving: (pool: PoolName, version?: SoftwareVersion) => readonly RelayEndpoint[];
 	/**
@@ -78,6 +80,15 @@
 				}
 			}
 		},
+		endedBy(entry) {
+			const id = entry.kind === 'listed' ? entry.endpoint.id : entry.id;
+			const known = byId.get(id);
+			if (!known || known.isLeaving()) {
+				return undefined;
+			}
+
+			return entry.kind === 'removed' || entry.endpoint.bornAt !== known.listed().bornAt ? id : undefined;
+		},
 		serving,
 		recordLeaving(id, bornAt, now) {
 			const endpoint = byId.get(id);
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -19,7 +19,6 @@
 import {createSharedBudgets} from '../zones/shared-budgets.js';
 import {type BudgetRecords} from '../zones/budget-records.js';
 import {createMembership, type Member} from '../zones/membership.js';
-import {type DirectoryEntry} from '../zones/endpoint-directory.js';
 import {createGossipProtocol} from '../zones/gossip-protocol.js';
 import {
 	type Greeting, type RelayMessage, type RelayPeers, type RelayReply, type RelayTables,
@@ -115,8 +114,9 @@
 			table = createRoutingTable(configuration);
 		},
 		onEntry(entry) {
-			if (hasEnded(entry)) {
-				relay.recordEnd(entry.kind === 'listed' ? entry.endpoint.id : entry.id);
+			const ended = fleet.endedBy(entry);
+			if (ended !== undefined) {
+				relay.recordEnd(ended);
 			}
 
 			fleet.apply(entry);
@@ -251,16 +251,6 @@
 		},
 	});
 
-	/** Whether a change of the list shows that an endpoint, or its incarnation, has ended without leaving. */
-	function hasEnded(entry: DirectoryEntry): boolean {
-		const known = fleet.endpoint(entry.kind === 'listed' ? entry.endpoint.id : entry.id);
-		if (!known || known.isLeaving()) {
-			return false;
-		}
-
-		return entry.kind === 'removed' || entry.endpoint.bornAt !== known.listed().bornAt;
-	}
-
 	function receiveDigest(peer: Member, digest: RelayDigest): void {
 		digests.set(peer.id, digest);
 		if (digest.storeAge !== undefined) {
