Don't hold calls up for the record of a grant in place of the home

Suspected: while data centres are cut off, each call that is granted in place of its home waited 150 ms for a record that the store couldn't take.

--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -37,6 +37,8 @@
 	= | {readonly kind: 'granted'}
 	/** Granted once the store has recorded that the program may have used `upTo` tokens. */
 		| {readonly kind: 'record-first'; readonly upTo: Tokens}
+	/** Granted at once, in place of the home and within its record; the store should record that both may have used `upTo` tokens. */
+		| {readonly kind: 'record-beside'; readonly upTo: Tokens}
 		| {readonly kind: 'exhausted'; readonly used: Tokens}
 	/** The budget covers the call, but this instance is not entitled to grant it. */
 		| {readonly kind: 'withheld'};
@@ -198,13 +200,13 @@
 
 			entry.reservations.set(attempt, most);
 			count(entry, 0, most);
-			const covered = toRecord(entry);
-			if (covered <= entry.recorded) {
-				return {kind: 'granted'};
+			if (used + most <= entry.recorded) {
+				const upTo = as<Tokens>(Math.min(budget, toRecord(entry)));
+				return upTo <= entry.recorded ? {kind: 'granted'} : {kind: 'record-beside', upTo};
 			}
 
 			// Records half of the budget at once, so that most programs need one write and half of the budget remains after a loss of memory.
-			return {kind: 'record-first', upTo: as<Tokens>(Math.min(budget, Math.max(covered, budget * firstRecordFraction)))};
+			return {kind: 'record-first', upTo: as<Tokens>(Math.min(budget, Math.max(toRecord(entry), budget * firstRecordFraction)))};
 		},
 		markSecondHalf(program) {
 			const entry = entries.get(program);
