--- a/src/contracts/ledger-entry.ts
+++ b/src/contracts/ledger-entry.ts
@@ -21,8 +21,6 @@
 	recorded: Tokens;
 	/** Wall-clock time at which the record expires. */
 	recordedUntil: Milliseconds;
-	/** Tokens that instances at the home may have granted within the record, beyond what is known here. */
-	hidden: Tokens;
 	retention: Milliseconds;
 	touchedAt: Milliseconds;
 };
@@ -39,7 +37,6 @@
 		isComplete: false,
 		recorded: as<Tokens>(0),
 		recordedUntil: as<Milliseconds>(0),
-		hidden: as<Tokens>(0),
 		retention,
 		touchedAt: now,
 	};
--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -37,8 +37,6 @@
 	= | {readonly kind: 'granted'}
 	/** Granted once the store has recorded that the program may have used `upTo` tokens. */
 		| {readonly kind: 'record-first'; readonly upTo: Tokens}
-	/** Granted at once, in place of the home and within its record; the store should record that both may have used `upTo` tokens. */
-		| {readonly kind: 'record-beside'; readonly upTo: Tokens}
 		| {readonly kind: 'exhausted'; readonly used: Tokens}
 	/** The budget covers the call, but this instance is not entitled to grant it. */
 		| {readonly kind: 'withheld'};
@@ -159,11 +157,6 @@
 		}
 	}
 
-	/** Tokens that a record has to cover: those known here and, away from home, those that the home may have granted within its record. */
-	function toRecord(entry: LedgerEntry): number {
-		return grantedTokens(entry) + (entry.home === dataCentre ? 0 : entry.hidden);
-	}
-
 	function unrecorded(program: ProgramId): Tokens {
 		const entry = entries.get(program);
 		return as<Tokens>(entry ? Math.max(0, grantedTokens(entry) - entry.recorded) : 0);
@@ -201,12 +194,11 @@
 			entry.reservations.set(attempt, most);
 			count(entry, 0, most);
 			if (used + most <= entry.recorded) {
-				const upTo = as<Tokens>(Math.min(budget, toRecord(entry)));
-				return upTo <= entry.recorded ? {kind: 'granted'} : {kind: 'record-beside', upTo};
+				return {kind: 'granted'};
 			}
 
 			// Records half of the budget at once, so that most programs need one write and half of the budget remains after a loss of memory.
-			return {kind: 'record-first', upTo: as<Tokens>(Math.min(budget, Math.max(toRecord(entry), budget * firstRecordFraction)))};
+			return {kind: 'record-first', upTo: as<Tokens>(Math.min(budget, Math.max(used + most, budget * firstRecordFraction)))};
 		},
 		markSecondHalf(program) {
 			const entry = entries.get(program);
@@ -287,7 +279,6 @@
 				}
 			}
 
-			entry.hidden = as<Tokens>(Math.max(0, entry.recorded - grantedTokens(entry)));
 			return isReassigned;
 		},
 		revision: program => entries.get(program)?.revision ?? 0,
--- a/src/zones/budget-coordinator.ts
+++ b/src/zones/budget-coordinator.ts
@@ -230,15 +230,6 @@
 				return confirm(request, isNew, record(request, decision.upTo));
 			}
 
-			case 'record-beside': {
-				// Such calls come while data centres do not reach each other, and often not the store either.
-				if ((pendingRecords.get(program) ?? 0) < decision.upTo) {
-					void writeRecord({program, used: decision.upTo, retention: request.retention});
-				}
-
-				return confirm(request, isNew, Promise.resolve(true));
-			}
-
 			case 'exhausted': {
 				options.onEvent({
 					kind: 'exhausted', request: request.attempt, program, used: decision.used, budget: request.budget, most: request.most,
