--- a/src/links/byte-buffer.ts
+++ b/src/links/byte-buffer.ts
@@ -40,7 +40,7 @@
 			size = end;
 		},
 		take(count) {
-			const taken = Uint8Array.from(buffer.subarray(0, count));
+			const taken = new Uint8Array(buffer.subarray(0, count));
 			buffer.copyWithin(0, count, size);
 			size -= count;
 			if (size === 0 && buffer.length > retainedBytes) {
