--- /dev/null
+++ b/src/contracts/archive.ts
@@ -0,0 +1,49 @@
+/**
+Archives: the processes on machines with a disk that store turns. Each registers itself in the store under its own name.
+*/
+import {z} from 'zod';
+import {
+	as, type Address, type AttemptId, type DataCentreId, type InstanceId, type Milliseconds,
+} from './id.js';
+import {type VersionedObject} from './object-store.js';
+import {type ChainReply, type KeepResult, type TurnRecord} from './turn.js';
+
+/** Kind of the objects under which archives register. */
+export const archiveKind = 'hickoryfork-archives';
+
+/** A leaving archive answers reads until its turns are copied, and takes no new ones. */
+export type ArchiveState = 'serving' | 'leaving';
+
+export type ListedArchive = {
+	readonly id: InstanceId;
+	readonly address: Address;
+	readonly dataCentre: DataCentreId;
+	readonly state: ArchiveState;
+};
+
+const listingBody = z.object({address: z.string(), dataCentre: z.string(), state: z.enum(['serving', 'leaving'])});
+
+/** Content of an archive's object in the store. */
+export function encodeArchive({address, dataCentre, state}: ListedArchive): z.output<typeof listingBody> {
+	return {address, dataCentre, state};
+}
+
+/** Decodes an archive's object; undefined if it is invalid. */
+export function decodeArchive(object: VersionedObject): ListedArchive | undefined {
+	const parsed = listingBody.safeParse(object.spec);
+	return parsed.success
+		? {
+			id: as<InstanceId>(object.name),
+			address: as<Address>(parsed.data.address),
+			dataCentre: as<DataCentreId>(parsed.data.dataCentre),
+			state: parsed.data.state,
+		}
+		: undefined;
+}
+
+/** Requests to archives; implemented by a link. The promises never reject. */
+export type ArchiveLink = {
+	readonly keep: (archive: Address, record: TurnRecord, timeout: Milliseconds) => Promise<KeepResult>;
+	/** Resolves to undefined if the archive did not answer in time, or cannot answer yet. */
+	readonly chain: (archive: Address, turn: AttemptId, timeout: Milliseconds) => Promise<ChainReply | undefined>;
+};
--- /dev/null
+++ b/src/contracts/turn.ts
@@ -0,0 +1,43 @@
+/**
+Turns of conversations that the system keeps: what the caller sent and what it received. A turn names the one that it
+continues, so that turns form chains with a common beginning. A turn never changes once it is whole.
+*/
+import {type AttemptId, type Milliseconds} from './id.js';
+import {type WorkspaceName} from './workspace.js';
+
+export type TurnContent
+	/** A turn that was answered completely. The output is the data of its events, each followed by a line feed. */
+	= | {readonly kind: 'whole'; readonly input: Uint8Array; readonly output: Uint8Array}
+	/** Output of a stream that broke off after `lastEvent`, kept so that its caller can resume it at another instance. */
+		| {readonly kind: 'partial'; readonly lastEvent: number; readonly output: Uint8Array};
+
+export type TurnRecord = {
+	/** The caller's attempt that received the end of the turn or, for a partial one, its first event. */
+	readonly turn: AttemptId;
+	/** The turn that this one continues; undefined for the first of a chain. */
+	readonly previous: AttemptId | undefined;
+	/** Undefined where the configuration has no workspaces. */
+	readonly workspace: WorkspaceName | undefined;
+	/** Time for which the turn is kept from its end on. */
+	readonly retention: Milliseconds;
+	readonly content: TurnContent;
+};
+
+/** What an archive holds of a chain. */
+export type ChainReply = {
+	/** The turn that was asked for and, as far as the archive holds them without a gap, those before it; newest first. */
+	readonly records: readonly TurnRecord[];
+	/**
+	Whether the archive still holds every turn within its retention that it ever acknowledged, so that a turn which it does
+	not know was never stored there. An archive that lost its disk or dropped damaged records does not, for a retention.
+	*/
+	readonly isComplete: boolean;
+};
+
+export type KeepResult
+	/** The record outlasts a loss of power of the archive. */
+	= | {readonly kind: 'kept'}
+	/** The archive cannot store it now: its disk is full or does not respond, or it is shutting down. */
+		| {readonly kind: 'refused'; readonly reason: string}
+	/** The archive did not answer in time; it may have stored the record. */
+		| {readonly kind: 'unreachable'; readonly reason: string};
