Judge endpoints by their responses where contracts say that health checks mislead

Cause: an endpoint that is down behind an address that accepts connections resets each request. Change: broken responses cause a backoff, a single request tries the endpoint after it, peers are told at the second one, and the share of error answers makes an endpoint dearer. Switched on by the contracts of a deployment.

--- a/src/machines/load-reports.ts
+++ b/src/machines/load-reports.ts
@@ -25,8 +25,13 @@
 /** Maximum number of endpoints in one report, which has to fit into a datagram. */
 const maximumEndpoints = 24;
 
+/** Share of failed responses below which it is not reported. */
+const minimumReportedShare = 0.05;
+
 export type LoadReports = {
 	readonly receive: (message: Extract<RelayMessage, {kind: 'loads'}>) => void;
+	/** Tells all instances at once that an endpoint breaks off responses. */
+	readonly announceFailing: (endpoint: RelayEndpoint) => void;
 	readonly run: (signal: AbortSignal) => Promise<void>;
 };
 
@@ -59,6 +64,12 @@
 		return limit.kind === 'limited' || isEnded ? {limit, age} : undefined;
 	}
 
+	/** The share of failed responses, if it is worth a report. */
+	function reportedShare(endpoint: RelayEndpoint, now: Milliseconds): number | undefined {
+		const share = endpoint.availability.failureShare(now);
+		return share > minimumReportedShare ? Number(share.toFixed(2)) : undefined;
+	}
+
 	function composeLoads(loadOf: (endpoint: RelayEndpoint) => number): readonly EndpointLoad[] {
 		const now = clock.now();
 		return fleet.endpoints()
@@ -67,6 +78,7 @@
 				inFlight: loadOf(endpoint),
 				pace: endpoint.recentLatency(now),
 				rateLimit: reportedLimit(endpoint, now),
+				failureShare: reportedShare(endpoint, now),
 				leaving: endpoint.hasSaidLeaving() ? {bornAt: endpoint.listed().bornAt} : undefined,
 			}))
 			.filter(load => load.inFlight > 0 || load.pace !== undefined || hasNotice(load))
@@ -75,6 +87,17 @@
 			.map(load => ({...load, pace: load.pace === undefined ? undefined : Math.round(load.pace)}));
 	}
 
+	function recordAvailability({id, isFailing, failureShare}: EndpointLoad, now: Milliseconds): void {
+		const availability = fleet.endpoint(id)?.availability;
+		if (isFailing) {
+			availability?.recordPeerFailure(now);
+		}
+
+		if (failureShare !== undefined) {
+			availability?.recordPeerShare(failureShare, now);
+		}
+	}
+
 	function sendToDataCentre(): void {
 		const loads = composeLoads(endpoint => endpoint.inFlight());
 		if (loads.length > 0 || wasBusy) {
@@ -114,10 +137,19 @@
 	}
 
 	return {
+		announceFailing(endpoint) {
+			const load = {
+				id: endpoint.listed().id, inFlight: endpoint.inFlight(), pace: undefined, isFailing: true,
+			};
+			for (const member of options.others()) {
+				options.peers.post(member.address, {kind: 'loads', from: {kind: 'instance', name: options.self().id}, loads: [load]});
+			}
+		},
 		receive(message) {
 			for (const load of message.loads) {
 				const now = clock.now();
 				fleet.recordPeerLoad(message.from, load, now);
+				recordAvailability(load, now);
 				if (load.leaving) {
 					options.recordLeaving(load.id, load.leaving.bornAt);
 				}
--- a/src/machines/relay-attempts.ts
+++ b/src/machines/relay-attempts.ts
@@ -17,11 +17,16 @@
 import {type RelayJob, type RelayJobOptions} from './relay-job.js';
 import {unloadedLatency} from './relay-placement.js';
 
+/** Lowest status with which an endpoint reports an error of its own. */
+const serverError = 500;
+
 export type RelayAttemptsOptions = {
 	readonly fleet: RelayFleet;
 	readonly link: RelayLink;
 	readonly quarantine: Quarantine;
 	readonly clock: Clock;
+	/** Called when an endpoint repeatedly breaks off responses. */
+	readonly onFailing: (endpoint: RelayEndpoint) => void;
 	readonly onEvent: (event: RelayEvent) => void;
 };
 
@@ -114,19 +119,27 @@
 	}
 
 	/** Updates the latency and availability of an endpoint with the result of an attempt. */
-	function updateEndpoint(endpoint: RelayEndpoint, result: RelayResult, unloadedMs: number): void {
+	function updateEndpoint(endpoint: RelayEndpoint, result: RelayResult, {unloadedMs, sentAt}: {readonly unloadedMs: number; readonly sentAt: Milliseconds}): void {
 		const now = clock.now();
 		switch (result.kind) {
 			case 'answered':
 			case 'finished': {
 				endpoint.recordLatency(unloadedMs, now);
-				endpoint.recordSuccess();
+				endpoint.availability.recordResponse({isError: result.kind === 'answered' && result.head.status >= serverError, sentAt}, now);
 				return;
 			}
 
 			case 'unreachable':
 			case 'misdirected': {
-				endpoint.recordFailure(now);
+				endpoint.availability.recordUnreachable(now);
+				return;
+			}
+
+			case 'broken': {
+				if (endpoint.availability.recordBroken(now)) {
+					options.onFailing(endpoint);
+				}
+
 				return;
 			}
 
@@ -135,7 +148,6 @@
 				break;
 			}
 
-			case 'broken':
 			case 'rejected':
 			case 'expired':
 			case 'cancelled': {
@@ -151,13 +163,14 @@
 		const {limit: rateLimit} = endpoint.rateLimit();
 		const release = endpoint.trackRequest();
 		endpoint.markCached(job.request.prompt);
+		endpoint.availability.recordSent(startedAt);
 		const linkAttempt = job.createAttempt(listed, expected);
 		const result = await options.link.send(linkAttempt);
 		const took = as<Milliseconds>(clock.now() - startedAt);
 		release();
 		job.recordResult(listed, result);
 		recordSuspicion(job, listed, result, startedAt);
-		updateEndpoint(endpoint, result, unloadedLatency(took, load));
+		updateEndpoint(endpoint, result, {unloadedMs: unloadedLatency(took, load), sentAt: startedAt});
 		options.onEvent({
 			kind: 'attempted', request: job.request, attempt: {
 				endpoint: listed.id, version: listed.version, resumeAfter: linkAttempt.resumeAfter, result, load, expected, rateLimit, generation: job.generation, took,
--- a/src/machines/relay-endpoint.ts
+++ b/src/machines/relay-endpoint.ts
@@ -2,6 +2,7 @@
 One endpoint for relayed requests as it is known to this instance: requests in flight from this instance and, as
 reported, from others; its latency; whether it can be reached; and the prompt parts that it has probably cached.
 */
+import {type Random} from '../contracts/clock.js';
 import {
 	as, type Milliseconds, type PromptPartId, type Tokens,
 } from '../contracts/id.js';
@@ -10,6 +11,7 @@
 	isSameRateLimit, noRateLimit, type RateLimitStatement,
 } from '../contracts/rate-limit.js';
 import {type PromptPart} from '../contracts/relay-request.js';
+import {createEndpointAvailability, type EndpointAvailability, type Monitoring} from './endpoint-availability.js';
 
 /** Weight of a new observation in the smoothed latency. */
 const latencyWeight = 0.3;
@@ -17,10 +19,6 @@
 /** Half-life with which an observed latency decays. */
 const latencyHalfLifeMs = 4000;
 
-/** Backoff after the first failure to connect; it doubles with each further one. */
-const initialBackoffMs = 250;
-const maximumBackoffMs = 2000;
-
 /** Maximum number of prompt parts tracked for one endpoint. */
 const maximumTrackedParts = 2048;
 
@@ -47,9 +45,7 @@
 	/** Last smoothed latency, in ms, or undefined if nothing was observed recently. */
 	readonly recentLatency: (now: Milliseconds) => number | undefined;
 	readonly recordLatency: (ms: number, now: Milliseconds) => void;
-	readonly recordFailure: (now: Milliseconds) => void;
-	readonly recordSuccess: () => void;
-	readonly isUsable: (now: Milliseconds) => boolean;
+	readonly availability: EndpointAvailability;
 	/** Whether the list or a response said that this incarnation of the endpoint leaves. */
 	readonly isLeaving: () => boolean;
 	/** Whether a response said so. */
@@ -70,12 +66,11 @@
 };
 
 /** Creates the state of an endpoint, with nothing in flight. */
-export function createRelayEndpoint(initial: ListedEndpoint): RelayEndpoint {
+export function createRelayEndpoint(initial: ListedEndpoint, monitoring: Monitoring, random: Random): RelayEndpoint {
 	let current = initial;
 	let inFlight = 0;
 	let pace = {ms: 0, at: as<Milliseconds>(0)};
-	let failures = 0;
-	let backoffUntil = as<Milliseconds>(0);
+	const availability = createEndpointAvailability(monitoring, random);
 	let rateLimit: RateLimitStatement = {limit: noRateLimit, at: as<Milliseconds>(0)};
 	let hasSaidLeaving = false;
 	let rateLimitEndedAt: Milliseconds | undefined;
@@ -129,16 +124,7 @@
 			const isStale = pace.ms === 0 || now - pace.at > latencyHalfLifeMs;
 			pace = {ms: isStale ? ms : (pace.ms * (1 - latencyWeight)) + (ms * latencyWeight), at: now};
 		},
-		recordFailure(now) {
-			const backoffMs = Math.min(initialBackoffMs * (2 ** failures), maximumBackoffMs);
-			failures++;
-			backoffUntil = as<Milliseconds>(now + backoffMs);
-		},
-		recordSuccess() {
-			failures = 0;
-			backoffUntil = as<Milliseconds>(0);
-		},
-		isUsable: now => now >= backoffUntil,
+		availability,
 		isLeaving: () => hasSaidLeaving || current.isLeaving,
 		hasSaidLeaving: () => hasSaidLeaving,
 		recordLeaving() {
@@ -189,8 +175,7 @@
 		},
 		reset() {
 			parts.clear();
-			failures = 0;
-			backoffUntil = as<Milliseconds>(0);
+			availability.reset();
 			rateLimit = {limit: noRateLimit, at: as<Milliseconds>(0)};
 			hasSaidLeaving = false;
 		},
--- a/src/machines/relay-fleet.ts
+++ b/src/machines/relay-fleet.ts
@@ -1,6 +1,7 @@
 /**
 The endpoints for relayed requests, as they are known to this instance.
 */
+import {type Random} from '../contracts/clock.js';
 import {
 	as, type EndpointId, type Milliseconds, type PoolName, type SoftwareVersion,
 } from '../contracts/id.js';
@@ -8,6 +9,7 @@
 import {type PromptPart} from '../contracts/relay-request.js';
 import {type DirectoryEntry} from '../zones/endpoint-directory.js';
 import {type PromptLocation} from './prompt-locations.js';
+import {type Monitoring} from './endpoint-availability.js';
 import {createRelayEndpoint, type LoadSource, type RelayEndpoint} from './relay-endpoint.js';
 
 /** Time for which it is remembered that an endpoint leaves, in ms; it ends within seconds. */
@@ -35,13 +37,13 @@
 };
 
 /** Creates an empty fleet. */
-export function createRelayFleet(): RelayFleet {
+export function createRelayFleet(random: Random, monitoring: Monitoring = 'connections'): RelayFleet {
 	const byId = new Map<EndpointId, RelayEndpoint>();
 	/** Incarnations that said that they leave. */
 	const left = new Map<EndpointId, {readonly bornAt: Milliseconds | undefined; readonly until: Milliseconds}>();
 
 	function add(listed: ListedEndpoint): void {
-		const endpoint = createRelayEndpoint(listed);
+		const endpoint = createRelayEndpoint(listed, monitoring, random);
 		const earlier = left.get(listed.id);
 		if (earlier && earlier.bornAt === listed.bornAt) {
 			endpoint.recordLeaving();
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -28,6 +28,7 @@
 import {createSharedTables, type SharedObjects} from '../zones/shared-tables.js';
 import {createWatcherElection} from '../zones/watcher-election.js';
 import {createWarmUp} from '../zones/warm-up.js';
+import {type Monitoring} from './endpoint-availability.js';
 import {createLoadReports} from './load-reports.js';
 import {createQuarantine} from './quarantine.js';
 import {createRelay, type Relay} from './relay.js';
@@ -55,6 +56,8 @@
 	readonly records: BudgetRecords;
 	readonly objects: SharedObjects;
 	readonly link: RelayLink;
+	/** What the availability of endpoints is judged by. */
+	readonly monitoring?: Monitoring;
 	readonly peers: RelayPeers;
 	readonly clock: Clock;
 	readonly random: Random;
@@ -89,7 +92,7 @@
 	const membership = createMembership({
 		id, dataCentre, address, incarnation,
 	}, random, options.dataCentres);
-	const fleet = createRelayFleet();
+	const fleet = createRelayFleet(random, options.monitoring);
 	const quarantine = createQuarantine();
 	const ledger = createTokenLedger(as<CounterId>(`${id}@${incarnation}`), dataCentre);
 	const digests = new Map<InstanceId, RelayDigest>();
@@ -243,6 +246,7 @@
 		origins,
 		dataCentre,
 		table: () => table,
+		onFailing: loads.announceFailing,
 		onEvent(event) {
 			options.onEvent({kind: 'relay', relay: event});
 			if (event.kind === 'crash-suspected') {
--- a/src/machines/relay-placement.ts
+++ b/src/machines/relay-placement.ts
@@ -26,6 +26,9 @@
 /** Fraction of the prompt's first part that counts as cached at the endpoint that its hash selects. */
 const homeCachedFraction = 0.6;
 
+/** Cost of a failed request: it is sent again after a while, or its program ends. */
+const failureCostMs = 2000;
+
 /** Latency that is assumed before the first observation. */
 const assumedLatencyMs = 200;
 
@@ -88,13 +91,14 @@
 	const waiting = pace * (Math.max(0, load + 1 - slots) / slots);
 	// All requests on the endpoint, including this one, wait while a prompt is computed.
 	const computing = uncachedTokens(endpoint, comparison) * prefillMsPerToken * (1 + load);
-	return running + waiting + computing + distance;
+	const failing = endpoint.availability.expectedFailureShare(query.now) * failureCostMs;
+	return running + waiting + computing + distance + failing;
 }
 
 /** The cheapest usable endpoint or, if there is none, the cheapest of those that failed recently. */
 export function place(endpoints: readonly RelayEndpoint[], query: RelayQuery): Placement | undefined {
 	const open = endpoints.filter(endpoint => !query.excluded.has(endpoint.listed().id));
-	const usable = open.filter(endpoint => endpoint.isUsable(query.now));
+	const usable = open.filter(endpoint => endpoint.availability.isUsable(query.now));
 	const candidates = usable.length > 0 ? usable : open;
 	const comparison = {
 		query,
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -18,6 +18,7 @@
 	createEndpointChoice, noEndpoint, placementTimeoutFraction,
 } from './endpoint-choice.js';
 import {type Quarantine} from './quarantine.js';
+import {type RelayEndpoint} from './relay-endpoint.js';
 import {type RelayEvent} from './relay-event.js';
 import {type RatePermits} from './rate-permits.js';
 import {type RelayFleet} from './relay-fleet.js';
@@ -43,6 +44,8 @@
 	readonly random: Random;
 	readonly dataCentre: DataCentreId;
 	readonly table: () => RoutingTable | undefined;
+	/** Called when an endpoint repeatedly breaks off responses. */
+	readonly onFailing: (endpoint: RelayEndpoint) => void;
 	readonly onEvent: (event: RelayEvent) => void;
 };
 
--- a/src/programs/relay-settings.ts
+++ b/src/programs/relay-settings.ts
@@ -7,6 +7,7 @@
 import {
 	as, type Address, type DataCentreId, type InstanceId, type Milliseconds,
 } from '../contracts/id.js';
+import {type Monitoring} from '../machines/endpoint-availability.js';
 import {
 	addressField, logField, parseSettingsText, readSettingsFile,
 } from './settings-file.js';
@@ -19,6 +20,8 @@
 	callers: z.strictObject({address: addressField, readiness: addressField}).optional(),
 	peers: z.strictObject({address: addressField, seeds: z.array(addressField).default([])}).optional(),
 	operators: z.strictObject({address: addressField}).optional(),
+	deployment: z.strictObject({contracts: z.array(z.string()).default([])}).default({contracts: []}),
+	endpoints: z.strictObject({monitoring: z.enum(['connections', 'responses']).optional()}).default({}),
 	stop: z.strictObject({graceMs: z.number().int().positive().max(600_000)}),
 	log: logField,
 });
@@ -40,12 +43,16 @@
 	readonly peers: {readonly address: Address; readonly seeds: readonly Address[]} | undefined;
 	/** Listen address for metrics and state dumps. */
 	readonly operators: Address | undefined;
+	/** Names of the terms that the platform says are in force. */
+	readonly contracts: readonly string[];
+	/** What the availability of endpoints is judged by; undefined leaves it to the contracts. */
+	readonly monitoring: Monitoring | undefined;
 	/** Time from the stop signal until the process is killed. */
 	readonly gracePeriod: Milliseconds;
 	readonly logLevel: Parsed['log']['level'];
 };
 
-function toSettings({instance, platform, callers, peers, operators, stop, log}: Parsed): RelaySettings {
+function toSettings({instance, platform, callers, peers, operators, deployment, endpoints, stop, log}: Parsed): RelaySettings {
 	return {
 		id: as<InstanceId>(instance.id),
 		dataCentre: as<DataCentreId>(instance.dataCentre),
@@ -56,6 +63,8 @@
 		callers: callers && {address: as<Address>(callers.address), readiness: as<Address>(callers.readiness)},
 		peers: peers && {address: as<Address>(peers.address), seeds: peers.seeds.map(seed => as<Address>(seed))},
 		operators: operators && as<Address>(operators.address),
+		contracts: deployment.contracts,
+		monitoring: endpoints.monitoring,
 		gracePeriod: as<Milliseconds>(stop.graceMs),
 		logLevel: log.level,
 	};
--- a/src/zones/relay-peers.ts
+++ b/src/zones/relay-peers.ts
@@ -25,6 +25,10 @@
 	readonly id: EndpointId;
 	readonly inFlight: number;
 	readonly pace: number | undefined;
+	/** Set if the endpoint has just broken off responses to the sender. */
+	readonly isFailing?: boolean | undefined;
+	/** Share of its responses to the sender that failed lately; absent if there are hardly any. */
+	readonly failureShare?: number | undefined;
 	/** Present if the endpoint said that it leaves, with the start of the incarnation that said so. */
 	readonly leaving?: {readonly bornAt?: Milliseconds | undefined} | undefined;
 	/** Rate limit that the endpoint has, or had until recently, and the time since it stated that. */
