--- /dev/null
+++ b/src/machines/turn-store/turn-encoding.ts
@@ -0,0 +1,112 @@
+/**
+Binary form of a turn, the same on disks and between entries and archives: a head of fixed size, the names, the input, and
+the output up to the end.
+*/
+import {Buffer, isUtf8} from 'node:buffer';
+import {as, type AttemptId, type Milliseconds} from '../../contracts/id.js';
+import {type TurnContent, type TurnRecord} from '../../contracts/turn.js';
+import {type WorkspaceName} from '../../contracts/workspace.js';
+
+/** Maximum size of an encoded turn: the longest request body of 4 MB, and an answer. */
+export const maximumTurnBytes = 6 * 1024 * 1024;
+
+/** Size of the head: kind, retention, last event, and the lengths of three names and of the input. */
+const headBytes = 1 + 8 + 8 + 2 + 2 + 2 + 4;
+
+/** Longer names than callers can send in a header. */
+const maximumNameBytes = 16_384;
+
+/** Length of a name that is absent, as opposed to empty. */
+const absentName = 0xFF_FF;
+
+const kindNumbers = {whole: 1, partial: 2} as const;
+
+function toBytes(name: string | undefined): Uint8Array | undefined {
+	return name === undefined ? undefined : Buffer.from(name, 'utf8');
+}
+
+/** Encodes a turn; undefined if one of its names or the whole is too long. */
+export function encodeTurn(record: TurnRecord): Uint8Array | undefined {
+	const {content} = record;
+	const names = [toBytes(record.turn), toBytes(record.previous), toBytes(record.workspace)];
+	const input = content.kind === 'whole' ? content.input : new Uint8Array();
+	const parts = [...names.map(name => name ?? new Uint8Array()), input, content.output];
+	const size = parts.reduce((sum, part) => sum + part.length, headBytes);
+	if (size > maximumTurnBytes || names.some(name => name !== undefined && name.length > maximumNameBytes)) {
+		return undefined;
+	}
+
+	// Not from the shared pool of Buffer: the result stays in the cache and would keep its slab alive.
+	const bytes = Buffer.allocUnsafeSlow(size);
+	let at = bytes.writeUInt8(kindNumbers[content.kind], 0);
+	at = bytes.writeDoubleLE(record.retention, at);
+	at = bytes.writeDoubleLE(content.kind === 'partial' ? content.lastEvent : 0, at);
+	for (const name of names) {
+		at = bytes.writeUInt16LE(name?.length ?? absentName, at);
+	}
+
+	at = bytes.writeUInt32LE(input.length, at);
+	for (const part of parts) {
+		bytes.set(part, at);
+		at += part.length;
+	}
+
+	return bytes;
+}
+
+function contentOf(kind: number, lastEvent: number, input: Uint8Array, output: Uint8Array): TurnContent | undefined {
+	switch (kind) {
+		case kindNumbers.whole: {
+			return {kind: 'whole', input, output};
+		}
+
+		case kindNumbers.partial: {
+			return Number.isFinite(lastEvent) && input.length === 0 ? {kind: 'partial', lastEvent, output} : undefined;
+		}
+
+		default: {
+			return undefined;
+		}
+	}
+}
+
+/** Decodes names that lie one after the other; undefined if one is not valid text. */
+function decodeNames(bytes: Uint8Array, lengths: readonly number[]): ReadonlyArray<string | undefined> | undefined {
+	let at = headBytes;
+	const names = lengths.map(length => {
+		if (length === absentName) {
+			return undefined;
+		}
+
+		at += length;
+		return bytes.subarray(at - length, at);
+	});
+	return names.every(name => name === undefined || isUtf8(name)) ? names.map(name => name && Buffer.from(name).toString('utf8')) : undefined;
+}
+
+/** Decodes a turn, whose input and output are views of the bytes; undefined if the bytes are not a turn. */
+export function decodeTurn(bytes: Uint8Array): TurnRecord | undefined {
+	if (bytes.length < headBytes) {
+		return undefined;
+	}
+
+	const view = new DataView(bytes.buffer, bytes.byteOffset, bytes.length);
+	const retention = view.getFloat64(1, true);
+	const lengths = [17, 19, 21].map(at => view.getUint16(at, true));
+	const inputStart = lengths.reduce((sum, length) => sum + (length === absentName ? 0 : length), headBytes);
+	const inputEnd = inputStart + view.getUint32(23, true);
+	const names = inputEnd <= bytes.length ? decodeNames(bytes, lengths) : undefined;
+	const content = contentOf(view.getUint8(0), view.getFloat64(9, true), bytes.subarray(inputStart, inputEnd), bytes.subarray(inputEnd));
+	const [turn, previous, workspace] = names ?? [];
+	if (turn === undefined || !content || !(retention >= 0) || !Number.isFinite(retention)) {
+		return undefined;
+	}
+
+	return {
+		turn: as<AttemptId>(turn),
+		previous: previous === undefined ? undefined : as<AttemptId>(previous),
+		workspace: workspace === undefined ? undefined : as<WorkspaceName>(workspace),
+		retention: as<Milliseconds>(retention),
+		content,
+	};
+}
