Serve turns to entries over HTTP, and call archives

Entries need to store turns at archives and to read chains from them.

Archives can be asked which turns they hold, so that one that is emptied copies only what is missing elsewhere.

--- /dev/null
+++ b/src/links/archive-protocol.ts
@@ -0,0 +1,111 @@
+/**
+Requests to archives and their replies: POST requests with binary bodies, each of which begins with a checksum of the rest.
+A reply repeats the number of its request, so that one that belongs to another request on the same connection is noticed.
+*/
+import {Buffer} from 'node:buffer';
+import {crc32} from 'node:zlib';
+import {as, type AttemptId} from '../contracts/id.js';
+import {type ChainReply, type TurnRecord} from '../contracts/turn.js';
+import {decodeTurn, encodeTurn, maximumTurnBytes} from '../machines/turn-store/turn-encoding.js';
+
+export const archivePath = {keep: '/1/keep', chain: '/1/chain', holds: '/1/holds'} as const;
+
+export const requestNumberHeader = 'hickoryfork-request';
+
+const checksumBytes = 4;
+
+/** Largest body of a request. */
+export const maximumRequestBytes = checksumBytes + maximumTurnBytes;
+
+/** Largest body of a reply: a store ends a chain at 1 MB and one more turn, plus the lengths. */
+export const maximumReplyBytes = (2 * 1024 * 1024) + maximumTurnBytes;
+
+/** Parts of a body, such as the turns that a request names; one that consists of empty parts would take many times its size when it is split. */
+export const maximumParts = 256;
+
+/** Statuses of replies. */
+export const archiveStatus = {
+	answered: 200,
+	invalid: 400,
+	tooLarge: 413,
+	/** The record is not stored, or the archive cannot answer yet. */
+	refused: 503,
+} as const;
+
+/** Joins the parts of a body and puts their checksum in front. */
+export function sealBody(parts: readonly Uint8Array[]): Uint8Array {
+	const body = Buffer.concat([Buffer.alloc(checksumBytes), ...parts]);
+	body.writeUInt32LE(crc32(body.subarray(checksumBytes)), 0);
+	return body;
+}
+
+/** The parts of a body; undefined if it is damaged. */
+export function openBody(body: Uint8Array): Uint8Array | undefined {
+	if (body.length < checksumBytes) {
+		return undefined;
+	}
+
+	const content = body.subarray(checksumBytes);
+	return new DataView(body.buffer, body.byteOffset).getUint32(0, true) === crc32(content) ? content : undefined;
+}
+
+/** Puts the length of a part in front of it. */
+function withLength(part: Uint8Array): readonly Uint8Array[] {
+	const length = Buffer.alloc(4);
+	length.writeUInt32LE(part.length);
+	return [length, part];
+}
+
+/** Splits parts that have their lengths in front; undefined if they do not end with the last one, or are too many. */
+function splitParts(bytes: Uint8Array): readonly Uint8Array[] | undefined {
+	const view = new DataView(bytes.buffer, bytes.byteOffset, bytes.length);
+	const parts: Uint8Array[] = [];
+	let at = 0;
+	while (at + 4 <= bytes.length && parts.length < maximumParts) {
+		const start = at + 4;
+		at = start + view.getUint32(at, true);
+		parts.push(bytes.subarray(start, at));
+	}
+
+	return at === bytes.length ? parts : undefined;
+}
+
+/** Body of a request to keep a record; undefined if the record is too large. */
+export function encodeKeepRequest(record: TurnRecord): Uint8Array | undefined {
+	const bytes = encodeTurn(record);
+	return bytes && sealBody([bytes]);
+}
+
+export function decodeKeepRequest(body: Uint8Array): TurnRecord | undefined {
+	const content = openBody(body);
+	return content && decodeTurn(content);
+}
+
+/** Body that consists of turn names, as in requests for chains and inventories. */
+export function encodeTurnNames(turns: readonly AttemptId[]): Uint8Array {
+	return sealBody(turns.flatMap(turn => withLength(Buffer.from(turn, 'utf8'))));
+}
+
+export function decodeTurnNames(body: Uint8Array): readonly AttemptId[] | undefined {
+	const content = openBody(body);
+	return content && splitParts(content)?.map(part => as<AttemptId>(Buffer.from(part).toString('utf8')));
+}
+
+export function encodeChainReply({records, isComplete}: ChainReply): Uint8Array {
+	const parts = records.map(record => encodeTurn(record)).filter(part => part !== undefined);
+	return sealBody([Uint8Array.of(isComplete ? 1 : 0), ...parts.flatMap(part => withLength(part))]);
+}
+
+/** Decodes the reply to a request for a chain; undefined if the bytes are none, or that of another turn. */
+export function decodeChainReply(body: Uint8Array, turn: AttemptId): ChainReply | undefined {
+	const content = openBody(body);
+	const parts = content && content.length > 0 ? splitParts(content.subarray(1)) : undefined;
+	if (!content || !parts) {
+		return undefined;
+	}
+
+	const records = parts.flatMap(part => decodeTurn(part) ?? []);
+	const isOfTurn = records.length === 0 || records[0]?.turn === turn;
+	const isChain = records.every((record, index) => index === 0 || records[index - 1]?.previous === record.turn);
+	return records.length === parts.length && isOfTurn && isChain ? {records, isComplete: content[0] === 1} : undefined;
+}
