Keep turns in the archive process, and copy them when a machine retires

The archive process kept nothing and reported a retiring machine as empty at once.

With a data directory in its settings it opens the turn store, serves it, registers under its name, and when the machine is to be emptied refuses new turns and copies what has not expired, until each turn outlasts the tolerated losses without this machine. It reports that it runs meanwhile and completes only then; what cannot be copied is tried again. Without a directory, and until a turn is sent to it, it works as before, apart from one store call for the registration.

--- /dev/null
+++ b/src/machines/archive-registration.ts
@@ -0,0 +1,93 @@
+/**
+Registration of an archive in the store, under its own name. Writes are retried while the store is away, and an object that
+an earlier process of the machine left is replaced.
+*/
+import {isDeepStrictEqual} from 'node:util';
+import {
+	archiveKind, type ArchiveState, encodeArchive, type ListedArchive,
+} from '../contracts/archive.js';
+import {type Clock} from '../contracts/clock.js';
+import {as, type Milliseconds, type ObjectName} from '../contracts/id.js';
+import {type ObjectStore, type VersionedObject, type WriteResult} from '../contracts/object-store.js';
+
+/** Delay before a write is tried again. */
+const retryDelayMs = 500;
+
+export type ArchiveRegistrationEvent = {readonly state: ArchiveState; readonly result: WriteResult['kind']};
+
+export type ArchiveRegistration = {
+	/** Writes a state. Resolves to whether it is in the store; to false once another state was requested or the signal aborts. */
+	readonly write: (state: ArchiveState, signal: AbortSignal) => Promise<boolean>;
+};
+
+export type ArchiveRegistrationOptions = {
+	readonly archive: Omit<ListedArchive, 'state'>;
+	readonly store: ObjectStore;
+	readonly clock: Clock;
+	readonly onEvent: (event: ArchiveRegistrationEvent) => void;
+};
+
+/** Creates the registration of an archive that the store does not know yet. */
+export function createArchiveRegistration(options: ArchiveRegistrationOptions): ArchiveRegistration {
+	const {store, clock} = options;
+	const name = as<ObjectName>(options.archive.id);
+	/** The object as it was when the store last returned it. */
+	let known: Pick<VersionedObject, 'revision' | 'spec'> | undefined;
+	let requested: ArchiveState | undefined;
+
+	async function attempt(spec: unknown): Promise<WriteResult> {
+		if (!known) {
+			return store.create(archiveKind, name, spec);
+		}
+
+		return isDeepStrictEqual(known.spec, spec)
+			? {kind: 'written', revision: known.revision}
+			: store.replace(archiveKind, name, spec, known.revision);
+	}
+
+	/** Returns whether the spec is in the store. */
+	function note(result: WriteResult, spec: unknown): boolean {
+		switch (result.kind) {
+			case 'written': {
+				known = {revision: result.revision, spec};
+				return true;
+			}
+
+			case 'conflict': {
+				known = result.object;
+				return false;
+			}
+
+			case 'absent': {
+				known = undefined;
+				return false;
+			}
+
+			case 'unavailable':
+			case 'doubtful': {
+				return false;
+			}
+		}
+	}
+
+	return {
+		async write(state, signal) {
+			requested = state;
+			const spec = encodeArchive({...options.archive, state});
+			const isWanted = () => requested === state && !signal.aborted;
+			while (isWanted()) {
+				const result = await attempt(spec);
+				options.onEvent({state, result: result.kind});
+				if (note(result, spec)) {
+					return true;
+				}
+
+				if (result.kind === 'unavailable' || result.kind === 'doubtful') {
+					await clock.sleep(as<Milliseconds>(retryDelayMs), signal);
+				}
+			}
+
+			return false;
+		},
+	};
+}
--- /dev/null
+++ b/src/machines/archive.ts
@@ -0,0 +1,159 @@
+/**
+Archive: the process of a machine with a disk that keeps turns. It answers once its store has been read, takes no new turns
+while it is emptied, and is registered in the object store, where entries find it.
+*/
+import {type Result} from 'neverthrow';
+import {
+	type ArchiveInventoryLink, type ArchiveLink, archiveKind, decodeArchive, type ListedArchive,
+} from '../contracts/archive.js';
+import {type Clock} from '../contracts/clock.js';
+import {createDeferred} from '../contracts/deferred.js';
+import {type Failure} from '../contracts/failure.js';
+import {type AttemptId} from '../contracts/id.js';
+import {type ObjectList, type ObjectStore} from '../contracts/object-store.js';
+import {type ChainReply, type KeepResult, type TurnRecord} from '../contracts/turn.js';
+import {type ArchiveDrainEvent, drainArchive} from './archive-drain.js';
+import {type ArchiveRegistrationEvent, createArchiveRegistration} from './archive-registration.js';
+import {type LossTolerance} from './copy-targets.js';
+import {type TurnStoreEvent} from './turn-store/turn-store-event.js';
+import {type TurnStore} from './turn-store/turn-store.js';
+
+export type ArchiveEvent
+	= | {readonly kind: 'store'; readonly store: TurnStoreEvent}
+		| {readonly kind: 'drain'; readonly drain: ArchiveDrainEvent}
+		| {readonly kind: 'registration'; readonly registration: ArchiveRegistrationEvent}
+		/** An object of the kind of archives cannot be decoded and is passed over. */
+		| {readonly kind: 'unreadable-archive'; readonly name: string}
+		| {readonly kind: 'request-given-up'; readonly reason: string};
+
+export type Archive = {
+	readonly keep: (record: TurnRecord) => Promise<KeepResult>;
+	/** Resolves to undefined until the store has been read. */
+	readonly chain: (turn: AttemptId) => Promise<ChainReply | undefined>;
+	/** The turns that are held whole; undefined until the store has been read. */
+	readonly holds: (turns: readonly AttemptId[]) => readonly AttemptId[] | undefined;
+	/** Opens the store and registers the archive. Resolves when both are done or the signal aborts. */
+	readonly run: (signal: AbortSignal) => Promise<void>;
+	/** Whether a turn may be here, or any entry has ever asked for one. */
+	readonly isUsed: () => boolean;
+	/** Copies all turns to other archives. If the signal aborts before, the archive takes turns again. */
+	readonly drain: (signal: AbortSignal) => Promise<void>;
+	readonly gauges: () => Readonly<Record<string, number>>;
+	readonly close: () => Promise<void>;
+};
+
+export type ArchiveOptions = {
+	readonly own: Omit<ListedArchive, 'state'>;
+	readonly openStore: (signal: AbortSignal) => Promise<TurnStore>;
+	readonly objects: ObjectStore;
+	readonly link: Pick<ArchiveLink, 'keep'> & ArchiveInventoryLink;
+	readonly tolerance: LossTolerance;
+	readonly clock: Clock;
+	readonly onEvent: (event: ArchiveEvent) => void;
+};
+
+/** Creates an archive that has not read its store yet. */
+export function createArchive(options: ArchiveOptions): Archive {
+	const {own, objects, clock, onEvent} = options;
+	const opened = createDeferred<TurnStore>();
+	let store: TurnStore | undefined;
+	let hasRequests = false;
+	/** Signal of the drain that is under way or has ended. */
+	let leaving: AbortSignal | undefined;
+	let running = AbortSignal.abort();
+	const unfinished = new Set<Promise<KeepResult>>();
+	const registration = createArchiveRegistration({
+		archive: own,
+		store: objects,
+		clock,
+		onEvent(event) {
+			onEvent({kind: 'registration', registration: event});
+		},
+	});
+
+	function toArchives(list: ObjectList): readonly ListedArchive[] {
+		return list.objects.flatMap(object => {
+			const archive = decodeArchive(object);
+			if (!archive) {
+				onEvent({kind: 'unreadable-archive', name: object.name});
+			}
+
+			return archive ?? [];
+		});
+	}
+
+	async function listArchives() {
+		const listed: Result<ObjectList, Failure> = await objects.list(archiveKind);
+		return listed.match(
+			list => ({kind: 'listed', archives: toArchives(list)} as const),
+			failure => ({kind: 'failed', reason: failure.message} as const),
+		);
+	}
+
+	async function keep(record: TurnRecord): Promise<KeepResult> {
+		if (!store || leaving) {
+			return {kind: 'refused', reason: leaving ? 'the archive is leaving' : 'the archive is still reading its disk'};
+		}
+
+		const keeping = store.keep(record);
+		unfinished.add(keeping);
+		const result = await keeping;
+		unfinished.delete(keeping);
+		return result;
+	}
+
+	/** Copies everything. Resolves to false if the signal aborts before. */
+	async function copyAll(signal: AbortSignal): Promise<boolean> {
+		const turns = await opened.promise;
+		// No turn is acknowledged after those that are copied have been listed.
+		await Promise.all(unfinished);
+		const registering = registration.write('leaving', signal);
+		const isEmpty = await drainArchive({
+			own,
+			turns,
+			link: options.link,
+			list: listArchives,
+			tolerance: options.tolerance,
+			clock,
+			onEvent(event) {
+				onEvent({kind: 'drain', drain: event});
+			},
+		}, signal);
+		await registering;
+		return isEmpty && registration.write('left', signal);
+	}
+
+	return {
+		async keep(record) {
+			hasRequests = true;
+			return keep(record);
+		},
+		async chain(turn) {
+			hasRequests = true;
+			return store?.chain(turn);
+		},
+		holds(turns) {
+			const current = store;
+			return current && turns.filter(turn => current.holds(turn));
+		},
+		async run(signal) {
+			running = signal;
+			const registering = registration.write('serving', signal);
+			store = await options.openStore(signal);
+			opened.resolve(store);
+			await registering;
+		},
+		isUsed: () => hasRequests || !store || (store.gauges().segments ?? 0) > 0,
+		async drain(signal) {
+			leaving = signal;
+			if (!await copyAll(signal) && leaving === signal) {
+				leaving = undefined;
+				await registration.write('serving', running);
+			}
+		},
+		gauges: () => ({isRecovering: Number(!store), isLeaving: Number(leaving !== undefined), ...store?.gauges()}),
+		async close() {
+			await store?.close();
+		},
+	};
+}
--- a/src/programs/relay-settings.ts
+++ b/src/programs/relay-settings.ts
@@ -11,6 +11,28 @@
 	addressField, logField, parseSettingsText, readSettingsFile,
 } from './settings-file.js';
 
+const bytesPerMb = 1_000_000;
+
+/** Memory of the archive's process with everything but its cache. */
+const processMb = 104;
+
+/** Part of the memory beyond that which the cache gets; what the garbage collector has not freed yet takes the rest. */
+const cacheShare = 0.25;
+
+/** Size of the archive's cache: some minutes of a turn's usual retention on the largest machines, and enough for the newest chains on small ones. */
+const maximumCacheMb = 24;
+const minimumCacheMb = 4;
+
+/** Number that a template fills in as text, which is empty if there is no value for it. */
+const filledNumber = z.union([z.number().nonnegative(), z.string().regex(/^(?:\d+(?:\.\d+)?)?$/v, 'must be a number')])
+	.transform(value => value === '' ? undefined : Number(value)).optional();
+
+/** Store of turns; without a directory there is none. */
+const archiveField = z.strictObject({
+	address: z.string(), directory: z.string().default(''), diskMb: filledNumber, cacheMb: filledNumber, memoryMb: filledNumber,
+}).refine(({address, directory}) => directory === '' || addressField.safeParse(address).success, {path: ['address'], error: 'must be an IPv4 address and port'})
+	.refine(({diskMb, directory}) => directory === '' || diskMb !== undefined, {path: ['diskMb'], error: 'must be given with a directory'});
+
 const schema = z.strictObject({
 	instance: z.strictObject({
 		id: z.string().min(1), dataCentre: z.string().min(1), dataCentres: z.array(z.string().min(1)).default([]), firstStart: z.boolean().default(false),
@@ -19,12 +41,22 @@
 	callers: z.strictObject({address: addressField, readiness: addressField}).optional(),
 	peers: z.strictObject({address: addressField, seeds: z.array(addressField).default([])}).optional(),
 	operators: z.strictObject({address: addressField}).optional(),
+	archive: archiveField.optional(),
+	tolerance: z.strictObject({machines: filledNumber, dataCentres: filledNumber}).optional(),
 	stop: z.strictObject({graceMs: z.number().int().positive().max(600_000)}),
 	log: logField,
 });
 
 type Parsed = z.output<typeof schema>;
 
+export type ArchiveSettings = {
+	/** Listen address for entries and other archives. */
+	readonly address: Address;
+	readonly directory: string;
+	readonly diskBytes: number;
+	readonly cacheBytes: number;
+};
+
 export type RelaySettings = {
 	readonly id: InstanceId;
 	readonly dataCentre: DataCentreId;
@@ -40,12 +72,31 @@
 	readonly peers: {readonly address: Address; readonly seeds: readonly Address[]} | undefined;
 	/** Listen address for metrics and state dumps. */
 	readonly operators: Address | undefined;
+	/** Store of turns on a machine with a disk; undefined if the machine keeps none. */
+	readonly archive: ArchiveSettings | undefined;
+	/** How many disks and data centres may be lost at the same time. */
+	readonly tolerance: {readonly machines: number; readonly dataCentres: number};
 	/** Time from the stop signal until the process is killed. */
 	readonly gracePeriod: Milliseconds;
 	readonly logLevel: Parsed['log']['level'];
 };
 
-function toSettings({instance, platform, callers, peers, operators, stop, log}: Parsed): RelaySettings {
+function toArchiveSettings(archive: Parsed['archive']): ArchiveSettings | undefined {
+	if (!archive || archive.directory === '') {
+		return undefined;
+	}
+
+	const {address, directory, diskMb = 0, cacheMb, memoryMb} = archive;
+	const affordableMb = memoryMb === undefined ? maximumCacheMb : (memoryMb - processMb) * cacheShare;
+	return {
+		address: as<Address>(address),
+		directory,
+		diskBytes: diskMb * bytesPerMb,
+		cacheBytes: (cacheMb ?? Math.max(minimumCacheMb, Math.min(maximumCacheMb, affordableMb))) * bytesPerMb,
+	};
+}
+
+function toSettings({instance, platform, callers, peers, operators, archive, tolerance, stop, log}: Parsed): RelaySettings {
 	return {
 		id: as<InstanceId>(instance.id),
 		dataCentre: as<DataCentreId>(instance.dataCentre),
@@ -56,6 +107,8 @@
 		callers: callers && {address: as<Address>(callers.address), readiness: as<Address>(callers.readiness)},
 		peers: peers && {address: as<Address>(peers.address), seeds: peers.seeds.map(seed => as<Address>(seed))},
 		operators: operators && as<Address>(operators.address),
+		archive: toArchiveSettings(archive),
+		tolerance: {machines: tolerance?.machines ?? 0, dataCentres: tolerance?.dataCentres ?? 0},
 		gracePeriod: as<Milliseconds>(stop.graceMs),
 		logLevel: log.level,
 	};
