Read which routes keep turns, and what kept turns outlast

A turn of a kept conversation carries only its new input and the name of the turn before it. Routes say whether they keep turns, requests name their previous turn and (undefined so far) their workspace, and the settings say how many machines and data centres may be lost together. The store can be listed at a tenth of the price if the list may be seconds old; the stand-in can lag for such reads.

--- a/src/contracts/object-store.ts
+++ b/src/contracts/object-store.ts
@@ -47,6 +47,8 @@
 	/** Succeeds if the store responds within the timeout. */
 	readonly probe: (timeout: Milliseconds, signal: AbortSignal) => Promise<Result<true, Failure>>;
 	readonly list: (kind: string) => Promise<Result<ObjectList, Failure>>;
+	/** Like `list`, at a tenth of its price, but the result may be seconds old. */
+	readonly listStale: (kind: string) => Promise<Result<ObjectList, Failure>>;
 	/** Waits until an object of the kind has changed since the revision, at most for `wait`. */
 	readonly watch: (kind: string, since: ObjectVersion, wait: Milliseconds, signal: AbortSignal) => Promise<WatchResult>;
 	readonly create: (kind: string, name: ObjectName, spec: unknown) => Promise<WriteResult>;
--- a/src/contracts/relay-request.ts
+++ b/src/contracts/relay-request.ts
@@ -4,6 +4,7 @@
 import {
 	type AttemptId, type Milliseconds, type ProgramId, type PromptPartId, type Tokens,
 } from './id.js';
+import {type WorkspaceName} from './workspace.js';
 
 /** Alternating names and values, as received. */
 export type HeaderPairs = readonly string[];
@@ -42,6 +43,10 @@
 	readonly lastEvent: number | undefined;
 	/** The caller's attempt that received the first event of the stream which this one resumes. */
 	readonly firstAttempt: AttemptId | undefined;
+	/** The turn that this one continues: the caller's attempt whose answer ended it. */
+	readonly previousTurn: AttemptId | undefined;
+	/** Workspace of the caller; undefined where the configuration has no workspaces. */
+	readonly workspace: WorkspaceName | undefined;
 };
 
 /** Path without its query. */
@@ -81,7 +86,11 @@
 	/** The stream cannot be resumed where it began, or where it began is not known; nothing ran. */
 		| {readonly kind: 'not-resumable'}
 	/** The request has crashed several endpoints. */
-		| {readonly kind: 'quarantined'};
+		| {readonly kind: 'quarantined'}
+	/** The turn that the request continues certainly does not exist, or belongs to another workspace. */
+		| {readonly kind: 'unknown-turn'}
+	/** The conversation that the request continues is longer than this system assembles. */
+		| {readonly kind: 'too-long'};
 
 /** Interface through which the caller of a request receives its answer. */
 export type Caller = {
--- a/src/contracts/relay.ts
+++ b/src/contracts/relay.ts
@@ -43,6 +43,8 @@
 	readonly rank: number;
 	/** Time for which the account of an inactive program is kept, because the program may resume. */
 	readonly retention: Milliseconds;
+	/** Whether the turns of the route are stored for the retention, so that a later turn sends only its new input. */
+	readonly keepsTurns: boolean;
 };
 
 export type RelayPool = {
--- a/src/contracts/routing-table.ts
+++ b/src/contracts/routing-table.ts
@@ -2,7 +2,7 @@
 Routing table: selects the route of a request by its host and the longest matching path prefix, and the
 pool by the weights of the route's shares.
 */
-import {type PoolName} from './id.js';
+import {as, type Milliseconds, type PoolName} from './id.js';
 import {type RelayConfiguration, type RelayPool, type RelayRoute} from './relay.js';
 
 export type RoutingTable = {
@@ -11,6 +11,8 @@
 	readonly pool: (name: PoolName) => RelayPool | undefined;
 	/** Pools whose streams may be resumed. */
 	readonly resumablePools: () => readonly PoolName[];
+	/** Longest retention of the routes that keep turns; undefined if no route does. */
+	readonly turnRetention: () => Milliseconds | undefined;
 };
 
 /** Creates the routing table of a configuration. */
@@ -28,11 +30,14 @@
 
 	const pools = new Map(configuration.pools.map(pool => [pool.name, pool]));
 	const resumable = new Set(configuration.routes.filter(route => route.repetition === 'resumable').flatMap(route => route.shares.map(share => share.pool)));
+	const retentions = configuration.routes.filter(route => route.keepsTurns).map(route => route.retention);
+	const turnRetention = retentions.length > 0 ? as<Milliseconds>(Math.max(...retentions)) : undefined;
 	return {
 		configuration,
 		routeOf: (host, path) => byHost.get(host)?.find(route => path.startsWith(route.prefix)),
 		pool: name => pools.get(name),
 		resumablePools: () => [...resumable],
+		turnRetention: () => turnRetention,
 	};
 }
 
--- a/src/programs/relay-settings.ts
+++ b/src/programs/relay-settings.ts
@@ -7,6 +7,7 @@
 import {
 	as, type Address, type DataCentreId, type InstanceId, type Milliseconds,
 } from '../contracts/id.js';
+import {type Tolerance} from '../contracts/tolerance.js';
 import {
 	addressField, logField, parseSettingsText, readSettingsFile,
 } from './settings-file.js';
@@ -19,6 +20,9 @@
 	callers: z.strictObject({address: addressField, readiness: addressField}).optional(),
 	peers: z.strictObject({address: addressField, seeds: z.array(addressField).default([])}).optional(),
 	operators: z.strictObject({address: addressField}).optional(),
+	tolerance: z.strictObject({
+		machines: z.number().int().nonnegative().max(16).default(1), dataCentres: z.number().int().nonnegative().max(16).default(1),
+	}).prefault({}),
 	stop: z.strictObject({graceMs: z.number().int().positive().max(600_000)}),
 	log: logField,
 });
@@ -40,12 +44,14 @@
 	readonly peers: {readonly address: Address; readonly seeds: readonly Address[]} | undefined;
 	/** Listen address for metrics and state dumps. */
 	readonly operators: Address | undefined;
+	/** What kept turns outlast. */
+	readonly tolerance: Tolerance;
 	/** Time from the stop signal until the process is killed. */
 	readonly gracePeriod: Milliseconds;
 	readonly logLevel: Parsed['log']['level'];
 };
 
-function toSettings({instance, platform, callers, peers, operators, stop, log}: Parsed): RelaySettings {
+function toSettings({instance, platform, callers, peers, operators, tolerance, stop, log}: Parsed): RelaySettings {
 	return {
 		id: as<InstanceId>(instance.id),
 		dataCentre: as<DataCentreId>(instance.dataCentre),
@@ -55,6 +61,7 @@
 		endpointHeartbeat: as<Milliseconds>(platform.heartbeatMs),
 		callers: callers && {address: as<Address>(callers.address), readiness: as<Address>(callers.readiness)},
 		peers: peers && {address: as<Address>(peers.address), seeds: peers.seeds.map(seed => as<Address>(seed))},
+		tolerance,
 		operators: operators && as<Address>(operators.address),
 		gracePeriod: as<Milliseconds>(stop.graceMs),
 		logLevel: log.level,
--- a/standins/object-store.ts
+++ b/standins/object-store.ts
@@ -27,6 +27,8 @@
 	readonly loseAnswers?: boolean;
 	/** Whether watches are refused with status 410 because the history of changes is gone. */
 	readonly isHistoryLost?: boolean;
+	/** Revision that stale lists show; objects that changed after it are missing from them. */
+	readonly staleAt?: number;
 	/** Delay of each response, in ms. */
 	readonly delayMs?: number;
 };
@@ -121,10 +123,11 @@
 		}
 	}
 
-	function list(kind: string, after: string, response: ServerResponse): void {
-		const names = [...objects.keys()].filter(key => key.startsWith(`${kind}/`)).map(key => key.slice(kind.length + 1)).filter(name => name > after).toSorted();
+	function list(kind: string, {after, at}: {readonly after: string; readonly at: number}, response: ServerResponse): void {
+		const visible = [...objects].filter(([key, {Metadata}]) => key.startsWith(`${kind}/`) && Metadata.Revision <= at);
+		const names = visible.map(([key]) => key.slice(kind.length + 1)).filter(name => name > after).toSorted();
 		const page = names.slice(0, pageSize);
-		answer(response, 200, {items: page.map(name => objects.get(`${kind}/${name}`)), HasMore: names.length > page.length, CurrentRev: revision});
+		answer(response, 200, {items: page.map(name => objects.get(`${kind}/${name}`)), HasMore: names.length > page.length, CurrentRev: at});
 	}
 
 	/** Answers with the changes after a revision as soon as there are any, at the latest when the wait is over. */
@@ -166,7 +169,8 @@
 		const kind = request.params.kind ?? '';
 		const since = query.get('Watch');
 		if (since === null) {
-			list(kind, query.get('after') ?? '', response);
+			const at = query.get('Serializable') === '1' ? faults.staleAt ?? revision : revision;
+			list(kind, {after: query.get('after') ?? '', at}, response);
 		} else {
 			await watch(kind, Number(since), Number(query.get('WaitMs') ?? 0), response);
 		}
--- a/tests/object-store-contract.test.ts
+++ b/tests/object-store-contract.test.ts
@@ -84,6 +84,17 @@
 	assert.deepEqual(list._unsafeUnwrap().objects.map(object => object.spec), Array.from({length: 12}, (_, index) => index));
 });
 
+test('only a stale list may lack recent objects, and its revision tells', async () => {
+	const staleAt = standIn.put('aging', 'old', 1);
+	standIn.put('aging', 'new', 2);
+	standIn.setFaults({staleAt});
+	const [current, stale] = [await store.list('aging'), await store.listStale('aging')];
+	standIn.setFaults({});
+	assert.deepEqual(current._unsafeUnwrap().objects.map(object => object.name), ['new', 'old']);
+	assert.deepEqual(stale._unsafeUnwrap().objects.map(object => object.name), ['old']);
+	assert.equal(stale._unsafeUnwrap().revision, staleAt);
+});
+
 test('a watch reports changes and deletions of its kind', async () => {
 	const since = as<ObjectVersion>(standIn.put('watched', 'a', 1));
 	const watching = store.watch('watched', since, as<Milliseconds>(2000), closing.signal);
@@ -229,6 +240,22 @@
 	});
 });
 
+const streamRoute = {
+	Name: 'r', Host: 'h', PathPrefix: '/', Kind: 'streaming', TimeoutMs: 1, LatencyGoalMs: 1, Service: 's',
+};
+const limits = {
+	MaxHeaderBytes: 1, MaxBodyBytes: 1, HeaderTimeoutMs: 1, IdleTimeoutMs: 1,
+};
+
+for (const [route, keepsTurns] of [[{Retained: true}, true], [{Retained: false}, false], [{}, false], [{Retained: true, Kind: 'idempotent'}, false]] as const) {
+	test(`a route with ${JSON.stringify(route)} ${keepsTurns ? 'keeps' : 'does not keep'} its turns`, () => {
+		const decoded = decodeConfiguration({
+			Version: 1, Routes: [{...streamRoute, ...route, RetentionS: 7}], Services: [], Limits: limits,
+		});
+		assert.deepEqual(decoded._unsafeUnwrap().routes.map(({keepsTurns, retention}) => [keepsTurns, retention]), [[keepsTurns, 7000]]);
+	});
+}
+
 test('a configuration with a missing field is refused with the path of the field', () => {
 	const refused = decodeConfiguration({
 		Version: 1, Routes: [{Name: 'r'}], Services: [], Limits: {},
--- a/tests/platform-boundary.test.ts
+++ b/tests/platform-boundary.test.ts
@@ -18,8 +18,9 @@
 	'token-budget(?!s)',
 	'kv-(?:from|move|backup|fetch)',
 	'pin-ms',
+	'previous-turn',
 ].join('|'), 'iv');
-const fields = /PathPrefix|MaxAttempts|LatencyGoalMs|GapGoalMs|Serializable|CurrentRev|\/api\/objects|HICKORYFORK_SETTINGS/v;
+const fields = /PathPrefix|MaxAttempts|LatencyGoalMs|GapGoalMs|Serializable|RetentionS|\bRetained\b|FaultTolerance|CurrentRev|\/api\/objects|HICKORYFORK_SETTINGS/v;
 
 function sources(folder: string): string[] {
 	return readdirSync(folder, {withFileTypes: true}).flatMap(entry => {
