Assemble the bodies of continued turns, and keep turns before their responses end

Entries had no history: each request had to carry its whole prompt. On routes that keep turns the relay now opens the turn beside the reservation of its budget, sends endpoints the assembled body, records the data of the events that the caller is sent, and ends the response only after enough archives have synced the turn; otherwise it breaks the response off. The parts are in src/zones/conversations: which archives exist and answer, placement of copies, keeping, lookup of chains with the proof that a turn does not exist, cache and memory bound.

--- a/src/links/relay-log.ts
+++ b/src/links/relay-log.ts
@@ -11,6 +11,7 @@
 import {type RelayResult} from '../contracts/relay-attempt.js';
 import {type RelayRequest} from '../contracts/relay-request.js';
 import {type Log, logMember, logPause} from './log.js';
+import {isRoutineTurnEvent, logTurns} from './turn-log.js';
 
 /** Limit on the lines about successful requests and attempts and about denied permits; failures are always logged. */
 const routineLinesPerSecond = 50;
@@ -172,6 +173,10 @@
 }
 
 function isRoutine(event: RelayInstanceEvent): boolean {
+	if (event.kind === 'turns') {
+		return isRoutineTurnEvent(event.turns);
+	}
+
 	if (event.kind !== 'relay') {
 		return false;
 	}
@@ -209,6 +214,11 @@
 			return;
 		}
 
+		case 'turns': {
+			logTurns(log, event.turns);
+			return;
+		}
+
 		case 'member': {
 			logMember(log, event.member);
 			return;
--- a/src/links/relay-metrics.ts
+++ b/src/links/relay-metrics.ts
@@ -7,6 +7,7 @@
 import {type RelayInstance} from '../machines/relay-instance.js';
 import {type RelayInstanceEvent} from '../machines/relay-instance-event.js';
 import {type RelayEvent} from '../machines/relay-event.js';
+import {createTurnMetrics} from './turn-metrics.js';
 
 const bucketsSeconds = [0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10];
 
@@ -38,6 +39,10 @@
 			return event.versions.kind;
 		}
 
+		case 'turns': {
+			return event.turns.kind;
+		}
+
 		case 'member': {
 			return event.member.status;
 		}
@@ -73,6 +78,8 @@
 		},
 	});
 
+	const countTurns = createTurnMetrics(registry);
+
 	function observe(event: RelayEvent): void {
 		switch (event.kind) {
 			case 'attempted': {
@@ -106,6 +113,8 @@
 			events.inc({kind: event.kind, detail: detailOf(event)});
 			if (event.kind === 'relay') {
 				observe(event.relay);
+			} else if (event.kind === 'turns') {
+				countTurns(event.turns);
 			}
 		},
 		text: async () => registry.metrics(),
--- a/src/machines/relay-instance-event.ts
+++ b/src/machines/relay-instance-event.ts
@@ -3,6 +3,7 @@
 */
 import {type EndpointId, type Milliseconds} from '../contracts/id.js';
 import {type BudgetEvent} from '../zones/budget-event.js';
+import {type TurnEvent} from '../zones/conversations/turn-event.js';
 import {type Member} from '../zones/membership.js';
 import {type RateLimitEvent} from '../zones/rate-limits.js';
 import {type SharedTablesEvent} from '../zones/shared-tables.js';
@@ -16,6 +17,7 @@
 		| {readonly kind: 'budget'; readonly budget: BudgetEvent}
 		| {readonly kind: 'warm-up'; readonly warmUp: WarmUpEvent}
 		| {readonly kind: 'versions'; readonly versions: VersionHistoryEvent}
+		| {readonly kind: 'turns'; readonly turns: TurnEvent}
 		| {readonly kind: 'member'; readonly member: Member}
 		| {readonly kind: 'paused'; readonly gap: Milliseconds}
 		/** A peer reported that an endpoint leaves. */
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -3,6 +3,7 @@
 requests, reports whether it is ready, and leaves without interrupting a request.
 */
 import {err, ok} from 'neverthrow';
+import {type ArchiveLink} from '../contracts/archive.js';
 import {type Clock, type Random} from '../contracts/clock.js';
 import {failure} from '../contracts/failure.js';
 import {
@@ -14,8 +15,10 @@
 import {type RelayLink} from '../contracts/relay-attempt.js';
 import {type RelayDigest} from '../contracts/relay-digest.js';
 import {createRoutingTable, type RoutingTable} from '../contracts/routing-table.js';
+import {type Tolerance} from '../contracts/tolerance.js';
 import {type TokenAccount, withStoreSlotOnly} from '../contracts/token-account.js';
 import {createTokenLedger} from '../contracts/token-ledger.js';
+import {createConversations} from '../zones/conversations/conversations.js';
 import {createSharedBudgets} from '../zones/shared-budgets.js';
 import {type BudgetRecords} from '../zones/budget-records.js';
 import {createMembership, type Member} from '../zones/membership.js';
@@ -32,8 +35,10 @@
 import {createQuarantine} from './quarantine.js';
 import {createRelay, type Relay} from './relay.js';
 import {type RelayInstanceEvent} from './relay-instance-event.js';
+import {createRelayInstanceReport, type RelayInstanceReport} from './relay-instance-report.js';
 import {createMessageHandler} from './relay-messages.js';
 import {createRelayFleet} from './relay-fleet.js';
+import {createRelayTurns} from './relay-turn.js';
 
 /** Timeout of one attempt of a gossip probe, and the maximum number of attempts. */
 const gossipTimeoutMs = 250;
@@ -55,13 +60,18 @@
 	readonly records: BudgetRecords;
 	readonly objects: SharedObjects;
 	readonly link: RelayLink;
+	/** Archives, and what kept turns outlast there. */
+	readonly archives: ArchiveLink;
+	readonly tolerance: Tolerance;
+	/** Data of an encoded event of a stream; undefined if it has none. */
+	readonly dataOf: (event: Uint8Array) => Uint8Array | undefined;
 	readonly peers: RelayPeers;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly onEvent: (event: RelayInstanceEvent) => void;
 };
 
-export type RelayInstance = {
+export type RelayInstance = RelayInstanceReport & {
 	readonly relay: Relay;
 	readonly limits: () => CallerLimits | undefined;
 	/** Whether the instance accepts new callers. */
@@ -75,9 +85,6 @@
 	readonly run: (signal: AbortSignal) => Promise<void>;
 	/** Stops accepting new callers and notifies peers. */
 	readonly leave: () => Promise<void>;
-	readonly dump: () => unknown;
-	/** Current counts for metrics. */
-	readonly gauges: () => Readonly<Record<string, number>>;
 };
 
 /** Creates an instance without any tables or peers yet. */
@@ -232,6 +239,21 @@
 			}
 		},
 	});
+	const conversations = createConversations({
+		dataCentre,
+		tolerance: options.tolerance,
+		retention: () => table?.turnRetention(),
+		link: options.archives,
+		store,
+		peers,
+		self: membership.self,
+		members: membership.members,
+		clock,
+		random,
+		onEvent(event) {
+			options.onEvent({kind: 'turns', turns: event});
+		},
+	});
 	const relay = createRelay({
 		fleet,
 		quarantine,
@@ -241,6 +263,7 @@
 		budgets,
 		permits: rateLimits.permits,
 		origins,
+		turns: createRelayTurns({turns: conversations, dataOf: options.dataOf}),
 		dataCentre,
 		table: () => table,
 		onEvent(event) {
@@ -250,6 +273,9 @@
 			}
 		},
 	});
+	const report = createRelayInstanceReport({
+		id, isLeaving, isWarm: warmUp.isWarm, tables, relay, fleet, membership, ledger, conversations, store, clock,
+	});
 
 	function receiveDigest(peer: Member, digest: RelayDigest): void {
 		digests.set(peer.id, digest);
@@ -274,7 +300,7 @@
 	return {
 		relay,
 		answer: createMessageHandler({
-			id, membership, gossipProtocol, tables, budgets, loads, rateLimits, origins, receiveDigest,
+			id, membership, gossipProtocol, tables, budgets, loads, rateLimits, origins, conversations, receiveDigest,
 		}),
 		limits: () => table?.configuration.limits,
 		isReady: () => table !== undefined && warmUp.isWarm() && !isLeaving(),
@@ -285,7 +311,7 @@
 		homes: () => ledger.accounts().map(account => withStoreSlotOnly(account)),
 		async run(signal) {
 			await Promise.all([
-				tables.run(signal), gossipProtocol.run(signal), warmUp.run(signal), budgets.run(signal), loads.run(signal), origins.run(signal),
+				tables.run(signal), gossipProtocol.run(signal), warmUp.run(signal), budgets.run(signal), loads.run(signal), origins.run(signal), conversations.run(signal),
 			]);
 		},
 		async leave() {
@@ -294,28 +320,6 @@
 			budgets.rebalance();
 			await leaveCompleted;
 		},
-		gauges: () => ({
-			activeRequests: relay.active(),
-			members: membership.members().filter(member => member.status === 'alive').length,
-			endpoints: fleet.endpoints().length,
-			limitedEndpoints: fleet.endpoints().filter(endpoint => endpoint.rateLimit().limit.kind === 'limited').length,
-			programs: ledger.programs().length,
-			storeCalls: store.calls(),
-			generation: tables.digest().generation,
-			tablesAgeMs: Math.round(tables.age()),
-		}),
-		dump: () => ({
-			id,
-			isLeaving: isLeaving(),
-			isWarm: warmUp.isWarm(),
-			digest: tables.digest(),
-			active: relay.active(),
-			storeCalls: store.calls(),
-			members: membership.members(),
-			programs: ledger.accounts(),
-			endpoints: fleet.endpoints().map(endpoint => ({
-				...endpoint.listed(), inFlight: endpoint.inFlight(), load: endpoint.load(clock.now()), pace: endpoint.recentLatency(clock.now()), rateLimit: endpoint.rateLimit().limit,
-			})),
-		}),
+		...report,
 	};
 }
--- a/src/machines/relay-job.ts
+++ b/src/machines/relay-job.ts
@@ -10,6 +10,7 @@
 import {type EndpointNotice} from '../contracts/endpoint-notice.js';
 import {type RelayAttempt, type RelayProgress, type RelayResult} from '../contracts/relay-attempt.js';
 import {type Caller, type RelayRequest, type StreamEvent} from '../contracts/relay-request.js';
+import {type RelayTurn} from './relay-turn.js';
 
 /** Timeout for the first event of a stream, as a multiple of the latency goal. */
 const firstEventTimeoutFactor = 5;
@@ -79,6 +80,9 @@
 	/** Whether the head of a stream was sent to the caller. */
 	readonly hasSentHead: () => boolean;
 	readonly eventsRelayed: () => number;
+	/** Starts the turn of a request whose route keeps turns, before its first attempt. */
+	readonly startTurn: (turn: RelayTurn) => void;
+	readonly turn: () => RelayTurn | undefined;
 	/** The only software version at which the stream may continue; undefined before its first event. */
 	readonly version: () => SoftwareVersion | undefined;
 };
@@ -100,6 +104,7 @@
 	let events = 0;
 	let {lastEvent} = request;
 	let version = options.originVersion;
+	let turn: RelayTurn | undefined;
 
 	function relayEvent(event: StreamEvent, from: SoftwareVersion): void {
 		if (lastEvent !== undefined && event.id <= lastEvent) {
@@ -113,6 +118,7 @@
 
 		lastEvent = event.id;
 		events++;
+		turn?.record(event);
 		caller.event(event.bytes);
 	}
 
@@ -206,7 +212,7 @@
 		timeLeft: () => as<Milliseconds>(endsAt - clock.now()),
 		recordResult,
 		createAttempt: (endpoint, expected = as<Milliseconds>(0)) => ({
-			request,
+			request: turn ? {...request, body: turn.body} : request,
 			endpoint,
 			isStream: route.isStream,
 			timeLeft: as<Milliseconds>(Math.max(1, endsAt - clock.now())),
@@ -254,6 +260,10 @@
 		},
 		hasSentHead: () => hasSentHead,
 		eventsRelayed: () => events,
+		startTurn(started) {
+			turn = started;
+		},
+		turn: () => turn,
 		version: () => version,
 	};
 }
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -23,6 +23,7 @@
 import {type RelayFleet} from './relay-fleet.js';
 import {createRelayAttempts} from './relay-attempts.js';
 import {createRelayJob, type RelayJob, type RelayJobOptions} from './relay-job.js';
+import {type RelayTurns} from './relay-turn.js';
 import {type StreamOrigins} from './stream-origins.js';
 import {type GrantedReservation, type TokenBudgets} from './token-budgets.js';
 
@@ -38,6 +39,7 @@
 	readonly budgets: TokenBudgets;
 	readonly permits: RatePermits;
 	readonly origins: StreamOrigins;
+	readonly turns: RelayTurns;
 	readonly quarantine: Quarantine;
 	readonly clock: Clock;
 	readonly random: Random;
@@ -59,8 +61,9 @@
 	readonly endBy: (end: Milliseconds) => void;
 };
 
-function fingerprintOf(request: RelayRequest): string {
-	return createHash('sha1').update(`${request.method} ${request.host}${request.target}\n`).update(request.body).digest('base64url');
+function fingerprintOf({method, host, target, previousTurn, body}: RelayRequest): string {
+	const turn = previousTurn === undefined ? '' : `${previousTurn}\n`;
+	return createHash('sha1').update(`${method} ${host}${target}\n${turn}`).update(body).digest('base64url');
 }
 
 /** Creates the relay of an instance. */
@@ -136,7 +139,7 @@
 			const step = nextRelayStep(lastResult, job.progress());
 			switch (step.kind) {
 				case 'deliver': {
-					deliver(job, lastResult);
+					await deliver(job, lastResult);
 					return id;
 				}
 
@@ -162,12 +165,16 @@
 		}
 	}
 
-	function deliver(job: RelayJob, result: RelayResult): void {
+	async function deliver(job: RelayJob, result: RelayResult): Promise<void> {
 		attempts.recordAnswered(job.fingerprint);
+		const turn = job.turn();
 		if (result.kind === 'answered') {
 			job.caller.answer(result.head, result.body);
-		} else {
+		} else if (!turn || await turn.keep()) {
 			job.caller.finish();
+		} else {
+			refuse(job, {kind: 'failed'});
+			return;
 		}
 
 		options.onEvent({
@@ -264,13 +271,29 @@
 			return;
 		}
 
+		await runTurn(job, table.pool(job.pool)?.tokensPerEvent ?? 1);
+	}
+
+	/** Reserves the tokens of a request and opens its turn, if its route keeps turns, and sends it once both have succeeded. */
+	async function runTurn(job: RelayJob, tokensPerEvent: number): Promise<void> {
+		const {request, route} = job;
+		const opening = route.keepsTurns ? options.turns.open(request, route) : undefined;
 		const settle = await reserve(job);
-		if (settle) {
+		const opened = await opening;
+		if (opened?.kind === 'opened') {
+			job.startTurn(opened.turn);
+		}
+
+		if (settle && opened?.kind === 'refused') {
+			settle(as<Tokens>(0));
+			refuse(job, opened.refusal);
+		} else if (settle) {
 			const endpoint = await run(job);
-			const tokensPerEvent = table.pool(job.pool)?.tokensPerEvent ?? 1;
 			const part = request.prompt.at(-1)?.id;
 			settle(as<Tokens>(job.eventsRelayed() * tokensPerEvent), endpoint === undefined || part === undefined ? undefined : {part, endpoint});
 		}
+
+		job.turn()?.end();
 	}
 
 	return {
--- /dev/null
+++ b/src/zones/conversations/archive-health.ts
@@ -0,0 +1,103 @@
+/**
+Which archives answer, as this instance observes it: one that does not is passed over for a time that doubles with each
+further failure, so that few requests wait for it.
+*/
+import {type Clock} from '../../contracts/clock.js';
+import {as, type InstanceId, type Milliseconds} from '../../contracts/id.js';
+import {withTimeout} from '../with-timeout.js';
+
+/** Time within which an archive answers; after it, another one is asked beside it. Latency and a sync take 10 ms. */
+const answerTimeoutMs = 60;
+
+/** Factor by which a timeout may be late; beyond it this process stood still, and the answer may be waiting to be read. */
+const stallFactor = 1.5;
+
+const firstSkipMs = 500;
+const maximumSkipMs = 4000;
+
+/** Failures in a row after which an archive counts as down rather than slow. */
+const failuresUntilDown = 3;
+
+export type ArchiveHealth = {
+	/** Whether the archive is to be passed over now. */
+	readonly isSkipped: (archive: InstanceId) => boolean;
+	/** Whether the archive is passed over after several failures in a row. */
+	readonly isDown: (archive: InstanceId) => boolean;
+	/** Waits for the result of a request; `onLate` is called if it takes longer than an archive that answers would. */
+	readonly observe: <Result>(archive: InstanceId, request: Promise<Result>, isAnswer: (result: Result) => boolean, onLate: () => void) => Promise<Result>;
+	/** Number of archives that are passed over now. */
+	readonly skipped: () => number;
+};
+
+export type ArchiveHealthOptions = {
+	readonly clock: Clock;
+	readonly onChange: (archive: InstanceId, isAnswering: boolean) => void;
+};
+
+type Failures = {readonly count: number; readonly at: Milliseconds; readonly skippedUntil: Milliseconds};
+
+/** Creates the observations of an instance that has asked no archive yet. */
+export function createArchiveHealth({clock, onChange}: ArchiveHealthOptions): ArchiveHealth {
+	const failures = new Map<InstanceId, Failures>();
+
+	function recordAnswer(archive: InstanceId): void {
+		if (failures.delete(archive)) {
+			onChange(archive, true);
+		}
+	}
+
+	/** Records a failure of a request that was sent at `sentAt`; those sent before the last failure tell nothing new. */
+	function recordFailure(archive: InstanceId, sentAt: Milliseconds): void {
+		const last = failures.get(archive);
+		if (last && sentAt <= last.at) {
+			return;
+		}
+
+		const at = clock.now();
+		const count = (last?.count ?? 0) + 1;
+		const skip = Math.min(maximumSkipMs, firstSkipMs * (2 ** (count - 1)));
+		failures.set(archive, {count, at, skippedUntil: as<Milliseconds>(at + skip)});
+		if (!last) {
+			onChange(archive, false);
+		}
+	}
+
+	/** Resolves to whether the request ended while an archive that answers would have ended it. */
+	async function isPrompt(request: Promise<unknown>): Promise<boolean> {
+		const ended = request.then(() => true);
+		for (;;) {
+			const startedAt = clock.now();
+			if (await withTimeout(clock, answerTimeoutMs, ended)) {
+				return true;
+			}
+
+			if (clock.now() - startedAt <= answerTimeoutMs * stallFactor) {
+				return false;
+			}
+		}
+	}
+
+	const isSkipped = (archive: InstanceId) => (failures.get(archive)?.skippedUntil ?? -Infinity) > clock.now();
+
+	return {
+		isSkipped,
+		isDown: archive => isSkipped(archive) && (failures.get(archive)?.count ?? 0) >= failuresUntilDown,
+		skipped: () => [...failures.keys()].filter(archive => isSkipped(archive)).length,
+		async observe(archive, request, isAnswer, onLate) {
+			const sentAt = clock.now();
+			if (!await isPrompt(request)) {
+				recordFailure(archive, sentAt);
+				onLate();
+			}
+
+			const result = await request;
+			if (isAnswer(result)) {
+				recordAnswer(archive);
+			} else {
+				recordFailure(archive, sentAt);
+			}
+
+			return result;
+		},
+	};
+}
--- /dev/null
+++ b/src/zones/conversations/archive-search.ts
@@ -0,0 +1,103 @@
+/**
+Searches the archives for one turn, in waves: each wave starts when all archives that were asked have answered that they do
+not have the turn, or have not answered in time. The first archive that has it ends the search.
+*/
+import {type ArchiveLink, type ListedArchive} from '../../contracts/archive.js';
+import {type Clock} from '../../contracts/clock.js';
+import {createDeferred} from '../../contracts/deferred.js';
+import {
+	as, type Address, type AttemptId, type DataCentreId, type Milliseconds,
+} from '../../contracts/id.js';
+import {type TurnRecord} from '../../contracts/turn.js';
+import {withTimeout} from '../with-timeout.js';
+import {type ArchiveHealth} from './archive-health.js';
+
+export type SearchResult = {
+	/** The turn and those before it, the newest first, as far as the archive holds them. */
+	readonly found: {readonly archive: ListedArchive; readonly records: readonly TurnRecord[]} | undefined;
+	/** Archives that answered without the turn, and whether they hold all that they ever acknowledged. */
+	readonly absent: ReadonlyMap<Address, boolean>;
+	/** Archives that were asked and did not answer. */
+	readonly silent: readonly ListedArchive[];
+};
+
+export type ArchiveSearch = {
+	/** Searches until the time `until` of the clock; `isWanted` tells whether a record of the turn is of the wanted kind. */
+	readonly find: (turn: AttemptId, waves: ReadonlyArray<readonly ListedArchive[]>, until: Milliseconds, isWanted: (record: TurnRecord) => boolean) => Promise<SearchResult>;
+	/** Divides archives, given in the order in which they are preferred, into waves. */
+	readonly wavesOf: (ranked: readonly ListedArchive[], own: DataCentreId) => ReadonlyArray<readonly ListedArchive[]>;
+};
+
+export type ArchiveSearchOptions = {
+	readonly link: Pick<ArchiveLink, 'chain'>;
+	readonly health: ArchiveHealth;
+	readonly clock: Clock;
+};
+
+/** The records as far as each is the one that the record before it names; an archive that sends others is not trusted. */
+function continuousPart(turn: AttemptId, records: readonly TurnRecord[]): readonly TurnRecord[] {
+	let expected: AttemptId | undefined = turn;
+	const gap = records.findIndex(record => {
+		const isExpected = record.turn === expected;
+		expected = record.previous;
+		return !isExpected;
+	});
+	return gap === -1 ? records : records.slice(0, gap);
+}
+
+/** Creates the search of an instance. */
+export function createArchiveSearch({link, health, clock}: ArchiveSearchOptions): ArchiveSearch {
+	return {
+		async find(turn, waves, until, isWanted) {
+			const found = createDeferred<SearchResult['found']>();
+			const absent = new Map<Address, boolean>();
+			const silent = new Set<ListedArchive>();
+			let result: SearchResult['found'];
+
+			/** Resolves when the archive has answered or is late; a late answer still counts. */
+			async function ask(archive: ListedArchive): Promise<void> {
+				const late = createDeferred<true>();
+				const request = link.chain(archive.address, turn, as<Milliseconds>(Math.max(1, until - clock.now())));
+				silent.add(archive);
+				const answering = health.observe(archive.id, request, reply => reply !== undefined, () => {
+					late.resolve(true);
+				}).then(reply => {
+					if (!reply) {
+						return;
+					}
+
+					silent.delete(archive);
+					const records = continuousPart(turn, reply.records);
+					const [first] = records;
+					if (first && isWanted(first)) {
+						found.resolve({archive, records});
+					} else {
+						absent.set(archive.address, reply.isComplete);
+					}
+				});
+				answers.push(answering);
+				await Promise.race([answering, late.promise]);
+			}
+
+			const answers: Array<Promise<void>> = [];
+			for (const wave of waves) {
+				const asked = Promise.all(wave.map(async archive => ask(archive))).then(() => undefined);
+				result = await Promise.race([found.promise, asked]);
+				if (result !== undefined || clock.now() >= until) {
+					break;
+				}
+			}
+
+			result ??= await withTimeout(clock, until - clock.now(), Promise.race([found.promise, Promise.all(answers).then(() => undefined)]));
+			return {found: result, absent, silent: [...silent]};
+		},
+		wavesOf(ranked, own) {
+			const answering = ranked.filter(({id}) => !health.isSkipped(id));
+			const [first, ...otherNear] = answering.filter(({dataCentre}) => dataCentre === own);
+			// The turns of a program have a copy at the first archive outside, unless it did not answer.
+			const [firstOutside, ...otherOutside] = answering.filter(({dataCentre}) => dataCentre !== own);
+			const waves = [[first], [...otherNear, firstOutside], otherOutside, ranked.filter(({id}) => health.isSkipped(id))];
+			return waves.map(wave => wave.filter(archive => archive !== undefined)).filter(wave => wave.length > 0);
+		},
+	};
+}
--- /dev/null
+++ b/src/zones/conversations/chain-lookup.ts
@@ -0,0 +1,189 @@
+/**
+Looks up the chain of turns that a turn continues: in the cache, then at the archives, until the first turn of the chain is
+found. That a turn does not exist is concluded only if every archive that the store lists at that moment says so and
+holds all that it ever acknowledged. Whatever is not certain makes the chain unavailable for now.
+*/
+import {type ListedArchive} from '../../contracts/archive.js';
+import {type Clock} from '../../contracts/clock.js';
+import {
+	as, type AttemptId, type DataCentreId, type InstanceId, type Milliseconds,
+} from '../../contracts/id.js';
+import {type WorkspaceName} from '../../contracts/workspace.js';
+import {withTimeout} from '../with-timeout.js';
+import {type ArchiveRegistry} from './archive-registry.js';
+import {type ArchiveSearch, type SearchResult} from './archive-search.js';
+import {maximumBodyBytes} from './body-assembly.js';
+import {
+	type ChainCache, contentBytes, isWhole, type WholeTurn,
+} from './chain-cache.js';
+import {type MemoryShare} from './turn-memory.js';
+import {type AbsenceProof, type TurnSource, type UnavailableReason} from './turn-event.js';
+
+/** Maximum number of turns in a chain; the longest ones known have 22. */
+const maximumChainTurns = 256;
+
+/** Time for which the archives are searched for one chain, in ms. */
+const searchTimeoutMs = 500;
+
+/** Time after that for the proof that a turn does not exist, in ms; it includes a read of the store. */
+const proofTimeoutMs = 800;
+
+export type ChainRequest = {
+	/** The turn that the chain ends with. */
+	readonly turn: AttemptId;
+	readonly workspace: WorkspaceName | undefined;
+	/** Archives in the order in which they are preferred. */
+	readonly ranked: readonly ListedArchive[];
+	readonly memory: MemoryShare;
+};
+
+export type ChainResult
+	/** The whole chain, the newest turn first. */
+	= | {readonly kind: 'found'; readonly chain: readonly WholeTurn[]; readonly sources: Readonly<Record<TurnSource, number>>; readonly bytes: number}
+		| {readonly kind: 'unknown'; readonly proof: AbsenceProof; readonly archives: readonly InstanceId[]}
+		| {readonly kind: 'unavailable'; readonly reason: UnavailableReason; readonly detail: string}
+		| {readonly kind: 'too-long'; readonly turns: number; readonly bytes: number};
+
+export type ChainLookup = {
+	readonly find: (request: ChainRequest) => Promise<ChainResult>;
+};
+
+export type ChainLookupOptions = {
+	readonly dataCentre: DataCentreId;
+	readonly registry: ArchiveRegistry;
+	readonly search: ArchiveSearch;
+	readonly cache: ChainCache;
+	readonly clock: Clock;
+};
+
+type Absence = Extract<ChainResult, {kind: 'unknown' | 'unavailable'}>;
+
+function unavailable(reason: UnavailableReason, detail: string): Extract<ChainResult, {kind: 'unavailable'}> {
+	return {kind: 'unavailable', reason, detail};
+}
+
+/** Why a turn may not be used by a caller of the workspace; undefined if it may. */
+function objectionTo(record: WholeTurn, workspace: WorkspaceName | undefined): Absence | undefined {
+	if (record.workspace === workspace) {
+		return undefined;
+	}
+
+	// A turn that was kept while the configuration had no workspaces is not known to be another one's.
+	return record.workspace === undefined || workspace === undefined
+		? unavailable('workspace-unclear', `${record.turn} was kept ${record.workspace === undefined ? 'without a workspace' : `for workspace ${record.workspace}`}`)
+		: {kind: 'unknown', proof: 'other-workspace', archives: []};
+}
+
+/** Creates the lookup of an instance. */
+export function createChainLookup(options: ChainLookupOptions): ChainLookup {
+	const {registry, search, cache, clock} = options;
+
+	/** Why the answers do not prove that the turn does not exist; undefined if they do, provided that all archives were asked. */
+	function doubtAbout({silent, absent}: SearchResult, listed: readonly ListedArchive[]): Absence | undefined {
+		if (silent.length > 0) {
+			return unavailable('archives-silent', `no answer from ${silent.map(({id}) => id).join(', ')}`);
+		}
+
+		const incomplete = listed.filter(({address}) => absent.get(address) === false);
+		return incomplete.length > 0
+			? unavailable('archives-incomplete', `turns may be missing at ${incomplete.map(({id}) => id).join(', ')}`)
+			: undefined;
+	}
+
+	/** Reads which archives exist, and asks those that have not answered yet. */
+	async function confirmAbsence(turn: AttemptId, result: SearchResult): Promise<SearchResult | Absence> {
+		const until = as<Milliseconds>(clock.now() + proofTimeoutMs);
+		const listed = await withTimeout(clock, proofTimeoutMs, registry.readConsistently());
+		if (!listed || listed.length === 0) {
+			return unavailable('registry-unavailable', listed ? 'the store lists no archive' : 'the store did not tell which archives exist');
+		}
+
+		const remaining = listed.filter(archive => !result.absent.has(archive.address) && !registry.isDrained(archive));
+		const added = await search.find(turn, [remaining], until, isWhole);
+		if (added.found) {
+			return added;
+		}
+
+		const absent = new Map([...result.absent, ...added.absent]);
+		return doubtAbout({...added, absent}, listed) ?? {kind: 'unknown', proof: 'all-archives', archives: listed.map(({id}) => id)};
+	}
+
+	/** Searches the archives for a turn and those before it. `isNamed` tells that the request names it. */
+	async function searchFor(turn: AttemptId, {ranked}: ChainRequest, until: Milliseconds, isNamed: boolean): Promise<SearchResult | Absence> {
+		const result = await search.find(turn, search.wavesOf(ranked, options.dataCentre), until, isWhole);
+		if (result.found) {
+			return result;
+		}
+
+		const doubt = doubtAbout(result, ranked);
+		if (doubt) {
+			return doubt;
+		}
+
+		// Only of the turn that a request names does it matter whether it exists nowhere.
+		return isNamed ? confirmAbsence(turn, result) : unavailable('gap-in-chain', `no archive has ${turn}`);
+	}
+
+	async function find(request: ChainRequest): Promise<ChainResult> {
+		const until = as<Milliseconds>(clock.now() + searchTimeoutMs);
+		const chain: WholeTurn[] = [];
+		const sources = {cache: 0, 'own-data-centre': 0, 'other-data-centre': 0};
+		let bytes = 0;
+		let next: AttemptId | undefined = request.turn;
+
+		/** Appends a turn to the chain. Returns why the chain cannot be used, if so. */
+		function append(record: WholeTurn, source: TurnSource): ChainResult | undefined {
+			const objection = objectionTo(record, request.workspace);
+			if (objection) {
+				return objection;
+			}
+
+			chain.push(record);
+			bytes += contentBytes(record);
+			sources[source]++;
+			next = record.previous;
+			if (chain.length > maximumChainTurns || bytes > maximumBodyBytes) {
+				return {kind: 'too-long', turns: chain.length, bytes};
+			}
+
+			return request.memory.add(contentBytes(record)) ? undefined : unavailable('memory', `${bytes} bytes of the chain do not fit`);
+		}
+
+		while (next !== undefined) {
+			const cached = cache.get(next);
+			const failed = cached ? append(cached, 'cache') : await appendFromArchives(next);
+			if (failed) {
+				return failed;
+			}
+		}
+
+		return {
+			kind: 'found', chain, sources, bytes,
+		};
+
+		async function appendFromArchives(turn: AttemptId): Promise<ChainResult | undefined> {
+			const result = await searchFor(turn, request, until, chain.length === 0);
+			if ('kind' in result) {
+				return result;
+			}
+
+			const source = result.found?.archive.dataCentre === options.dataCentre ? 'own-data-centre' : 'other-data-centre';
+			for (const record of result.found?.records ?? []) {
+				if (!isWhole(record)) {
+					break;
+				}
+
+				const failed = append(record, source);
+				if (failed) {
+					return failed;
+				}
+
+				cache.put(record);
+			}
+
+			return undefined;
+		}
+	}
+
+	return {find};
+}
--- /dev/null
+++ b/src/zones/conversations/part-lookup.ts
@@ -0,0 +1,62 @@
+/**
+Looks up what a caller has received of a stream that it resumes. The instance where the stream broke off may still be
+storing it, or have yet to notice, so the archives are asked again for a short while.
+*/
+import {type ListedArchive} from '../../contracts/archive.js';
+import {type Clock} from '../../contracts/clock.js';
+import {as, type DataCentreId, type Milliseconds} from '../../contracts/id.js';
+import {type TurnRecord} from '../../contracts/turn.js';
+import {type ReceivedPart, type TurnRequest, type TurnResumption} from '../../machines/kept-turns.js';
+import {type ArchiveSearch} from './archive-search.js';
+
+/** Time for which the archives are asked, in ms. */
+const lookupTimeoutMs = 500;
+
+const retryIntervalMs = 80;
+
+export type PartLookup = {
+	/** The output that the caller has received, or more of it; undefined if it is not known. */
+	readonly find: (turn: TurnRequest, resumption: TurnResumption, ranked: readonly ListedArchive[]) => Promise<ReceivedPart | undefined>;
+};
+
+export type PartLookupOptions = {
+	readonly dataCentre: DataCentreId;
+	readonly search: ArchiveSearch;
+	readonly clock: Clock;
+};
+
+/** The output in a record. A whole turn has all events of its stream. */
+function partOf({content}: TurnRecord): ReceivedPart {
+	switch (content.kind) {
+		case 'whole': {
+			return {lastEvent: Infinity, output: content.output};
+		}
+
+		case 'partial': {
+			return {lastEvent: content.lastEvent, output: content.output};
+		}
+	}
+}
+
+/** Creates the lookup of an instance. */
+export function createPartLookup({dataCentre, search, clock}: PartLookupOptions): PartLookup {
+	return {
+		async find(turn, {firstAttempt, lastEvent}, ranked) {
+			const until = as<Milliseconds>(clock.now() + lookupTimeoutMs);
+			const isWanted = (record: TurnRecord) => partOf(record).lastEvent >= lastEvent && record.previous === turn.previous && record.workspace === turn.workspace;
+			for (;;) {
+				const {found} = await search.find(firstAttempt, search.wavesOf(ranked, dataCentre), until, isWanted);
+				const [record] = found?.records ?? [];
+				if (record) {
+					return partOf(record);
+				}
+
+				if (clock.now() + retryIntervalMs >= until) {
+					return undefined;
+				}
+
+				await clock.sleep(as<Milliseconds>(retryIntervalMs));
+			}
+		},
+	};
+}
--- a/src/zones/relay-peers.ts
+++ b/src/zones/relay-peers.ts
@@ -2,6 +2,7 @@
 Messages between relaying instances, independent of how the links encode and transport them.
 */
 import {type Result} from 'neverthrow';
+import {type ListedArchive} from '../contracts/archive.js';
 import {type Failure} from '../contracts/failure.js';
 import {
 	type Address, type AttemptId, type ChangeNumber, type DataCentreId, type EndpointId, type Milliseconds, type ObjectVersion, type ProgramId, type Tokens,
@@ -56,6 +57,8 @@
 		| {readonly kind: 'find-origin'; readonly attempt: AttemptId}
 	/** Asks for a permit for one request to an endpoint with a rate limit. */
 		| {readonly kind: 'permit'; readonly permit: PermitRequest; readonly isCoordinatorUnreachable: boolean}
+	/** Asks which archives exist. */
+		| {readonly kind: 'archives'}
 		| {readonly kind: 'loads'; readonly from: LoadSource; readonly loads: readonly EndpointLoad[]};
 
 export type ReservationOutcome
@@ -74,6 +77,8 @@
 		| {readonly kind: 'recorded'; readonly isWritten: boolean}
 		| {readonly kind: 'permit'; readonly outcome: PermitOutcome}
 		| {readonly kind: 'origin'; readonly origin: StreamOrigin | undefined}
+	/** Archives as the instance knows them; undefined if it knows none. */
+		| {readonly kind: 'archives'; readonly archives: readonly ListedArchive[] | undefined}
 	/** Accounts of which the instance has newer data than it was sent. */
 		| {readonly kind: 'accounts'; readonly accounts: readonly TokenAccount[]}
 		| {readonly kind: 'reservation'; readonly outcome: ReservationOutcome; readonly places: readonly PromptLocation[]};
--- a/src/zones/shared-budgets.ts
+++ b/src/zones/shared-budgets.ts
@@ -166,6 +166,7 @@
 				}
 
 				case 'gossip':
+				case 'archives':
 				case 'endpoints':
 				case 'announce':
 				case 'permit':
