Refuse turns that cannot be kept, and bound the time of keeping and lookup by the caller's

While the archives that a turn needs are down, its stream ran to its end and was then broken off. Such turns are now refused as not run, and the archives are probed so that turns are let in again soon after they are back. Keeping a turn and searching its chain took up to a second whatever time the caller had left, after which the request was held past its time-out.

--- a/src/machines/kept-turns.ts
+++ b/src/machines/kept-turns.ts
@@ -13,6 +13,8 @@
 	readonly program: ProgramId | undefined;
 	readonly input: Uint8Array;
 	readonly retention: Milliseconds;
+	/** Time for which the caller will still wait. */
+	readonly timeLeft: Milliseconds;
 	/** Set if the caller resumes a stream after an event that it has received. */
 	readonly resumption: TurnResumption | undefined;
 };
@@ -41,8 +43,8 @@
 export type TurnRecorder = {
 	/** Records the data of an event that the caller was sent. */
 	readonly event: (data: Uint8Array) => void;
-	/** Resolves to whether the turn is kept on enough disks; called before the end of the response is sent. */
-	readonly keep: () => Promise<boolean>;
+	/** Resolves to whether the turn is kept on enough disks; called before the end of the response is sent, for which the caller still waits. */
+	readonly keep: (timeLeft: Milliseconds) => Promise<boolean>;
 	/** Stores what was recorded up to an event: the stream broke off towards the caller, who may resume it elsewhere. */
 	readonly breakOff: (lastEvent: number) => void;
 	/** Releases the memory of the turn; called once, after the last use. */
--- a/src/machines/relay-turn.ts
+++ b/src/machines/relay-turn.ts
@@ -2,6 +2,7 @@
 The turn of a relayed request on a route that keeps turns: its body, the record of the events that are relayed, and what
 happens at the end of its stream.
 */
+import {type Milliseconds} from '../contracts/id.js';
 import {type RelayRoute} from '../contracts/relay.js';
 import {type Refusal, type RelayRequest, type StreamEvent} from '../contracts/relay-request.js';
 import {type KeptTurns, type OpenedTurn, type TurnResumption} from './kept-turns.js';
@@ -13,7 +14,7 @@
 	/** Records an event that the caller is sent. */
 	readonly record: (event: StreamEvent) => void;
 	/** Resolves to whether the end of the response may be sent. */
-	readonly keep: () => Promise<boolean>;
+	readonly keep: (timeLeft: Milliseconds) => Promise<boolean>;
 	/** Ends the turn; what the caller has received of one that was not kept is stored if the route lets it resume the stream. */
 	readonly end: () => void;
 };
@@ -29,7 +30,7 @@
 };
 
 export type RelayTurns = {
-	readonly open: (request: RelayRequest, route: RelayRoute) => Promise<TurnOpening>;
+	readonly open: (request: RelayRequest, route: RelayRoute, timeLeft: Milliseconds) => Promise<TurnOpening>;
 };
 
 const notResumable: TurnOpening = {kind: 'refused', refusal: {kind: 'not-resumable'}};
@@ -53,8 +54,8 @@
 					recorder.event(data);
 				}
 			},
-			async keep() {
-				isKept = await recorder.keep();
+			async keep(timeLeft) {
+				isKept = await recorder.keep(timeLeft);
 				return isKept;
 			},
 			end() {
@@ -68,7 +69,7 @@
 	}
 
 	return {
-		async open(request, route) {
+		async open(request, route, timeLeft) {
 			const {attempt, previousTurn: previous, workspace, body: input, lastEvent, firstAttempt} = request;
 			if (lastEvent !== undefined && firstAttempt === undefined) {
 				return notResumable;
@@ -76,7 +77,7 @@
 
 			const resumption: TurnResumption | undefined = lastEvent === undefined || firstAttempt === undefined ? undefined : {firstAttempt, lastEvent};
 			const opened = await turns.open({
-				attempt, previous, workspace, program: request.program?.id, input, retention: route.retention, resumption,
+				attempt, previous, workspace, program: request.program?.id, input, retention: route.retention, timeLeft, resumption,
 			});
 			switch (opened.kind) {
 				case 'opened': {
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -170,7 +170,7 @@
 		const turn = job.turn();
 		if (result.kind === 'answered') {
 			job.caller.answer(result.head, result.body);
-		} else if (!turn || await turn.keep()) {
+		} else if (!turn || await turn.keep(job.timeLeft())) {
 			job.caller.finish();
 		} else {
 			refuse(job, {kind: 'failed'});
@@ -277,7 +277,7 @@
 	/** Reserves the tokens of a request and opens its turn, if its route keeps turns, and sends it once both have succeeded. */
 	async function runTurn(job: RelayJob, tokensPerEvent: number): Promise<void> {
 		const {request, route} = job;
-		const opening = route.keepsTurns ? options.turns.open(request, route) : undefined;
+		const opening = route.keepsTurns ? options.turns.open(request, route, job.timeLeft()) : undefined;
 		const settle = await reserve(job);
 		const opened = await opening;
 		if (opened?.kind === 'opened') {
--- a/src/zones/conversations/archive-health.ts
+++ b/src/zones/conversations/archive-health.ts
@@ -21,8 +21,10 @@
 export type ArchiveHealth = {
 	/** Whether the archive is to be passed over now. */
 	readonly isSkipped: (archive: InstanceId) => boolean;
-	/** Whether the archive is passed over after several failures in a row. */
+	/** Whether the archive has failed several times in a row and has not answered since. */
 	readonly isDown: (archive: InstanceId) => boolean;
+	/** Lets an archive that is down be tried again, because it has answered a probe. */
+	readonly retry: (archive: InstanceId) => void;
 	/** Waits for the result of a request; `onLate` is called if it takes longer than an archive that answers would. */
 	readonly observe: <Result>(archive: InstanceId, request: Promise<Result>, isAnswer: (result: Result) => boolean, onLate: () => void) => Promise<Result>;
 	/** Number of archives that are passed over now. */
@@ -81,7 +83,10 @@
 
 	return {
 		isSkipped,
-		isDown: archive => isSkipped(archive) && (failures.get(archive)?.count ?? 0) >= failuresUntilDown,
+		isDown: archive => (failures.get(archive)?.count ?? 0) >= failuresUntilDown,
+		retry(archive) {
+			failures.set(archive, {count: failuresUntilDown - 1, at: clock.now(), skippedUntil: clock.now()});
+		},
 		skipped: () => [...failures.keys()].filter(archive => isSkipped(archive)).length,
 		async observe(archive, request, isAnswer, onLate) {
 			const sentAt = clock.now();
--- a/src/zones/conversations/chain-lookup.ts
+++ b/src/zones/conversations/chain-lookup.ts
@@ -35,6 +35,8 @@
 	/** Archives in the order in which they are preferred. */
 	readonly ranked: readonly ListedArchive[];
 	readonly memory: MemoryShare;
+	/** Time of the clock at which the caller no longer waits. */
+	readonly deadline: Milliseconds;
 };
 
 export type ChainResult
@@ -91,9 +93,9 @@
 	}
 
 	/** Reads which archives exist, and asks those that have not answered yet. */
-	async function confirmAbsence(turn: AttemptId, result: SearchResult): Promise<SearchResult | Absence> {
-		const until = as<Milliseconds>(clock.now() + proofTimeoutMs);
-		const listed = await withTimeout(clock, proofTimeoutMs, registry.readConsistently());
+	async function confirmAbsence(turn: AttemptId, result: SearchResult, deadline: Milliseconds): Promise<SearchResult | Absence> {
+		const until = as<Milliseconds>(Math.min(deadline, clock.now() + proofTimeoutMs));
+		const listed = await withTimeout(clock, until - clock.now(), registry.readConsistently());
 		if (!listed || listed.length === 0) {
 			return unavailable('registry-unavailable', listed ? 'the store lists no archive' : 'the store did not tell which archives exist');
 		}
@@ -109,7 +111,7 @@
 	}
 
 	/** Searches the archives for a turn and those before it. `isNamed` tells that the request names it. */
-	async function searchFor(turn: AttemptId, {ranked}: ChainRequest, until: Milliseconds, isNamed: boolean): Promise<SearchResult | Absence> {
+	async function searchFor(turn: AttemptId, {ranked, deadline}: ChainRequest, until: Milliseconds, isNamed: boolean): Promise<SearchResult | Absence> {
 		const result = await search.find(turn, search.wavesOf(ranked, options.dataCentre), until, isWhole);
 		if (result.found) {
 			return result;
@@ -121,11 +123,11 @@
 		}
 
 		// Only of the turn that a request names does it matter whether it exists nowhere.
-		return isNamed ? confirmAbsence(turn, result) : unavailable('gap-in-chain', `no archive has ${turn}`);
+		return isNamed ? confirmAbsence(turn, result, deadline) : unavailable('gap-in-chain', `no archive has ${turn}`);
 	}
 
 	async function find(request: ChainRequest): Promise<ChainResult> {
-		const until = as<Milliseconds>(clock.now() + searchTimeoutMs);
+		const until = as<Milliseconds>(Math.min(request.deadline, clock.now() + searchTimeoutMs));
 		const chain: WholeTurn[] = [];
 		const sources = {cache: 0, 'own-data-centre': 0, 'other-data-centre': 0};
 		let bytes = 0;
--- a/src/zones/conversations/conversations.ts
+++ b/src/zones/conversations/conversations.ts
@@ -14,6 +14,7 @@
 import {type Member} from '../membership.js';
 import {type RelayMessage, type RelayPeers, type RelayReply} from '../relay-peers.js';
 import {type ArchiveHealth, createArchiveHealth} from './archive-health.js';
+import {probeArchives} from './archive-probe.js';
 import {createArchiveRegistry} from './archive-registry.js';
 import {createArchiveSearch} from './archive-search.js';
 import {assembleBody} from './body-assembly.js';
@@ -119,7 +120,7 @@
 
 	const rankedForCopies = (turn: TurnRequest) => rankedFor(turn).filter(archive => isServing(archive));
 
-	async function findChain(turn: TurnRequest, share: MemoryShare): Promise<ChainResult> {
+	async function findChain(turn: TurnRequest, share: MemoryShare, deadline: Milliseconds): Promise<ChainResult> {
 		const {attempt, previous, workspace} = turn;
 		if (previous === undefined) {
 			return noChain;
@@ -127,7 +128,7 @@
 
 		const startedAt = clock.now();
 		const result = await chains.find({
-			turn: previous, workspace, ranked: rankedFor(turn), memory: share,
+			turn: previous, workspace, ranked: rankedFor(turn), memory: share, deadline,
 		});
 		if (result.kind === 'found') {
 			options.onEvent({
@@ -138,14 +139,14 @@
 		return result;
 	}
 
-	async function findPart(turn: TurnRequest): Promise<ReceivedPart | undefined> {
+	async function findPart(turn: TurnRequest, deadline: Milliseconds): Promise<ReceivedPart | undefined> {
 		const {attempt, resumption} = turn;
 		if (!resumption) {
 			return undefined;
 		}
 
 		const startedAt = clock.now();
-		const part = await parts.find(turn, resumption, rankedFor(turn));
+		const part = await parts.find(turn, resumption, rankedFor(turn), deadline);
 		options.onEvent({
 			kind: 'part-read', attempt, firstAttempt: resumption.firstAttempt, isFound: part !== undefined, took: as<Milliseconds>(clock.now() - startedAt),
 		});
@@ -192,7 +193,8 @@
 
 	return {
 		async open(turn) {
-			const archives = await registry.obtain(as<Milliseconds>(archivesTimeoutMs));
+			const deadline = as<Milliseconds>(clock.now() + turn.timeLeft);
+			const archives = await registry.obtain(as<Milliseconds>(Math.min(turn.timeLeft, archivesTimeoutMs)));
 			if (!archives) {
 				return refuse(turn, 'archives-unknown', 'neither the store nor a peer has told which archives exist');
 			}
@@ -203,7 +205,7 @@
 			}
 
 			const share = memory.open();
-			const [chain, received] = await Promise.all([findChain(turn, share), findPart(turn)]);
+			const [chain, received] = await Promise.all([findChain(turn, share, deadline), findPart(turn, deadline)]);
 			const opened = openWith(turn, share, chain, received);
 			if (opened.kind !== 'opened') {
 				share.release();
@@ -219,6 +221,13 @@
 			cachedTurnBytes: cache.bytes(),
 			turnMemoryBytes: memory.total(),
 		}),
-		run: registry.run,
+		async run(signal) {
+			await Promise.all([
+				registry.run(signal),
+				probeArchives({
+					link, health: keepHealth, archives: () => registry.known()?.filter(archive => isServing(archive)) ?? [], clock, random,
+				}, signal),
+			]);
+		},
 	};
 }
--- a/src/zones/conversations/part-lookup.ts
+++ b/src/zones/conversations/part-lookup.ts
@@ -15,8 +15,8 @@
 const retryIntervalMs = 80;
 
 export type PartLookup = {
-	/** The output that the caller has received, or more of it; undefined if it is not known. */
-	readonly find: (turn: TurnRequest, resumption: TurnResumption, ranked: readonly ListedArchive[]) => Promise<ReceivedPart | undefined>;
+	/** The output that the caller has received, or more of it; undefined if it is not known by the time of the clock. */
+	readonly find: (turn: TurnRequest, resumption: TurnResumption, ranked: readonly ListedArchive[], deadline: Milliseconds) => Promise<ReceivedPart | undefined>;
 };
 
 export type PartLookupOptions = {
@@ -41,8 +41,8 @@
 /** Creates the lookup of an instance. */
 export function createPartLookup({dataCentre, search, clock}: PartLookupOptions): PartLookup {
 	return {
-		async find(turn, {firstAttempt, lastEvent}, ranked) {
-			const until = as<Milliseconds>(clock.now() + lookupTimeoutMs);
+		async find(turn, {firstAttempt, lastEvent}, ranked, deadline) {
+			const until = as<Milliseconds>(Math.min(deadline, clock.now() + lookupTimeoutMs));
 			const isWanted = (record: TurnRecord) => partOf(record).lastEvent >= lastEvent && record.previous === turn.previous && record.workspace === turn.workspace;
 			for (;;) {
 				const {found} = await search.find(firstAttempt, search.wavesOf(ranked, dataCentre), until, isWanted);
--- a/src/zones/conversations/turn-keeping.ts
+++ b/src/zones/conversations/turn-keeping.ts
@@ -12,8 +12,12 @@
 import {type ArchiveHealth} from './archive-health.js';
 import {isEnough, nextArchive} from './copy-placement.js';
 
-/** Time after which a turn without enough copies is given up, in ms. */
+/**
+Time after which a turn without enough copies is given up, in ms. It is shorter if the caller waits for less, but not so short
+that a turn which ends at the last moment is lost.
+*/
 const keepTimeoutMs = 1000;
+const minimumTimeoutMs = 100;
 
 export type KeepOutcome = {
 	readonly isKept: boolean;
@@ -27,8 +31,8 @@
 };
 
 export type TurnKeeping = {
-	/** Stores a record at archives, given in the order in which they are preferred. */
-	readonly keep: (record: TurnRecord, ranked: readonly ListedArchive[]) => Promise<KeepOutcome>;
+	/** Stores a record at archives, given in the order in which they are preferred, for a caller that still waits for some time. */
+	readonly keep: (record: TurnRecord, ranked: readonly ListedArchive[], timeLeft: Milliseconds) => Promise<KeepOutcome>;
 	/** Whether copies at these archives would be enough, leaving out those that are known to be down. */
 	readonly isPossible: (ranked: readonly ListedArchive[]) => boolean;
 };
@@ -42,8 +46,9 @@
 
 /** Creates the keeping of an instance. */
 export function createTurnKeeping({link, required, health, clock}: TurnKeepingOptions): TurnKeeping {
-	async function keep(record: TurnRecord, ranked: readonly ListedArchive[]): Promise<KeepOutcome> {
+	async function keep(record: TurnRecord, ranked: readonly ListedArchive[], timeLeft: Milliseconds): Promise<KeepOutcome> {
 		const startedAt = clock.now();
+		const timeoutMs = Math.max(minimumTimeoutMs, Math.min(keepTimeoutMs, timeLeft));
 		const isEnded = createDeferred<boolean>();
 		/** Those that did not answer lately are the last resort. */
 		const candidates = [...ranked.filter(({id}) => !health.isSkipped(id)), ...ranked.filter(({id}) => health.isSkipped(id))];
@@ -92,7 +97,7 @@
 
 		async function ask(archive: ListedArchive): Promise<void> {
 			inFlight++;
-			const request = link.keep(archive.address, record, as<Milliseconds>(keepTimeoutMs - (clock.now() - startedAt)));
+			const request = link.keep(archive.address, record, as<Milliseconds>(timeoutMs - (clock.now() - startedAt)));
 			const result = await health.observe(archive.id, request, ({kind}) => kind === 'kept', () => {
 				late++;
 				awaited.delete(archive);
@@ -104,7 +109,7 @@
 		}
 
 		fill();
-		await withTimeout(clock, keepTimeoutMs, isEnded.promise);
+		await withTimeout(clock, timeoutMs, isEnded.promise);
 		isOver = true;
 		return {
 			isKept: isEnough(copies, required),
--- a/src/zones/conversations/turn-recorder.ts
+++ b/src/zones/conversations/turn-recorder.ts
@@ -21,6 +21,9 @@
 /** Memory that a recorded event takes besides its data, in bytes. */
 const eventOverheadBytes = 100;
 
+/** Time for storing the output of a stream that broke off, for which nobody waits. */
+const partTimeout = as<Milliseconds>(1000);
+
 const lineFeed = Buffer.from('\n');
 
 /** Time for which a turn is stored whose route keeps it for the retention. */
@@ -53,7 +56,7 @@
 		};
 	}
 
-	async function keep(): Promise<boolean> {
+	async function keep(timeLeft: Milliseconds): Promise<boolean> {
 		const {attempt, program} = turn;
 		if (isTooLarge) {
 			options.onEvent({
@@ -63,7 +66,7 @@
 		}
 
 		const record: WholeTurn = recordWith(attempt, {kind: 'whole', input: turn.input, output: Buffer.concat(output)});
-		const {isKept, copies, ...rest} = await options.keeping.keep(record, options.ranked());
+		const {isKept, copies, ...rest} = await options.keeping.keep(record, options.ranked(), timeLeft);
 		if (isKept) {
 			options.cache.put(record);
 		}
@@ -77,7 +80,7 @@
 	async function storePart(lastEvent: number): Promise<void> {
 		const firstAttempt = turn.resumption?.firstAttempt ?? turn.attempt;
 		const part = recordWith(firstAttempt, {kind: 'partial', lastEvent, output: Buffer.concat(output)});
-		const {copies, missing} = await options.keeping.keep(part, options.ranked());
+		const {copies, missing} = await options.keeping.keep(part, options.ranked(), partTimeout);
 		options.onEvent({
 			kind: 'part-kept', attempt: turn.attempt, firstAttempt, lastEvent, copies: copies.map(({id}) => id), missing,
 		});
