--- a/src/programs/relay-settings.ts
+++ b/src/programs/relay-settings.ts
@@ -8,6 +8,7 @@
 	as, type Address, type DataCentreId, type InstanceId, type Milliseconds,
 } from '../contracts/id.js';
 import {type Monitoring} from '../machines/endpoint-availability.js';
+import {type Tolerance} from '../contracts/tolerance.js';
 import {
 	addressField, logField, parseSettingsText, readSettingsFile,
 } from './settings-file.js';
@@ -81,8 +82,8 @@
 	readonly monitoring: Monitoring | undefined;
 	/** Store of turns on a machine with a disk; undefined if the machine keeps none. */
 	readonly archive: ArchiveSettings | undefined;
-	/** How many disks and data centres may be lost at the same time. */
-	readonly tolerance: {readonly machines: number; readonly dataCentres: number};
+	/** What kept turns outlast. */
+	readonly tolerance: Tolerance;
 	/** Time from the stop signal until the process is killed. */
 	readonly gracePeriod: Milliseconds;
 	readonly logLevel: Parsed['log']['level'];
@@ -117,7 +118,7 @@
 		contracts: deployment.contracts,
 		monitoring: endpoints.monitoring,
 		archive: toArchiveSettings(archive),
-		tolerance: {machines: tolerance?.machines ?? 0, dataCentres: tolerance?.dataCentres ?? 0},
+		tolerance: {machines: tolerance?.machines ?? 1, dataCentres: tolerance?.dataCentres ?? 1},
 		gracePeriod: as<Milliseconds>(stop.graceMs),
 		logLevel: log.level,
 	};
