Ask all archives again for the proof that a turn does not exist, and none that has left

An archive that has left copied its turns before, possibly to an archive that had just answered that it has not got the turn; its answer would then have counted for the proof. All archives are now asked after the consistent read of their list. The new state of archives is taken over from the turn store.

--- a/src/contracts/archive.ts
+++ b/src/contracts/archive.ts
@@ -11,8 +11,11 @@
 /** Kind of the objects under which archives register. */
 export const archiveKind = 'hickoryfork-archives';
 
-/** A leaving archive answers reads until its turns are copied, and takes no new ones. */
-export type ArchiveState = 'serving' | 'leaving';
+/**
+A leaving archive answers reads until its turns are copied, and takes no new ones. One that has left holds nothing that is not
+copied, and may be gone; whether it answers proves nothing about a turn.
+*/
+export type ArchiveState = 'serving' | 'leaving' | 'left';
 
 export type ListedArchive = {
 	readonly id: InstanceId;
@@ -21,7 +24,7 @@
 	readonly state: ArchiveState;
 };
 
-const listingBody = z.object({address: z.string(), dataCentre: z.string(), state: z.enum(['serving', 'leaving'])});
+const listingBody = z.object({address: z.string(), dataCentre: z.string(), state: z.enum(['serving', 'leaving', 'left'])});
 
 /** Content of an archive's object in the store. */
 export function encodeArchive({address, dataCentre, state}: ListedArchive): z.output<typeof listingBody> {
@@ -47,3 +50,9 @@
 	/** Resolves to undefined if the archive did not answer in time, or cannot answer yet. */
 	readonly chain: (archive: Address, turn: AttemptId, timeout: Milliseconds) => Promise<ChainReply | undefined>;
 };
+
+/** Requests from an archive that is emptied to others. The promises never reject. */
+export type ArchiveInventoryLink = {
+	/** The turns of which the archive holds whole records that have not expired; undefined if it did not answer in time. */
+	readonly holds: (archive: Address, turns: readonly AttemptId[], timeout: Milliseconds) => Promise<ReadonlySet<AttemptId> | undefined>;
+};
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -277,9 +277,7 @@
 	/** Reserves the tokens of a request and opens its turn, if its route keeps turns, and sends it once both have succeeded. */
 	async function runTurn(job: RelayJob, tokensPerEvent: number): Promise<void> {
 		const {request, route} = job;
-		const opening = route.keepsTurns ? options.turns.open(request, route, job.timeLeft()) : undefined;
-		const settle = await reserve(job);
-		const opened = await opening;
+		const [settle, opened] = await Promise.all([reserve(job), route.keepsTurns ? options.turns.open(request, route, job.timeLeft()) : undefined]);
 		if (opened?.kind === 'opened') {
 			job.startTurn(opened.turn);
 		}
--- a/src/zones/conversations/archive-probe.ts
+++ b/src/zones/conversations/archive-probe.ts
@@ -3,7 +3,7 @@
 while those archives are needed to keep them, so no turn would show that they answer again.
 */
 import {type ArchiveLink, type ListedArchive} from '../../contracts/archive.js';
-import {type Clock, type Random} from '../../contracts/clock.js';
+import {type Clock} from '../../contracts/clock.js';
 import {as, type AttemptId, type Milliseconds} from '../../contracts/id.js';
 import {type ArchiveHealth} from './archive-health.js';
 
@@ -18,13 +18,12 @@
 	readonly health: Pick<ArchiveHealth, 'isDown' | 'retry'>;
 	readonly archives: () => readonly ListedArchive[];
 	readonly clock: Clock;
-	readonly random: Random;
 };
 
 /** Probes until the signal aborts. */
-export async function probeArchives({link, health, archives, clock, random}: ArchiveProbeOptions, signal: AbortSignal): Promise<void> {
+export async function probeArchives({link, health, archives, clock}: ArchiveProbeOptions, signal: AbortSignal): Promise<void> {
 	while (!signal.aborted) {
-		await clock.sleep(as<Milliseconds>(probeIntervalMs * (0.5 + random.fraction())), signal);
+		await clock.sleep(as<Milliseconds>(probeIntervalMs), signal);
 		await Promise.all(archives().filter(({id}) => health.isDown(id)).map(async ({id, address}) => {
 			if (await link.chain(address, probedTurn, as<Milliseconds>(probeTimeoutMs))) {
 				health.retry(id);
--- a/src/zones/conversations/archive-registry.ts
+++ b/src/zones/conversations/archive-registry.ts
@@ -43,7 +43,7 @@
 	readonly obtain: (limit: Milliseconds) => Promise<readonly ListedArchive[] | undefined>;
 	/** Reads all archives as of now; undefined if the store does not answer or an entry is invalid. */
 	readonly readConsistently: () => Promise<readonly ListedArchive[] | undefined>;
-	/** Whether all turns that the archive may hold have expired, because it has taken no new ones for their retention. */
+	/** Whether the archive need not be asked: its turns have been copied, or have expired because it has taken no new ones for their retention. */
 	readonly isDrained: (archive: ListedArchive) => boolean;
 	/** Answers a peer that gets no answer from the store. */
 	readonly answer: () => RelayReply;
@@ -196,8 +196,20 @@
 			return queuedRead;
 		},
 		isDrained({id, state}) {
-			const since = leavingSince.get(id);
-			return state === 'leaving' && since !== undefined && clock.now() - since > longestRetention;
+			switch (state) {
+				case 'serving': {
+					return false;
+				}
+
+				case 'leaving': {
+					const since = leavingSince.get(id);
+					return since !== undefined && clock.now() - since > longestRetention;
+				}
+
+				case 'left': {
+					return true;
+				}
+			}
 		},
 		answer: () => ({kind: 'archives', archives: known}),
 		async run(signal) {
--- a/src/zones/conversations/archive-search.ts
+++ b/src/zones/conversations/archive-search.ts
@@ -6,7 +6,7 @@
 import {type Clock} from '../../contracts/clock.js';
 import {createDeferred} from '../../contracts/deferred.js';
 import {
-	as, type Address, type AttemptId, type DataCentreId, type Milliseconds,
+	as, type AttemptId, type DataCentreId, type Milliseconds,
 } from '../../contracts/id.js';
 import {type TurnRecord} from '../../contracts/turn.js';
 import {withTimeout} from '../with-timeout.js';
@@ -15,8 +15,8 @@
 export type SearchResult = {
 	/** The turn and those before it, the newest first, as far as the archive holds them. */
 	readonly found: {readonly archive: ListedArchive; readonly records: readonly TurnRecord[]} | undefined;
-	/** Archives that answered without the turn, and whether they hold all that they ever acknowledged. */
-	readonly absent: ReadonlyMap<Address, boolean>;
+	/** Archives that answered without the turn, but may have lost turns that they acknowledged. */
+	readonly incomplete: readonly ListedArchive[];
 	/** Archives that were asked and did not answer. */
 	readonly silent: readonly ListedArchive[];
 };
@@ -50,7 +50,7 @@
 	return {
 		async find(turn, waves, until, isWanted) {
 			const found = createDeferred<SearchResult['found']>();
-			const absent = new Map<Address, boolean>();
+			const incomplete: ListedArchive[] = [];
 			const silent = new Set<ListedArchive>();
 			let result: SearchResult['found'];
 
@@ -71,8 +71,8 @@
 					const [first] = records;
 					if (first && isWanted(first)) {
 						found.resolve({archive, records});
-					} else {
-						absent.set(archive.address, reply.isComplete);
+					} else if (!reply.isComplete) {
+						incomplete.push(archive);
 					}
 				});
 				answers.push(answering);
@@ -89,7 +89,7 @@
 			}
 
 			result ??= await withTimeout(clock, until - clock.now(), Promise.race([found.promise, Promise.all(answers).then(() => undefined)]));
-			return {found: result, absent, silent: [...silent]};
+			return {found: result, incomplete, silent: [...silent]};
 		},
 		wavesOf(ranked, own) {
 			const answering = ranked.filter(({id}) => !health.isSkipped(id));
--- a/src/zones/conversations/chain-lookup.ts
+++ b/src/zones/conversations/chain-lookup.ts
@@ -81,33 +81,27 @@
 	const {registry, search, cache, clock} = options;
 
 	/** Why the answers do not prove that the turn does not exist; undefined if they do, provided that all archives were asked. */
-	function doubtAbout({silent, absent}: SearchResult, listed: readonly ListedArchive[]): Absence | undefined {
+	function doubtAbout({silent, incomplete}: SearchResult): Absence | undefined {
 		if (silent.length > 0) {
 			return unavailable('archives-silent', `no answer from ${silent.map(({id}) => id).join(', ')}`);
 		}
 
-		const incomplete = listed.filter(({address}) => absent.get(address) === false);
 		return incomplete.length > 0
 			? unavailable('archives-incomplete', `turns may be missing at ${incomplete.map(({id}) => id).join(', ')}`)
 			: undefined;
 	}
 
-	/** Reads which archives exist, and asks those that have not answered yet. */
-	async function confirmAbsence(turn: AttemptId, result: SearchResult, deadline: Milliseconds): Promise<SearchResult | Absence> {
+	/** Reads which archives exist, and asks all of them again: an archive that has left since may have copied the turn to one that was asked before. */
+	async function confirmAbsence(turn: AttemptId, deadline: Milliseconds): Promise<SearchResult | Absence> {
 		const until = as<Milliseconds>(Math.min(deadline, clock.now() + proofTimeoutMs));
 		const listed = await withTimeout(clock, until - clock.now(), registry.readConsistently());
-		if (!listed || listed.length === 0) {
+		const archives = listed?.filter(archive => !registry.isDrained(archive)) ?? [];
+		if (archives.length === 0) {
 			return unavailable('registry-unavailable', listed ? 'the store lists no archive' : 'the store did not tell which archives exist');
 		}
 
-		const remaining = listed.filter(archive => !result.absent.has(archive.address) && !registry.isDrained(archive));
-		const added = await search.find(turn, [remaining], until, isWhole);
-		if (added.found) {
-			return added;
-		}
-
-		const absent = new Map([...result.absent, ...added.absent]);
-		return doubtAbout({...added, absent}, listed) ?? {kind: 'unknown', proof: 'all-archives', archives: listed.map(({id}) => id)};
+		const result = await search.find(turn, [archives], until, isWhole);
+		return result.found ? result : doubtAbout(result) ?? {kind: 'unknown', proof: 'all-archives', archives: archives.map(({id}) => id)};
 	}
 
 	/** Searches the archives for a turn and those before it. `isNamed` tells that the request names it. */
@@ -117,13 +111,13 @@
 			return result;
 		}
 
-		const doubt = doubtAbout(result, ranked);
+		const doubt = doubtAbout(result);
 		if (doubt) {
 			return doubt;
 		}
 
 		// Only of the turn that a request names does it matter whether it exists nowhere.
-		return isNamed ? confirmAbsence(turn, result, deadline) : unavailable('gap-in-chain', `no archive has ${turn}`);
+		return isNamed ? confirmAbsence(turn, deadline) : unavailable('gap-in-chain', `no archive has ${turn}`);
 	}
 
 	async function find(request: ChainRequest): Promise<ChainResult> {
--- a/src/zones/conversations/conversations.ts
+++ b/src/zones/conversations/conversations.ts
@@ -225,7 +225,7 @@
 			await Promise.all([
 				registry.run(signal),
 				probeArchives({
-					link, health: keepHealth, archives: () => registry.known()?.filter(archive => isServing(archive)) ?? [], clock, random,
+					link, health: keepHealth, archives: () => registry.known()?.filter(archive => isServing(archive)) ?? [], clock,
 				}, signal),
 			]);
 		},
--- a/tests/chain-lookup.test.ts
+++ b/tests/chain-lookup.test.ts
@@ -104,7 +104,25 @@
 	assert.equal(bodyOf(opened), `${textOf('one')}<two>`);
 });
 
-test('an archive that has left does not stand in the way of the proof once its turns have expired', async () => {
+// Guards against a turn that moves, while it is searched, from an archive that is not asked to one that was asked before.
+test('a turn is found that an archive which has left copied to another one during the search', async () => {
+	const scene = await createConversationScene(small);
+	scene.archives.add('e1').state = 'hanging';
+	scene.archives.list('e1', 'left');
+	const opening = scene.node.conversations.open(turnWith('two', 'one'));
+	await scene.clock.advance(5);
+	putRecords(scene, 'a1', recordOf('one'));
+	const {value} = await timed(scene.clock, opening);
+	assert.equal(bodyOf(value), `${textOf('one')}<two>`);
+});
+
+test('an archive that has left does not stand in the way of the proof, nor one that is leaving once its turns have expired', async () => {
+	const gone = await createConversationScene([...small, 'e1']);
+	gone.archives.archive('e1').state = 'hanging';
+	gone.archives.list('e1', 'left');
+	await gone.clock.advance(7000);
+	const opened = await openTurn(gone, turnWith('two', 'one'));
+	assert.equal(opened.kind, 'unknown-turn');
 	const scene = await createConversationScene(small);
 	scene.archives.list('d1', 'leaving');
 	await scene.clock.advance(7000);
