--- a/src/links/turn-log.ts
+++ b/src/links/turn-log.ts
@@ -95,6 +95,14 @@
 			return;
 		}
 
+		case 'contact': {
+			const {isCutOff, storeSilence} = event;
+			log.warn({
+				event: 'contact', isCutOff, storeSilenceMs: Math.round(storeSilence),
+			}, isCutOff ? 'cut off from the other data centres; not ready, because turns cannot be kept' : 'the other data centres or the store answer again');
+			return;
+		}
+
 		case 'archive': {
 			const {archive, use, isAnswering} = event;
 			log.warn({
--- a/src/links/turn-metrics.ts
+++ b/src/links/turn-metrics.ts
@@ -65,6 +65,7 @@
 			// These are in the counter of all events only.
 			case 'part-kept':
 			case 'part-read':
+			case 'contact':
 			case 'archives':
 			case 'archives-unavailable':
 			case 'archive-unreadable':
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -79,6 +79,8 @@
 	readonly limits: () => CallerLimits | undefined;
 	/** Whether the instance accepts new callers. */
 	readonly isReady: () => boolean;
+	/** Whether the instance's data centre is cut off, so that callers are served better elsewhere. */
+	readonly isCutOff: () => boolean;
 	/** Handles a message from a peer. */
 	readonly answer: (message: RelayMessage) => Promise<RelayReply>;
 	readonly greeting: () => Greeting;
@@ -248,6 +250,7 @@
 		retention: () => table?.turnRetention(),
 		link: options.archives,
 		store,
+		storeSilence: tables.age,
 		peers,
 		self: membership.self,
 		members: membership.members,
@@ -307,7 +310,8 @@
 			id, membership, gossipProtocol, tables, budgets, loads, rateLimits, origins, conversations, receiveDigest,
 		}),
 		limits: () => table?.configuration.limits,
-		isReady: () => table !== undefined && warmUp.isWarm() && !isLeaving(),
+		isCutOff: conversations.isCutOff,
+		isReady: () => table !== undefined && warmUp.isWarm() && !isLeaving() && !conversations.isCutOff(),
 		greeting: () => ({
 			self: membership.self(), members: membership.members(), dataCentres: membership.dataCentres(), digest: tables.digest(),
 		}),
--- a/src/zones/conversations/conversations.ts
+++ b/src/zones/conversations/conversations.ts
@@ -21,6 +21,7 @@
 import {createChainCache} from './chain-cache.js';
 import {type ChainResult, createChainLookup} from './chain-lookup.js';
 import {isEnough, rankArchives} from './copy-placement.js';
+import {createDataCentreContact} from './data-centre-contact.js';
 import {createPartLookup} from './part-lookup.js';
 import {createTurnKeeping} from './turn-keeping.js';
 import {createTurnMemory, type MemoryShare} from './turn-memory.js';
@@ -46,6 +47,8 @@
 	readonly retention: () => Milliseconds | undefined;
 	readonly link: ArchiveLink;
 	readonly store: Pick<ObjectStore, 'list' | 'listStale'>;
+	/** Time since the store answered this instance or a neighbour. */
+	readonly storeSilence: () => Milliseconds;
 	readonly peers: Pick<RelayPeers, 'request'>;
 	readonly self: () => Member;
 	readonly members: () => readonly Member[];
@@ -56,6 +59,8 @@
 
 export type Conversations = KeptTurns & {
 	readonly answer: (message: Extract<RelayMessage, {kind: 'archives'}>) => RelayReply;
+	/** Whether turns that arrive here cannot be kept because this data centre is cut off. */
+	readonly isCutOff: () => boolean;
 	/** Current counts for metrics. */
 	readonly gauges: () => Readonly<Record<string, number>>;
 	/** Reads which archives exist, while the configuration has a route that keeps turns. */
@@ -92,6 +97,9 @@
 	const chains = createChainLookup({
 		dataCentre, registry, search, cache, clock,
 	});
+	const contact = createDataCentreContact({
+		...options, archives: () => required.dataCentres > 1 ? registry.known() ?? [] : [],
+	});
 	const parts = createPartLookup({dataCentre, search, clock});
 
 	function createHealth(use: 'keep' | 'read'): ArchiveHealth {
@@ -200,7 +208,7 @@
 			}
 
 			// A turn that could not be kept would be aborted at its end.
-			if (!keeping.isPossible(rankedForCopies(turn))) {
+			if (contact.isCutOff() || !keeping.isPossible(rankedForCopies(turn))) {
 				return refuse(turn, 'too-few-archives', `${archives.filter(archive => isServing(archive)).length} archives take turns, ${keepHealth.skipped()} of them do not answer`);
 			}
 
@@ -213,6 +221,7 @@
 
 			return opened;
 		},
+		isCutOff: contact.isCutOff,
 		answer: () => registry.answer(),
 		gauges: () => ({
 			archives: registry.known()?.length ?? 0,
@@ -224,6 +233,7 @@
 		async run(signal) {
 			await Promise.all([
 				registry.run(signal),
+				contact.run(signal),
 				probeArchives({
 					link, health: keepHealth, archives: () => registry.known()?.filter(archive => isServing(archive)) ?? [], clock,
 				}, signal),
--- a/src/zones/conversations/turn-event.ts
+++ b/src/zones/conversations/turn-event.ts
@@ -77,5 +77,7 @@
 		| {readonly kind: 'archives'; readonly source: 'store' | 'peer'; readonly archives: readonly string[]}
 		| {readonly kind: 'archives-unavailable'; readonly reason: string}
 		| {readonly kind: 'archive-unreadable'; readonly archive: string}
+	/** This data centre was cut off from the others, or has reached them again. */
+		| {readonly kind: 'contact'; readonly isCutOff: boolean; readonly storeSilence: Milliseconds}
 	/** An archive has stopped answering this instance, or has begun to answer again. */
 		| {readonly kind: 'archive'; readonly archive: InstanceId; readonly use: 'keep' | 'read'; readonly isAnswering: boolean};
