--- a/tests/caller-resets.test.ts
+++ b/tests/caller-resets.test.ts
@@ -18,7 +18,7 @@
 		held: createHeldBytes(maximumHeldBytes),
 		host: '127.0.0.1',
 		port: 0,
-		limits: () => undefined,
+		limits: () => undefined, shouldClose: () => false,
 		onError: () => undefined,
 		relay: {
 			async serve(request, caller) {
--- a/tests/held-bytes.test.ts
+++ b/tests/held-bytes.test.ts
@@ -37,7 +37,7 @@
 		held: createHeldBytes(1024 * 1024),
 		host: '127.0.0.1',
 		port: 0,
-		limits: () => undefined,
+		limits: () => undefined, shouldClose: () => false,
 		onError: () => undefined,
 		relay: {
 			async serve(request, caller, signal) {
