--- a/src/links/archive-client.ts
+++ b/src/links/archive-client.ts
@@ -76,7 +76,8 @@
 			...send, method: 'POST', headers: {'content-type': 'application/octet-stream', [requestNumberHeader]: number},
 		});
 		if (response.headers[requestNumberHeader] !== number) {
-			response.body.destroy();
+			// The body fails as its connection is closed; it is not read.
+			response.body.on('error', () => undefined);
 			discard(address);
 			return unanswered('the reply belongs to another request');
 		}
--- a/standins/object-store.ts
+++ b/standins/object-store.ts
@@ -151,6 +151,7 @@
 
 				const timer = setTimeout(finish, waitMs);
 				wakeCallbacks.add(wake);
+				response.once('close', finish);
 			});
 		}
 
