Copy the turns of a retiring machine in groups

An archive that does not answer is left out for the rest of a pass, as each group would wait for it.

The parent of the data directory is synced only when the directory is new; the lines about opened segments are limited, since a disk that fails may cause one for each record.

--- a/src/contracts/archive.ts
+++ b/src/contracts/archive.ts
@@ -51,8 +51,13 @@
 	readonly chain: (archive: Address, turn: AttemptId, timeout: Milliseconds) => Promise<ChainReply | undefined>;
 };
 
+/** Outcome of a request to store several records; a record that is not among the stored ones may have been stored. */
+export type CopyResult = {readonly stored: ReadonlySet<AttemptId>; readonly reason: string | undefined};
+
 /** Requests from an archive that is emptied to others. The promises never reject. */
-export type ArchiveInventoryLink = {
+export type ArchiveCopyLink = {
 	/** The turns of which the archive holds whole records that have not expired; undefined if it did not answer in time. */
 	readonly holds: (archive: Address, turns: readonly AttemptId[], timeout: Milliseconds) => Promise<ReadonlySet<AttemptId> | undefined>;
+	/** Stores records as with `keep`, with one request. `reason` tells why some were not stored. */
+	readonly copy: (archive: Address, records: readonly TurnRecord[], timeout: Milliseconds) => Promise<CopyResult>;
 };
--- a/src/links/archive-client.ts
+++ b/src/links/archive-client.ts
@@ -4,11 +4,11 @@
 */
 import {Buffer} from 'node:buffer';
 import {Pool} from 'undici';
-import {type ArchiveInventoryLink, type ArchiveLink} from '../contracts/archive.js';
+import {type ArchiveCopyLink, type ArchiveLink} from '../contracts/archive.js';
 import {describeError} from '../contracts/failure.js';
 import {type Address, type Milliseconds} from '../contracts/id.js';
 import {
-	archivePath, archiveStatus, decodeChainReply, decodeTurnNames, encodeKeepRequest, encodeTurnNames, maximumReplyBytes, requestNumberHeader,
+	archivePath, archiveStatus, decodeChainReply, decodeTurnNames, encodeCopyRequest, encodeKeepRequest, encodeTurnNames, maximumReplyBytes, requestNumberHeader,
 } from './archive-protocol.js';
 import {readBoundedBytes} from './bounded-body.js';
 
@@ -41,27 +41,27 @@
 }
 
 /** Creates a client without connections. They close when the signal aborts. */
-export function createArchiveClient(signal: AbortSignal): ArchiveLink & ArchiveInventoryLink {
+export function createArchiveClient(signal: AbortSignal): ArchiveLink & ArchiveCopyLink {
 	// In the order of use.
 	const archives = new Map<Address, Connections>();
 	let lastRequest = 0;
 
 	function connectionsTo(address: Address): Connections {
-		const connections = archives.get(address) ?? {
+		const used = archives.get(address) ?? {
 			pool: new Pool(`http://${address}`, {
 				connections: connectionsPerArchive, pipelining: 1, connect: {timeout: connectTimeoutMs}, keepAliveTimeout: idleTimeoutMs, headersTimeout: 0, bodyTimeout: 0,
 			}),
 			requests: 0,
 		};
 		archives.delete(address);
-		archives.set(address, connections);
+		archives.set(address, used);
 		const [oldest] = archives;
 		if (archives.size > maximumArchives && oldest) {
 			archives.delete(oldest[0]);
 			void oldest[1].pool.destroy();
 		}
 
-		return connections;
+		return used;
 	}
 
 	/** Closes all connections to an archive. */
@@ -115,16 +115,16 @@
 			limit.abort(new Error(`no answer within ${Math.round(timeout)} ms`));
 		}, timeout);
 		try {
-			const connections = connectionsTo(address);
-			if (connections.requests >= maximumRequests) {
-				return unanswered(`${connections.requests} requests to the archive are under way`);
+			const used = connectionsTo(address);
+			if (used.requests >= maximumRequests) {
+				return unanswered(`${used.requests} requests to the archive are under way`);
 			}
 
-			connections.requests++;
+			used.requests++;
 			try {
-				return await exchange(address, connections.pool, {path, body, signal: limit.signal});
+				return await exchange(address, used.pool, {path, body, signal: limit.signal});
 			} finally {
-				connections.requests--;
+				used.requests--;
 			}
 		} catch (error) {
 			return unanswered(describeError(error));
@@ -170,5 +170,15 @@
 			const held = reply.kind === 'answered' ? decodeTurnNames(reply.body) : undefined;
 			return held && new Set(held);
 		},
+		async copy(archive, records, timeout) {
+			const body = encodeCopyRequest(records);
+			const reply = body ? await request(archive, archivePath.copy, body, timeout) : unanswered('a turn is too large');
+			if (reply.kind !== 'answered') {
+				return {stored: new Set(), reason: reply.reason};
+			}
+
+			const stored = new Set(decodeTurnNames(reply.body));
+			return {stored, reason: stored.size < records.length ? 'the archive refused some of the turns' : undefined};
+		},
 	};
 }
--- a/src/links/archive-log.ts
+++ b/src/links/archive-log.ts
@@ -99,9 +99,12 @@
 	}
 }
 
+/** Store events that may occur once for each record while the disk fails. */
+const repeatedStoreEvents: ReadonlySet<TurnStoreEvent['kind']> = new Set(['record-unreadable', 'disk-failed', 'segment-opened']);
+
 /** Whether an event may occur once for each request or record. */
 function isRepeated(event: ArchiveEvent): boolean {
-	return event.kind === 'request-given-up' || (event.kind === 'store' && (event.store.kind === 'record-unreadable' || event.store.kind === 'disk-failed'));
+	return event.kind === 'request-given-up' || (event.kind === 'store' && repeatedStoreEvents.has(event.store.kind));
 }
 
 function writeEvent(log: Log, event: ArchiveEvent): void {
--- a/src/links/archive-protocol.ts
+++ b/src/links/archive-protocol.ts
@@ -8,14 +8,16 @@
 import {type ChainReply, type TurnRecord} from '../contracts/turn.js';
 import {decodeTurn, encodeTurn, maximumTurnBytes} from '../machines/turn-store/turn-encoding.js';
 
-export const archivePath = {keep: '/1/keep', chain: '/1/chain', holds: '/1/holds'} as const;
+export const archivePath = {
+	keep: '/1/keep', chain: '/1/chain', holds: '/1/holds', copy: '/1/copy',
+} as const;
 
 export const requestNumberHeader = 'hickoryfork-request';
 
 const checksumBytes = 4;
 
-/** Largest body of a request. */
-export const maximumRequestBytes = checksumBytes + maximumTurnBytes;
+/** Largest body of a request: one turn of maximum size with checksum and length. */
+export const maximumRequestBytes = checksumBytes + 4 + maximumTurnBytes;
 
 /** Largest body of a reply: a store ends a chain at 1 MB and one more turn, plus the lengths. */
 export const maximumReplyBytes = (2 * 1024 * 1024) + maximumTurnBytes;
@@ -81,7 +83,20 @@
 	return content && decodeTurn(content);
 }
 
-/** Body that consists of turn names, as in requests for chains and inventories. */
+/** Body of a request to copy records; undefined if one of them is too large. */
+export function encodeCopyRequest(records: readonly TurnRecord[]): Uint8Array | undefined {
+	const parts = records.map(record => encodeTurn(record)).filter(part => part !== undefined);
+	return parts.length === records.length ? sealBody(parts.flatMap(part => withLength(part))) : undefined;
+}
+
+export function decodeCopyRequest(body: Uint8Array): readonly TurnRecord[] | undefined {
+	const content = openBody(body);
+	const parts = content && splitParts(content);
+	const records = parts?.map(part => decodeTurn(part)).filter(record => record !== undefined);
+	return records?.length === parts?.length ? records : undefined;
+}
+
+/** Body that consists of turn names, as in requests for chains and inventories, and the replies to requests to copy. */
 export function encodeTurnNames(turns: readonly AttemptId[]): Uint8Array {
 	return sealBody(turns.flatMap(turn => withLength(Buffer.from(turn, 'utf8'))));
 }
--- a/src/links/archive-server.ts
+++ b/src/links/archive-server.ts
@@ -11,7 +11,7 @@
 import {type AttemptId} from '../contracts/id.js';
 import {type ChainReply, type KeepResult, type TurnRecord} from '../contracts/turn.js';
 import {
-	archivePath, archiveStatus, decodeKeepRequest, decodeTurnNames, encodeChainReply, encodeTurnNames, maximumRequestBytes, requestNumberHeader,
+	archivePath, archiveStatus, decodeCopyRequest, decodeKeepRequest, decodeTurnNames, encodeChainReply, encodeTurnNames, maximumRequestBytes, requestNumberHeader,
 } from './archive-protocol.js';
 import {createBoundedBody} from './bounded-body.js';
 import {createHeldBytes, type Holding} from './held-bytes.js';
@@ -134,6 +134,17 @@
 		return heldTurns ? {status: archiveStatus.answered, body: encodeTurnNames(heldTurns)} : notReady;
 	}
 
+	async function copy(body: Uint8Array): Promise<Reply> {
+		const records = decodeCopyRequest(body);
+		if (!records) {
+			return invalidBody;
+		}
+
+		const results = await Promise.all(records.map(async record => ({turn: record.turn, result: await archive.keep(record)})));
+		const kept = results.filter(({result}) => result.kind === 'kept');
+		return {status: archiveStatus.answered, body: encodeTurnNames(kept.map(({turn}) => turn))};
+	}
+
 	async function answer(path: string, body: Uint8Array): Promise<Reply> {
 		switch (path) {
 			case archivePath.keep: {
@@ -148,6 +159,10 @@
 				return holds(body);
 			}
 
+			case archivePath.copy: {
+				return copy(body);
+			}
+
 			default: {
 				return {status: 404, body: 'no such request'};
 			}
--- a/src/links/disk.ts
+++ b/src/links/disk.ts
@@ -81,6 +81,17 @@
 	return true;
 }
 
+/** Creates a directory, and syncs its name and those of the directories above it that are new. */
+async function makeDirectory(directory: string): Promise<void> {
+	const first = await mkdir(directory, {recursive: true});
+	const created = first === undefined ? 0 : path.relative(path.dirname(first), path.resolve(directory)).split(path.sep).length;
+	let parent = path.resolve(directory);
+	for (let level = 0; level < created; level++) {
+		parent = path.dirname(parent);
+		await syncNames(parent);
+	}
+}
+
 /** Creates the disk of this machine. */
 export function createDisk(): Disk {
 	const changes = new PQueue({concurrency: 1});
@@ -124,7 +135,7 @@
 			return files;
 		}),
 		create: async file => runIn(changes, async () => {
-			await mkdir(path.dirname(file), {recursive: true});
+			await makeDirectory(path.dirname(file));
 			return toFile(await open(file, 'wx+'));
 		}),
 		open: async file => runIn(reads, async () => toFile(await open(file, 'r'))),
@@ -132,9 +143,6 @@
 			await unlink(file);
 			return true;
 		}),
-		syncDirectory: async directory => runIn(changes, async () => {
-			await syncNames(directory);
-			return syncNames(path.dirname(directory));
-		}),
+		syncDirectory: async directory => runIn(changes, async () => syncNames(directory)),
 	};
 }
--- a/src/machines/archive-drain.ts
+++ b/src/machines/archive-drain.ts
@@ -3,7 +3,7 @@
 deployment tolerates without this machine. Archives that already hold a turn are asked first, so that only what is missing
 crosses the network. What cannot be copied is tried again until it can be or the turn has expired.
 */
-import {type ArchiveInventoryLink, type ArchiveLink, type ListedArchive} from '../contracts/archive.js';
+import {type ArchiveCopyLink, type ListedArchive} from '../contracts/archive.js';
 import {type Clock} from '../contracts/clock.js';
 import {
 	as, type AttemptId, type InstanceId, type Milliseconds,
@@ -13,11 +13,9 @@
 import {areEnoughCopies, type LossTolerance, nextCopyTarget} from './copy-targets.js';
 import {type ListedTurn, type TurnStore} from './turn-store/turn-store.js';
 
-/** Turns that are looked up at other archives with one request. */
-const turnsPerRequest = 100;
-
-/** Turns that are copied at the same time: enough to share the syncs of the receiving disks. */
-const concurrentCopies = 16;
+/** Turns that are looked up and copied together, and their bytes: enough to share the syncs of the receiving disks. */
+const turnsPerGroup = 100;
+const bytesPerGroup = 2 * 1024 * 1024;
 
 /** Longer than a receiving archive waits for its disk. */
 const copyTimeoutMs = 1500;
@@ -32,14 +30,14 @@
 		/** Result of a pass over all turns. */
 		| {readonly kind: 'passed'; readonly copies: number; readonly remaining: number; readonly archives: number}
 		/** The first failure of an archive in a pass; it gets no more copies in that pass. */
-		| {readonly kind: 'copy-failed'; readonly archive: InstanceId; readonly turn: AttemptId; readonly reason: string}
+		| {readonly kind: 'copy-failed'; readonly archive: InstanceId; readonly reason: string}
 		| {readonly kind: 'archives-unavailable'; readonly reason: string}
 		| {readonly kind: 'finished'; readonly copies: number};
 
 export type ArchiveDrainOptions = {
 	readonly own: Omit<ListedArchive, 'state'>;
 	readonly turns: Pick<TurnStore, 'turns' | 'read'>;
-	readonly link: Pick<ArchiveLink, 'keep'> & ArchiveInventoryLink;
+	readonly link: ArchiveCopyLink;
 	/** Reads the registered archives. */
 	readonly list: () => Promise<{readonly kind: 'listed'; readonly archives: readonly ListedArchive[]} | {readonly kind: 'failed'; readonly reason: string}>;
 	readonly tolerance: LossTolerance;
@@ -55,8 +53,25 @@
 	copies: number;
 };
 
-function chunks<Item>(items: readonly Item[], size: number): ReadonlyArray<readonly Item[]> {
-	return Array.from({length: Math.ceil(items.length / size)}, (_, index) => items.slice(index * size, (index + 1) * size));
+/** A turn that is to be copied, with the archives that hold it. */
+type Copy = {readonly record: TurnRecord; readonly chain: AttemptId; readonly holders: ListedArchive[]};
+
+/** Splits turns into groups; a turn that is larger than a group is one of its own. */
+function groupTurns(turns: readonly ListedTurn[]): ReadonlyArray<readonly ListedTurn[]> {
+	const groups: ListedTurn[][] = [];
+	let bytes = 0;
+	for (const turn of turns) {
+		const group = groups.at(-1);
+		bytes += turn.bytes;
+		if (group && group.length < turnsPerGroup && bytes <= bytesPerGroup) {
+			group.push(turn);
+		} else {
+			groups.push([turn]);
+			({bytes} = turn);
+		}
+	}
+
+	return groups;
 }
 
 /** Copies all turns of a store. Resolves to false if the signal aborts before that. */
@@ -73,66 +88,74 @@
 		return chain;
 	}
 
-	async function copyTo(target: ListedArchive, record: TurnRecord, pass: Pass): Promise<boolean> {
-		const result = await link.keep(target.address, record, as<Milliseconds>(copyTimeoutMs));
-		if (result.kind === 'kept') {
-			pass.copies++;
-			return true;
-		}
+	/** Leaves an archive out for the rest of a pass, as each request to it may take until its timeout. */
+	function fail(archive: ListedArchive, reason: string, pass: Pass): void {
+		pass.failed.add(archive.id);
+		onEvent({kind: 'copy-failed', archive: archive.id, reason});
+	}
 
-		if (!pass.failed.has(target.id)) {
-			pass.failed.add(target.id);
-			onEvent({
-				kind: 'copy-failed', archive: target.id, turn: record.turn, reason: result.reason,
-			});
+	/** Looks up which archives hold each of the turns. */
+	async function findHolders(listed: readonly ListedTurn[], pass: Pass): Promise<ReadonlyMap<AttemptId, readonly ListedArchive[]>> {
+		// Of a partial turn another archive may hold a shorter part.
+		const whole = listed.filter(turn => turn.isWhole).map(({turn}) => turn);
+		const asked = whole.length === 0 ? [] : pass.targets.filter(archive => !pass.failed.has(archive.id));
+		const answers = await Promise.all(asked.map(async archive => ({archive, held: await link.holds(archive.address, whole, as<Milliseconds>(lookupTimeoutMs))})));
+		for (const {archive} of answers.filter(({held}) => !held)) {
+			fail(archive, 'it did not answer which turns it holds', pass);
 		}
 
-		return false;
+		return new Map(whole.map(turn => [turn, answers.filter(({held}) => held?.has(turn)).map(({archive}) => archive)]));
 	}
 
-	/** Resolves to whether enough archives hold the turn now. */
-	async function copyTurn(turn: AttemptId, found: readonly ListedArchive[], pass: Pass): Promise<boolean> {
-		if (areEnoughCopies(found, tolerance)) {
-			return true;
+	/** Sends copies to one archive, and adds it to the holders of what it stored. */
+	async function copyTo(target: ListedArchive, sent: readonly Copy[], pass: Pass): Promise<void> {
+		const {stored, reason} = await link.copy(target.address, sent.map(({record}) => record), as<Milliseconds>(copyTimeoutMs));
+		for (const {holders} of sent.filter(({record}) => stored.has(record.turn))) {
+			pass.copies++;
+			holders.push(target);
 		}
 
-		const record = await turns.read(turn);
-		if (!record) {
-			return false;
+		if (reason !== undefined) {
+			fail(target, reason, pass);
 		}
+	}
 
-		const ranked = rankByRendezvous(pass.targets, archive => archive.id, chainOf(record));
-		const holders = [...found];
-		while (!areEnoughCopies(holders, tolerance) && !signal.aborted) {
-			const target = nextCopyTarget(ranked.filter(archive => !pass.failed.has(archive.id)), holders, own.dataCentre, tolerance);
-			if (!target) {
-				return false;
-			}
-
-			if (await copyTo(target, record, pass)) {
-				holders.push(target);
+	/** Sends each turn to the archive that takes its next copy. Resolves to those for which there was one. */
+	async function copyOnce(pending: readonly Copy[], pass: Pass): Promise<readonly Copy[]> {
+		const usable = pass.targets.filter(archive => !pass.failed.has(archive.id));
+		const byTarget = new Map<ListedArchive, Copy[]>();
+		for (const copy of pending) {
+			const ranked = rankByRendezvous(usable, archive => archive.id, copy.chain);
+			const target = nextCopyTarget(ranked, copy.holders, own.dataCentre, tolerance);
+			if (target) {
+				byTarget.set(target, [...byTarget.get(target) ?? [], copy]);
 			}
 		}
 
-		return !signal.aborted;
-	}
-
-	/** Looks up which archives hold each of the turns. */
-	async function findHolders(listed: readonly ListedTurn[], pass: Pass): Promise<ReadonlyMap<AttemptId, readonly ListedArchive[]>> {
-		// Of a partial turn another archive may hold a shorter part.
-		const whole = listed.filter(turn => turn.isWhole).map(({turn}) => turn);
-		const answers = whole.length === 0 ? [] : await Promise.all(pass.targets.map(async archive => ({archive, held: await link.holds(archive.address, whole, as<Milliseconds>(lookupTimeoutMs))})));
-		return new Map(whole.map(turn => [turn, answers.filter(({held}) => held?.has(turn)).map(({archive}) => archive)]));
+		await Promise.all([...byTarget].map(async ([target, sent]) => copyTo(target, sent, pass)));
+		return [...byTarget.values()].flat();
 	}
 
+	/** Copies turns until enough archives hold each of them, or no archive is left for it. */
 	async function copyGroup(listed: readonly ListedTurn[], pass: Pass): Promise<void> {
-		const holders = await findHolders(listed, pass);
-		for (const group of chunks(listed, concurrentCopies)) {
-			await Promise.all(group.map(async ({turn}) => {
-				if (!signal.aborted && await copyTurn(turn, holders.get(turn) ?? [], pass)) {
-					done.add(turn);
-				}
-			}));
+		const found = await findHolders(listed, pass);
+		const holdersOf = (turn: AttemptId) => found.get(turn) ?? [];
+		const missing = listed.filter(({turn}) => !areEnoughCopies(holdersOf(turn), tolerance));
+		const records = await Promise.all(missing.map(async ({turn}) => turns.read(turn)));
+		let pending: readonly Copy[] = records.filter(record => record !== undefined)
+			.map(record => ({record, chain: chainOf(record), holders: [...holdersOf(record.turn)]}));
+		const remaining = new Set(missing.map(({turn}) => turn));
+		while (pending.length > 0 && !signal.aborted) {
+			const copied = await copyOnce(pending, pass);
+			for (const {record} of copied.filter(({holders}) => areEnoughCopies(holders, tolerance))) {
+				remaining.delete(record.turn);
+			}
+
+			pending = copied.filter(({record}) => remaining.has(record.turn));
+		}
+
+		for (const {turn} of listed.filter(entry => !remaining.has(entry.turn))) {
+			done.add(turn);
 		}
 	}
 
@@ -147,7 +170,7 @@
 
 		const targets = listing.archives.filter(archive => archive.state === 'serving' && archive.id !== own.id);
 		const pass: Pass = {targets, failed: new Set(), copies: 0};
-		for (const group of chunks(remaining(), turnsPerRequest)) {
+		for (const group of groupTurns(remaining())) {
 			if (!signal.aborted) {
 				await copyGroup(group, pass);
 			}
--- a/src/machines/archive.ts
+++ b/src/machines/archive.ts
@@ -4,7 +4,7 @@
 */
 import {type Result} from 'neverthrow';
 import {
-	type ArchiveInventoryLink, type ArchiveLink, archiveKind, decodeArchive, type ListedArchive,
+	type ArchiveCopyLink, archiveKind, decodeArchive, type ListedArchive,
 } from '../contracts/archive.js';
 import {type Clock} from '../contracts/clock.js';
 import {createDeferred} from '../contracts/deferred.js';
@@ -46,7 +46,7 @@
 	readonly own: Omit<ListedArchive, 'state'>;
 	readonly openStore: (signal: AbortSignal) => Promise<TurnStore>;
 	readonly objects: ObjectStore;
-	readonly link: Pick<ArchiveLink, 'keep'> & ArchiveInventoryLink;
+	readonly link: ArchiveCopyLink;
 	readonly tolerance: LossTolerance;
 	readonly clock: Clock;
 	readonly onEvent: (event: ArchiveEvent) => void;
--- a/src/machines/turn-store/turn-store.ts
+++ b/src/machines/turn-store/turn-store.ts
@@ -43,7 +43,8 @@
 
 const expiryIntervalMs = 2000;
 
-export type ListedTurn = {readonly turn: AttemptId; readonly isWhole: boolean};
+/** A turn with the size of its record. */
+export type ListedTurn = {readonly turn: AttemptId; readonly isWhole: boolean; readonly bytes: number};
 
 export type TurnStore = {
 	/** Resolves once the record is synced, or refused: disk full, hanging, closing. */
@@ -271,7 +272,7 @@
 		},
 		turns: () => [...index.entries()]
 			.filter(([, entry]) => entry.expiresAt > clock.now())
-			.map(([turn, entry]) => ({turn, isWhole: isWhole(entry)})),
+			.map(([turn, entry]) => ({turn, isWhole: isWhole(entry), bytes: entry.length})),
 		async read(turn) {
 			const record = await read(turn);
 			return record === 'absent' || record === 'unreadable' ? undefined : record;
--- a/tests/archive-links.test.ts
+++ b/tests/archive-links.test.ts
@@ -130,6 +130,8 @@
 	assert.deepEqual([reply?.isComplete, reply?.records.map(record => plain(record))], [false, records.map(record => plain(record))]);
 	assert.deepEqual(await client.chain(address, name('c'), timeout), {records: [], isComplete: true});
 	assert.deepEqual(await client.holds(address, [name('a'), name('x'), name('é')], timeout), new Set([name('a'), name('é')]));
+	kept.length = 0;
+	assert.deepEqual(await client.copy(address, [recordOf('c'), recordOf('d')], timeout), {stored: new Set([name('c')]), reason: 'the archive refused some of the turns'});
 });
 
 test('an archive that still reads its disk gives no answer to reads and keeps nothing', async context => {
--- a/tests/archive-retirement.test.ts
+++ b/tests/archive-retirement.test.ts
@@ -67,15 +67,18 @@
 		openStore: async () => turns,
 		objects: store,
 		link: {
-			async keep(address, record) {
+			async copy(address, records) {
 				const other = archives.get(address);
 				if (other?.treatment !== 'taking') {
-					return other?.treatment === 'refusing' ? {kind: 'refused', reason: 'full'} : {kind: 'unreachable', reason: 'silent'};
+					return {stored: new Set(), reason: other?.treatment ?? 'unknown'};
 				}
 
-				other.copies++;
-				other.records.set(record.turn, plain(record));
-				return {kind: 'kept'};
+				other.copies += records.length;
+				for (const record of records) {
+					other.records.set(record.turn, plain(record));
+				}
+
+				return {stored: new Set(records.map(record => record.turn)), reason: undefined};
 			},
 			async holds(address, asked) {
 				const other = archives.get(address);
