Decode workspaces, with digests in place of their keys

The configuration may now name workspaces with keys, a priority and an allotment, and routes may be public.

--- a/src/contracts/relay.ts
+++ b/src/contracts/relay.ts
@@ -7,6 +7,7 @@
 	type Address, type ConfigurationGeneration, type DataCentreId, type EndpointId, type Milliseconds, type PoolName,
 	type RouteName, type SoftwareVersion, type Tokens,
 } from './id.js';
+import {type Workspace} from './workspace.js';
 
 /**
 What may be sent again once the request may have run:
@@ -43,6 +44,8 @@
 	readonly rank: number;
 	/** Time for which the account of an inactive program is kept, because the program may resume. */
 	readonly retention: Milliseconds;
+	/** Whether callers need no key where there are workspaces. */
+	readonly isPublic: boolean;
 };
 
 export type RelayPool = {
@@ -64,6 +67,8 @@
 	readonly routes: readonly RelayRoute[];
 	readonly pools: readonly RelayPool[];
 	readonly limits: CallerLimits;
+	/** Undefined if the deployment has no workspaces; callers then need no keys. */
+	readonly workspaces?: readonly Workspace[] | undefined;
 };
 
 /** An endpoint as registered in the list that back ends maintain. */
--- a/src/contracts/routing-table.ts
+++ b/src/contracts/routing-table.ts
@@ -4,11 +4,16 @@
 */
 import {type PoolName} from './id.js';
 import {type RelayConfiguration, type RelayPool, type RelayRoute} from './relay.js';
+import {type KeyDigest, type Workspace, type WorkspaceName} from './workspace.js';
 
 export type RoutingTable = {
 	readonly configuration: RelayConfiguration;
 	readonly routeOf: (host: string, path: string) => RelayRoute | undefined;
 	readonly pool: (name: PoolName) => RelayPool | undefined;
+	readonly workspaceOf: (key: KeyDigest) => Workspace | undefined;
+	readonly workspace: (name: WorkspaceName) => Workspace | undefined;
+	/** Rank of a workspace's requests on a route: the priority of the workspace, then that of the route. */
+	readonly rankOf: (route: RelayRoute, workspace: Workspace | undefined) => number;
 	/** Pools whose streams may be resumed. */
 	readonly resumablePools: () => readonly PoolName[];
 };
@@ -28,10 +33,16 @@
 
 	const pools = new Map(configuration.pools.map(pool => [pool.name, pool]));
 	const resumable = new Set(configuration.routes.filter(route => route.repetition === 'resumable').flatMap(route => route.shares.map(share => share.pool)));
+	const workspaces = new Map(configuration.workspaces?.map(workspace => [workspace.name, workspace]));
+	const workspacesByKey = new Map(configuration.workspaces?.flatMap(workspace => workspace.keys.map(key => [key, workspace] as const)));
+	const rankCount = 1 + Math.max(0, ...new Set(configuration.routes.map(route => route.rank)));
 	return {
 		configuration,
 		routeOf: (host, path) => byHost.get(host)?.find(route => path.startsWith(route.prefix)),
 		pool: name => pools.get(name),
+		workspaceOf: key => workspacesByKey.get(key),
+		workspace: name => workspaces.get(name),
+		rankOf: (route, workspace) => workspace?.priority === undefined ? route.rank : workspace.priority + (route.rank / rankCount),
 		resumablePools: () => [...resumable],
 	};
 }
--- a/tests/platform-boundary.test.ts
+++ b/tests/platform-boundary.test.ts
@@ -19,7 +19,7 @@
 	'kv-(?:from|move|backup|fetch)',
 	'pin-ms',
 ].join('|'), 'iv');
-const fields = /PathPrefix|MaxAttempts|LatencyGoalMs|GapGoalMs|Serializable|CurrentRev|\/api\/objects|HICKORYFORK_SETTINGS/v;
+const fields = /PathPrefix|ApiKeys|RatePerS|Tenants|MaxAttempts|LatencyGoalMs|GapGoalMs|Serializable|CurrentRev|\/api\/objects|HICKORYFORK_SETTINGS/v;
 
 function sources(folder: string): string[] {
 	return readdirSync(folder, {withFileTypes: true}).flatMap(entry => {
