Admit requests by the key of their workspace

Where the configuration has workspaces, callers of routes that are not public need a key. The new gate of the relay finds the workspace by the digest of the key; an unknown key gets 401 only while the tables are fresh, since 401 ends the caller's program, and 503 otherwise. The ingress removes the key and the caller's workspace header from the request, and endpoints are told the name of the workspace. The workspace's priority takes the place of the route's rank wherever the rank counts, with the route's rank as the fraction that decides between equals; without workspaces nothing changes.

--- a/src/contracts/relay-attempt.ts
+++ b/src/contracts/relay-attempt.ts
@@ -5,6 +5,7 @@
 import {type ListedEndpoint, type Repetition} from './relay.js';
 import {type EndpointNotice} from './endpoint-notice.js';
 import {type RelayRequest, type AnswerHead, type StreamEvent} from './relay-request.js';
+import {type WorkspaceName} from './workspace.js';
 
 export type RelayResult
 	/** A complete answer, whatever its status. */
@@ -31,6 +32,8 @@
 	readonly request: RelayRequest;
 	readonly endpoint: ListedEndpoint;
 	readonly isStream: boolean;
+	/** The workspace that the endpoint is told the request belongs to; undefined if it is not told any. */
+	readonly workspace: WorkspaceName | undefined;
 	readonly timeLeft: Milliseconds;
 	/** Zero is the most urgent. */
 	readonly urgency: number;
--- a/src/contracts/relay-request.ts
+++ b/src/contracts/relay-request.ts
@@ -4,6 +4,7 @@
 import {
 	type AttemptId, type Milliseconds, type ProgramId, type PromptPartId, type Tokens,
 } from './id.js';
+import {type KeyDigest} from './workspace.js';
 
 /** Alternating names and values, as received. */
 export type HeaderPairs = readonly string[];
@@ -32,6 +33,8 @@
 	readonly target: string;
 	readonly headers: HeaderPairs;
 	readonly body: Uint8Array;
+	/** Digest of the caller's key; undefined if the caller sent none, or the deployment has no workspaces. */
+	readonly key: KeyDigest | undefined;
 	/** Time for which the caller will still wait. */
 	readonly timeLeft: Milliseconds | undefined;
 	readonly program: ProgramContext | undefined;
@@ -73,6 +76,10 @@
 	/** This instance has no configuration yet. */
 		| {readonly kind: 'not-ready'}
 		| {readonly kind: 'no-route'}
+	/** No workspace has the caller's key. */
+		| {readonly kind: 'unauthorized'}
+	/** The workspace has used up its allotment; nothing ran, and the caller may retry. */
+		| {readonly kind: 'over-allotment'; readonly retryAfter: Milliseconds}
 		| {readonly kind: 'budget-exhausted'}
 	/** The deadline passed; whether the request ran is not known. */
 		| {readonly kind: 'timeout'}
--- a/src/links/relay-log.ts
+++ b/src/links/relay-log.ts
@@ -49,8 +49,9 @@
 
 		case 'refused': {
 			log.warn({
-				event: 'refused', ...requestFields(event.request), target: event.request.target, firstAttempt: event.request.firstAttempt,
+				event: 'refused', ...requestFields(event.request), workspace: event.workspace, target: event.request.target, firstAttempt: event.request.firstAttempt,
 				refusal: event.refusal.kind, attempts: event.attempts, elapsedMs: Math.round(event.elapsed),
+				...('retryAfter' in event.refusal && {retryAfterMs: Math.round(event.refusal.retryAfter)}),
 			}, `request refused after ${Math.round(event.elapsed)} ms: ${event.refusal.kind}`);
 			return;
 		}
@@ -62,6 +63,11 @@
 			return;
 		}
 
+		case 'permitted': {
+			// A refusal has a line of its own, and so has every other ending of a request.
+			return;
+		}
+
 		case 'leaving': {
 			log.info({event: 'leaving', ...requestFields(event.request), endpoint: event.endpoint}, `${event.endpoint} said in a response that it leaves`);
 			return;
--- a/src/links/relay-metrics.ts
+++ b/src/links/relay-metrics.ts
@@ -4,10 +4,14 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import {type WorkspaceName} from '../contracts/workspace.js';
 import {type RelayInstance} from '../machines/relay-instance.js';
 import {type RelayInstanceEvent} from '../machines/relay-instance-event.js';
 import {type RelayEvent} from '../machines/relay-event.js';
 
+/** Maximum number of workspaces that are counted by name; the others are counted together. */
+const maximumWorkspaceLabels = 200;
+
 const bucketsSeconds = [0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10];
 
 export type RelayMetrics = {
@@ -64,6 +68,10 @@
 	const attempts = new Histogram({
 		name: 'hickoryfork_attempt_seconds', help: 'Time of an attempt at an endpoint, by its result', labelNames: ['result'], buckets: bucketsSeconds, registers,
 	});
+	const workspaceRequests = new Counter({
+		name: 'hickoryfork_workspace_requests_total', help: 'Requests by workspace and by whether its allotment let them go to an endpoint', labelNames: ['workspace', 'outcome'], registers,
+	});
+	const workspaceLabels = new Set<string>();
 	const gauge = new Gauge({
 		name: 'hickoryfork_state', help: 'Current counts', labelNames: ['of'], registers,
 		collect() {
@@ -73,6 +81,14 @@
 		},
 	});
 
+	function workspaceLabel(workspace: WorkspaceName): string {
+		if (workspaceLabels.size < maximumWorkspaceLabels) {
+			workspaceLabels.add(workspace);
+		}
+
+		return workspaceLabels.has(workspace) ? workspace : 'other';
+	}
+
 	function observe(event: RelayEvent): void {
 		switch (event.kind) {
 			case 'attempted': {
@@ -91,6 +107,11 @@
 				break;
 			}
 
+			case 'permitted': {
+				workspaceRequests.inc({workspace: workspaceLabel(event.workspace), outcome: event.isPermitted ? 'granted' : 'refused'});
+				break;
+			}
+
 			case 'leaving':
 			case 'rate-limit':
 			case 'rate-limit-unreadable':
--- a/src/machines/endpoint-choice.ts
+++ b/src/machines/endpoint-choice.ts
@@ -61,7 +61,7 @@
 	/** Time until the endpoint may have a permit for the request; zero if it has no rate limit. */
 	function permitWait(job: RelayJob, endpoint: RelayEndpoint): Milliseconds {
 		const isLimited = endpoint.rateLimit().limit.kind === 'limited';
-		return isLimited ? options.permits.wait(endpoint.listed().id, job.route.rank) : as<Milliseconds>(0);
+		return isLimited ? options.permits.wait(endpoint.listed().id, job.rank) : as<Milliseconds>(0);
 	}
 
 	function isSameVersion(job: RelayJob, endpoint: RelayEndpoint): boolean {
@@ -151,7 +151,7 @@
 
 			const {endpoint} = choice;
 			const listed = endpoint.listed();
-			const permit = await options.permits.acquire(listed, endpoint.rateLimit(), job.route.rank);
+			const permit = await options.permits.acquire(listed, endpoint.rateLimit(), job.rank);
 			switch (permit.kind) {
 				case 'granted': {
 					if (fleet.isServing(listed.id)) {
--- a/src/machines/relay-event.ts
+++ b/src/machines/relay-event.ts
@@ -7,6 +7,7 @@
 import {type RateLimit} from '../contracts/rate-limit.js';
 import {type RelayResult} from '../contracts/relay-attempt.js';
 import {type Refusal, type RelayRequest} from '../contracts/relay-request.js';
+import {type WorkspaceName} from '../contracts/workspace.js';
 import {type Crash} from './quarantine.js';
 
 /** The result of an attempt, and the data by which its endpoint was chosen. */
@@ -29,8 +30,13 @@
 export type RelayEvent
 	= | {readonly kind: 'attempted'; readonly request: RelayRequest; readonly attempt: AttemptOutcome}
 		| {readonly kind: 'served'; readonly request: RelayRequest; readonly attempts: number; readonly elapsed: Milliseconds}
-		| {readonly kind: 'refused'; readonly request: RelayRequest; readonly refusal: Refusal; readonly attempts: number; readonly elapsed: Milliseconds}
+		| {
+			readonly kind: 'refused'; readonly request: RelayRequest; readonly workspace: WorkspaceName | undefined; readonly refusal: Refusal;
+			readonly attempts: number; readonly elapsed: Milliseconds;
+		}
 		| {readonly kind: 'cancelled'; readonly request: RelayRequest; readonly attempts: number; readonly elapsed: Milliseconds}
+	/** Whether a request of a workspace may go to an endpoint. */
+		| {readonly kind: 'permitted'; readonly workspace: WorkspaceName; readonly isPermitted: boolean}
 	/** An endpoint said in a response that it leaves. */
 		| {readonly kind: 'leaving'; readonly request: RelayRequest; readonly endpoint: EndpointId}
 		| {readonly kind: 'rate-limit'; readonly request: RelayRequest; readonly endpoint: EndpointId; readonly limit: RateLimit}
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -34,6 +34,7 @@
 import {type RelayInstanceEvent} from './relay-instance-event.js';
 import {createMessageHandler} from './relay-messages.js';
 import {createRelayFleet} from './relay-fleet.js';
+import {unlimitedAllotments} from './request-allotments.js';
 
 /** Timeout of one attempt of a gossip probe, and the maximum number of attempts. */
 const gossipTimeoutMs = 250;
@@ -64,6 +65,8 @@
 export type RelayInstance = {
 	readonly relay: Relay;
 	readonly limits: () => CallerLimits | undefined;
+	/** Whether the configuration has workspaces, so that callers need keys. */
+	readonly hasWorkspaces: () => boolean;
 	/** Whether the instance accepts new callers. */
 	readonly isReady: () => boolean;
 	/** Handles a message from a peer. */
@@ -240,9 +243,11 @@
 		link: options.link,
 		budgets,
 		permits: rateLimits.permits,
+		allotments: unlimitedAllotments,
 		origins,
 		dataCentre,
 		table: () => table,
+		tablesAge: tables.age,
 		onEvent(event) {
 			options.onEvent({kind: 'relay', relay: event});
 			if (event.kind === 'crash-suspected') {
@@ -277,6 +282,7 @@
 			id, membership, gossipProtocol, tables, budgets, loads, rateLimits, origins, receiveDigest,
 		}),
 		limits: () => table?.configuration.limits,
+		hasWorkspaces: () => table?.configuration.workspaces !== undefined,
 		isReady: () => table !== undefined && warmUp.isWarm() && !isLeaving(),
 		greeting: () => ({
 			self: membership.self(), members: membership.members(), dataCentres: membership.dataCentres(), digest: tables.digest(),
--- a/src/machines/relay-job.ts
+++ b/src/machines/relay-job.ts
@@ -10,6 +10,7 @@
 import {type EndpointNotice} from '../contracts/endpoint-notice.js';
 import {type RelayAttempt, type RelayProgress, type RelayResult} from '../contracts/relay-attempt.js';
 import {type Caller, type RelayRequest, type StreamEvent} from '../contracts/relay-request.js';
+import {type WorkspaceName} from '../contracts/workspace.js';
 
 /** Timeout for the first event of a stream, as a multiple of the latency goal. */
 const firstEventTimeoutFactor = 5;
@@ -39,6 +40,12 @@
 	readonly pool: PoolName;
 	/** Software version that began the stream which the request resumes. */
 	readonly originVersion: SoftwareVersion | undefined;
+	/** Rank of the request; zero is the most urgent. */
+	readonly rank: number;
+	/** The workspace that the request was admitted for; undefined if there are none, or the route is public. */
+	readonly workspace: WorkspaceName | undefined;
+	/** Time for which the request has waited so far. */
+	readonly waited: Milliseconds;
 	readonly caller: Caller;
 	readonly fingerprint: string;
 	readonly clock: Clock;
@@ -50,7 +57,7 @@
 	readonly onStreamStart: (first: AttemptId, version: SoftwareVersion) => void;
 };
 
-export type RelayJob = Omit<RelayJobOptions, 'clock' | 'originVersion' | 'onNotice' | 'onStreamStart'> & {
+export type RelayJob = Omit<RelayJobOptions, 'clock' | 'waited' | 'originVersion' | 'onNotice' | 'onStreamStart'> & {
 	readonly elapsed: () => Milliseconds;
 	readonly timeLeft: () => Milliseconds;
 	/** Records the result of an attempt. */
@@ -59,6 +66,8 @@
 	readonly createAttempt: (endpoint: ListedEndpoint, expected?: Milliseconds) => RelayAttempt;
 	readonly attempts: () => number;
 	readonly progress: () => RelayProgress;
+	/** Whether the request may have arrived at an endpoint, which may have rejected it. */
+	readonly hasReachedEndpoint: () => boolean;
 	/** Whether an endpoint may have run the request. */
 	readonly mayHaveRun: () => boolean;
 	/** Whether the route lets the endpoint run the request, given those that may have run it and have not ended since. */
@@ -86,8 +95,8 @@
 /** Creates the state of a request that has just arrived. */
 export function createRelayJob(options: RelayJobOptions): RelayJob {
 	const {request, route, clock, caller} = options;
-	const startedAt = clock.now();
-	const endsAt = startedAt + Math.min(route.timeout, request.timeLeft ?? route.timeout);
+	const arrivedAt = clock.now() - options.waited;
+	const endsAt = arrivedAt + Math.min(route.timeout, request.timeLeft ?? route.timeout);
 	const usedEndpoints = new Map<EndpointId, ListedEndpoint>();
 	/** Endpoints that have responded, and may repeat that response on the connection that carried it. */
 	const responded = new Set<EndpointId>();
@@ -95,6 +104,7 @@
 	let pinned: EndpointId | undefined;
 	let attempts = 0;
 	let runs = 0;
+	let hasReachedEndpoint = false;
 	let hasSentHead = false;
 	let isUnframed = false;
 	let events = 0;
@@ -137,6 +147,7 @@
 
 	function recordResult(endpoint: ListedEndpoint, result: RelayResult): void {
 		attempts++;
+		hasReachedEndpoint ||= result.kind !== 'unreachable';
 		switch (result.kind) {
 			case 'answered': {
 				responded.add(endpoint.id);
@@ -198,19 +209,22 @@
 		request,
 		route,
 		pool: options.pool,
+		rank: options.rank,
+		workspace: options.workspace,
 		caller,
 		fingerprint: options.fingerprint,
 		signal: options.signal,
 		generation: options.generation,
-		elapsed: () => as<Milliseconds>(clock.now() - startedAt),
+		elapsed: () => as<Milliseconds>(clock.now() - arrivedAt),
 		timeLeft: () => as<Milliseconds>(endsAt - clock.now()),
 		recordResult,
 		createAttempt: (endpoint, expected = as<Milliseconds>(0)) => ({
 			request,
 			endpoint,
 			isStream: route.isStream,
+			workspace: options.workspace,
 			timeLeft: as<Milliseconds>(Math.max(1, endsAt - clock.now())),
-			urgency: Math.min(leastUrgent, route.rank * urgencyPerRank),
+			urgency: Math.min(leastUrgent, Math.floor(options.rank * urgencyPerRank)),
 			resumeAfter: lastEvent,
 			maximumIdle: maximumIdleFor(endpoint.id),
 			responseTimeouts: responseTimeoutsFor(expected),
@@ -233,6 +247,7 @@
 		progress: () => ({
 			repetition: route.repetition, endpointsUsed: usedEndpoints.size, maxEndpoints: route.maxEndpoints, runs, hasSentHead, isUnframed,
 		}),
+		hasReachedEndpoint: () => hasReachedEndpoint,
 		mayHaveRun: () => runs > 0,
 		mayUse: endpoint => usedEndpoints.has(endpoint.id) || usedEndpoints.size < route.maxEndpoints,
 		hasUsedAll: () => usedEndpoints.size >= route.maxEndpoints,
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -25,6 +25,8 @@
 import {createRelayJob, type RelayJob, type RelayJobOptions} from './relay-job.js';
 import {type StreamOrigins} from './stream-origins.js';
 import {type GrantedReservation, type TokenBudgets} from './token-budgets.js';
+import {type RequestAllotments} from './request-allotments.js';
+import {createWorkspaceGate, type Entry} from './workspace-gate.js';
 
 /** Delay before the request is sent to the same endpoint again, or all endpoints become candidates again. */
 const retryDelayMs = 40;
@@ -37,12 +39,15 @@
 	readonly link: RelayLink;
 	readonly budgets: TokenBudgets;
 	readonly permits: RatePermits;
+	readonly allotments: RequestAllotments;
 	readonly origins: StreamOrigins;
 	readonly quarantine: Quarantine;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly dataCentre: DataCentreId;
 	readonly table: () => RoutingTable | undefined;
+	/** Time since the instance last knew everything that the store had acknowledged. */
+	readonly tablesAge: () => Milliseconds;
 	readonly onEvent: (event: RelayEvent) => void;
 };
 
@@ -68,12 +73,13 @@
 	const {fleet, clock, quarantine} = options;
 	const endpointChoice = createEndpointChoice(options);
 	const attempts = createRelayAttempts(options);
+	const gate = createWorkspaceGate(options);
 	let active = 0;
 	let endsAt = Infinity;
 
 	function refuse(job: RelayJob, refusal: Refusal): void {
 		options.onEvent({
-			kind: 'refused', request: job.request, refusal, attempts: job.attempts(), elapsed: job.elapsed(),
+			kind: 'refused', request: job.request, workspace: job.workspace, refusal, attempts: job.attempts(), elapsed: job.elapsed(),
 		});
 		if (job.hasSentHead()) {
 			job.caller.abort();
@@ -205,11 +211,27 @@
 
 	function refuseAtOnce(request: RelayRequest, caller: Caller, refusal: Refusal): void {
 		options.onEvent({
-			kind: 'refused', request, refusal, attempts: 0, elapsed: as<Milliseconds>(0),
+			kind: 'refused', request, workspace: undefined, refusal, attempts: 0, elapsed: as<Milliseconds>(0),
 		});
 		caller.refuse(refusal);
 	}
 
+	/** Ends a request that the gate has not let in. */
+	function turnAway(request: RelayRequest, caller: Caller, entry: Exclude<Entry, {kind: 'entered'}>, elapsed: Milliseconds): void {
+		const ending = {request, attempts: 0, elapsed};
+		switch (entry.kind) {
+			case 'refused': {
+				options.onEvent({...ending, ...entry});
+				caller.refuse(entry.refusal);
+				return;
+			}
+
+			case 'cancelled': {
+				options.onEvent({...ending, kind: 'cancelled'});
+			}
+		}
+	}
+
 	/** Where a request may be sent: a stream that its caller resumes, only to where it began. Undefined if that is not known. */
 	async function destinationOf(request: RelayRequest, route: RelayRoute): Promise<Destination | undefined> {
 		if (route.repetition === 'resumable' && request.lastEvent !== undefined) {
@@ -221,7 +243,7 @@
 		return pool === undefined ? undefined : {pool, version: undefined};
 	}
 
-	function createJob(parts: Pick<RelayJobOptions, 'request' | 'route' | 'generation' | 'caller' | 'signal'>, {pool, version}: Destination): RelayJob {
+	function createJob(parts: Pick<RelayJobOptions, 'request' | 'route' | 'rank' | 'workspace' | 'waited' | 'generation' | 'caller' | 'signal'>, {pool, version}: Destination): RelayJob {
 		const {request} = parts;
 		return createRelayJob({
 			...parts,
@@ -250,15 +272,34 @@
 			return;
 		}
 
-		const destination = await destinationOf(request, route);
-		if (!destination) {
-			refuseAtOnce(request, caller, {kind: 'not-resumable'});
+		const arrivedAt = clock.now();
+		const entry = await gate.enter(request, route, table, signal);
+		const waited = as<Milliseconds>(clock.now() - arrivedAt);
+		if (entry.kind !== 'entered') {
+			turnAway(request, caller, entry, waited);
 			return;
 		}
 
-		const job = createJob({
-			request, route, generation: table.configuration.generation, caller, signal,
-		}, destination);
+		const {rank, workspace} = entry;
+		let job: RelayJob | undefined;
+		try {
+			const destination = await destinationOf(request, route);
+			if (!destination) {
+				refuseAtOnce(request, caller, {kind: 'not-resumable'});
+				return;
+			}
+
+			job = createJob({
+				request, route, rank, workspace, waited, generation: table.configuration.generation, caller, signal,
+			}, destination);
+			await handle(job, table);
+		} finally {
+			entry.leave(job?.hasReachedEndpoint() ?? false);
+		}
+	}
+
+	/** Serves an admitted request. */
+	async function handle(job: RelayJob, table: RoutingTable): Promise<void> {
 		if (quarantine.isBlocked(job.fingerprint, clock.now())) {
 			refuse(job, {kind: 'quarantined'});
 			return;
@@ -268,7 +309,7 @@
 		if (settle) {
 			const endpoint = await run(job);
 			const tokensPerEvent = table.pool(job.pool)?.tokensPerEvent ?? 1;
-			const part = request.prompt.at(-1)?.id;
+			const part = job.request.prompt.at(-1)?.id;
 			settle(as<Tokens>(job.eventsRelayed() * tokensPerEvent), endpoint === undefined || part === undefined ? undefined : {part, endpoint});
 		}
 	}
--- a/src/zones/permit-coordinator.ts
+++ b/src/zones/permit-coordinator.ts
@@ -30,7 +30,7 @@
 export type PermitRequest = {
 	readonly endpoint: EndpointId;
 	readonly dataCentre: DataCentreId;
-	/** Rank of the route; zero is the most urgent. */
+	/** Rank of the request; zero is the most urgent. */
 	readonly rank: number;
 	readonly rate: RequestsPerSecond;
 	/** Time since the endpoint stated the rate. */
--- a/tests/caller-resets.test.ts
+++ b/tests/caller-resets.test.ts
@@ -19,6 +19,7 @@
 		host: '127.0.0.1',
 		port: 0,
 		limits: () => undefined,
+		hasWorkspaces: () => false,
 		onError: () => undefined,
 		relay: {
 			async serve(request, caller) {
--- a/tests/held-bytes.test.ts
+++ b/tests/held-bytes.test.ts
@@ -38,6 +38,7 @@
 		host: '127.0.0.1',
 		port: 0,
 		limits: () => undefined,
+		hasWorkspaces: () => false,
 		onError: () => undefined,
 		relay: {
 			async serve(request, caller, signal) {
