Grant permits of allotments by a coordinator that holds a lease

A workspace's requests were not limited. Before a request goes to an endpoint, the instance now asks the workspace's coordinator for a permit, for all requests that wait at once and with one datagram each way. The first of all live instances in rendezvous order coordinates while the delegates of a majority of the data centres vote for it, so that two instances never grant the whole allotment, whatever they believe about each other. Where no coordinator answers, the delegate of a data centre grants a share of the slack that the bound leaves. A bucket is handed over when an instance joins or leaves, and a coordinator without one fills it only for the time for which no other can have been in use. Not tested yet.

--- a/src/links/relay-log.ts
+++ b/src/links/relay-log.ts
@@ -10,9 +10,10 @@
 import {type VersionHistoryEvent} from '../zones/version-history.js';
 import {type RelayResult} from '../contracts/relay-attempt.js';
 import {type RelayRequest} from '../contracts/relay-request.js';
+import {logAllotment} from './allotment-log.js';
 import {type Log, logMember, logPause} from './log.js';
 
-/** Limit on the lines about successful requests and attempts and about denied permits; failures are always logged. */
+/** Limit on the lines about successful requests and attempts, denied permits and grants from the slack; failures are always logged. */
 const routineLinesPerSecond = 50;
 
 function requestFields(request: RelayRequest) {
@@ -179,7 +180,7 @@
 
 function isRoutine(event: RelayInstanceEvent): boolean {
 	if (event.kind !== 'relay') {
-		return false;
+		return event.kind === 'allotment-slack';
 	}
 
 	const {relay} = event;
@@ -240,6 +241,16 @@
 			return;
 		}
 
+		case 'allotment-held':
+		case 'allotment-received':
+		case 'allotment-yielded':
+		case 'allotment-not-renewed':
+		case 'allotment-unanswered':
+		case 'allotment-slack': {
+			logAllotment(log, event);
+			return;
+		}
+
 		case 'paused': {
 			logPause(log, event.gap);
 		}
--- a/src/links/relay-metrics.ts
+++ b/src/links/relay-metrics.ts
@@ -46,6 +46,12 @@
 			return event.member.status;
 		}
 
+		case 'allotment-held':
+		case 'allotment-received':
+		case 'allotment-yielded':
+		case 'allotment-not-renewed':
+		case 'allotment-unanswered':
+		case 'allotment-slack':
 		case 'leaving-reported':
 		case 'rate-limit-reported':
 		case 'permit-unanswered':
--- a/src/machines/relay-instance-event.ts
+++ b/src/machines/relay-instance-event.ts
@@ -2,6 +2,7 @@
 Events of an instance that relays requests, for logs and metrics.
 */
 import {type EndpointId, type Milliseconds} from '../contracts/id.js';
+import {type AllotmentEvent} from '../zones/allotments/allotment-event.js';
 import {type BudgetEvent} from '../zones/budget-event.js';
 import {type Member} from '../zones/membership.js';
 import {type RateLimitEvent} from '../zones/rate-limits.js';
@@ -20,5 +21,6 @@
 		| {readonly kind: 'paused'; readonly gap: Milliseconds}
 		/** A peer reported that an endpoint leaves. */
 		| {readonly kind: 'leaving-reported'; readonly endpoint: EndpointId}
-		| RateLimitEvent;
+		| RateLimitEvent
+		| AllotmentEvent;
 
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -3,6 +3,7 @@
 requests, reports whether it is ready, and leaves without interrupting a request.
 */
 import {err, ok} from 'neverthrow';
+import {type AllotmentBounds, defaultAllotmentBounds} from '../contracts/allotment.js';
 import {type Clock, type Random} from '../contracts/clock.js';
 import {failure} from '../contracts/failure.js';
 import {
@@ -16,6 +17,7 @@
 import {createRoutingTable, type RoutingTable} from '../contracts/routing-table.js';
 import {type TokenAccount, withStoreSlotOnly} from '../contracts/token-account.js';
 import {createTokenLedger} from '../contracts/token-ledger.js';
+import {createAllotments} from '../zones/allotments/allotments.js';
 import {createSharedBudgets} from '../zones/shared-budgets.js';
 import {type BudgetRecords} from '../zones/budget-records.js';
 import {createMembership, type Member} from '../zones/membership.js';
@@ -34,7 +36,7 @@
 import {type RelayInstanceEvent} from './relay-instance-event.js';
 import {createMessageHandler} from './relay-messages.js';
 import {createRelayFleet} from './relay-fleet.js';
-import {unlimitedAllotments} from './request-allotments.js';
+import {createInstanceState, type InstanceState} from './relay-instance-state.js';
 
 /** Timeout of one attempt of a gossip probe, and the maximum number of attempts. */
 const gossipTimeoutMs = 250;
@@ -55,6 +57,8 @@
 	readonly endpointHeartbeat: Milliseconds;
 	readonly records: BudgetRecords;
 	readonly objects: SharedObjects;
+	/** The bound on the requests of a workspace; the platform's usual one if it is not set. */
+	readonly allotmentBounds?: AllotmentBounds | undefined;
 	readonly link: RelayLink;
 	readonly peers: RelayPeers;
 	readonly clock: Clock;
@@ -62,7 +66,7 @@
 	readonly onEvent: (event: RelayInstanceEvent) => void;
 };
 
-export type RelayInstance = {
+export type RelayInstance = InstanceState & {
 	readonly relay: Relay;
 	readonly limits: () => CallerLimits | undefined;
 	/** Whether the configuration has workspaces, so that callers need keys. */
@@ -78,9 +82,6 @@
 	readonly run: (signal: AbortSignal) => Promise<void>;
 	/** Stops accepting new callers and notifies peers. */
 	readonly leave: () => Promise<void>;
-	readonly dump: () => unknown;
-	/** Current counts for metrics. */
-	readonly gauges: () => Readonly<Record<string, number>>;
 };
 
 /** Creates an instance without any tables or peers yet. */
@@ -115,6 +116,7 @@
 		random,
 		onConfiguration(configuration) {
 			table = createRoutingTable(configuration);
+			allotments.prune();
 		},
 		onEntry(entry) {
 			const ended = fleet.endedBy(entry);
@@ -165,9 +167,11 @@
 		onMember(member) {
 			options.onEvent({kind: 'member', member});
 			budgets.rebalance();
+			allotments.observeMembers();
 		},
 		onPause(gap) {
 			options.onEvent({kind: 'paused', gap});
+			allotments.recordPause();
 		},
 		onEndpointUpdate() {
 			// The directory is the only source of endpoints.
@@ -235,6 +239,21 @@
 			}
 		},
 	});
+	const allotments = createAllotments({
+		self: membership.self,
+		members: membership.members,
+		dataCentres: membership.dataCentres,
+		startedAt: incarnation,
+		isFirstStart: options.isFirstStart,
+		bounds: options.allotmentBounds ?? defaultAllotmentBounds,
+		peers,
+		allotmentOf(name) {
+			const workspace = table?.workspace(name);
+			return workspace && table && {generation: table.configuration.generation, allotment: workspace.allotment};
+		},
+		clock,
+		onEvent: options.onEvent,
+	});
 	const relay = createRelay({
 		fleet,
 		quarantine,
@@ -243,7 +262,7 @@
 		link: options.link,
 		budgets,
 		permits: rateLimits.permits,
-		allotments: unlimitedAllotments,
+		allotments,
 		origins,
 		dataCentre,
 		table: () => table,
@@ -279,7 +298,7 @@
 	return {
 		relay,
 		answer: createMessageHandler({
-			id, membership, gossipProtocol, tables, budgets, loads, rateLimits, origins, receiveDigest,
+			id, membership, gossipProtocol, tables, budgets, loads, rateLimits, origins, allotments, receiveDigest,
 		}),
 		limits: () => table?.configuration.limits,
 		hasWorkspaces: () => table?.configuration.workspaces !== undefined,
@@ -298,30 +317,10 @@
 			const leaveCompleted = gossipProtocol.leave();
 			// The instances that take over the counting need the accounts of this instance.
 			budgets.rebalance();
-			await leaveCompleted;
+			await Promise.all([leaveCompleted, allotments.leave()]);
 		},
-		gauges: () => ({
-			activeRequests: relay.active(),
-			members: membership.members().filter(member => member.status === 'alive').length,
-			endpoints: fleet.endpoints().length,
-			limitedEndpoints: fleet.endpoints().filter(endpoint => endpoint.rateLimit().limit.kind === 'limited').length,
-			programs: ledger.programs().length,
-			storeCalls: store.calls(),
-			generation: tables.digest().generation,
-			tablesAgeMs: Math.round(tables.age()),
-		}),
-		dump: () => ({
-			id,
-			isLeaving: isLeaving(),
-			isWarm: warmUp.isWarm(),
-			digest: tables.digest(),
-			active: relay.active(),
-			storeCalls: store.calls(),
-			members: membership.members(),
-			programs: ledger.accounts(),
-			endpoints: fleet.endpoints().map(endpoint => ({
-				...endpoint.listed(), inFlight: endpoint.inFlight(), load: endpoint.load(clock.now()), pace: endpoint.recentLatency(clock.now()), rateLimit: endpoint.rateLimit().limit,
-			})),
+		...createInstanceState({
+			id, membership, fleet, relay, tables, warmUp, ledger, allotments, store, clock,
 		}),
 	};
 }
--- a/src/machines/relay-messages.ts
+++ b/src/machines/relay-messages.ts
@@ -3,6 +3,7 @@
 */
 import {type InstanceId} from '../contracts/id.js';
 import {type RelayDigest} from '../contracts/relay-digest.js';
+import {type Allotments} from '../zones/allotments/allotments.js';
 import {type GossipProtocol} from '../zones/gossip-protocol.js';
 import {type Member, type Membership} from '../zones/membership.js';
 import {type RateLimits} from '../zones/rate-limits.js';
@@ -21,6 +22,7 @@
 	readonly loads: Pick<LoadReports, 'receive'>;
 	readonly rateLimits: Pick<RateLimits, 'answer'>;
 	readonly origins: Pick<SharedOrigins, 'answer'>;
+	readonly allotments: Pick<Allotments, 'answer'>;
 	readonly receiveDigest: (peer: Member, digest: RelayDigest) => void;
 };
 
@@ -29,7 +31,7 @@
 /** Creates the handler of an instance's messages. */
 export function createMessageHandler(recipients: MessageRecipients): (message: RelayMessage) => Promise<RelayReply> {
 	const {
-		id, membership, gossipProtocol, tables, budgets, loads, rateLimits, origins, receiveDigest,
+		id, membership, gossipProtocol, tables, budgets, loads, rateLimits, origins, allotments, receiveDigest,
 	} = recipients;
 
 	return async message => {
@@ -62,6 +64,10 @@
 				return rateLimits.answer(message);
 			}
 
+			case 'allotment': {
+				return {kind: 'allotment', reply: await allotments.answer(message.allotment)};
+			}
+
 			case 'loads': {
 				loads.receive(message);
 				return done;
--- a/src/machines/request-allotments.ts
+++ b/src/machines/request-allotments.ts
@@ -27,8 +27,3 @@
 export type RequestAllotments = {
 	readonly acquire: (request: AllotmentRequest, signal: AbortSignal) => Promise<AllotmentOutcome>;
 };
-
-/** Allotments that never run out. */
-export const unlimitedAllotments: RequestAllotments = {
-	acquire: async () => ({kind: 'granted', giveBack: () => undefined}),
-};
--- /dev/null
+++ b/src/zones/allotments/permit-client.ts
@@ -0,0 +1,326 @@
+/**
+Permits of an instance for its own requests: asks the coordinator of a workspace for all requests that wait, one ask at a
+time. If the coordinator does not answer, the slack of the data centre serves the requests, and the next instance in order is
+asked. A request waits no longer than it can; it is refused at once if the coordinator's answer shows that no permit comes
+in time, and so are later ones until that time, without a message.
+*/
+import {type Clock} from '../../contracts/clock.js';
+import {createDeferred} from '../../contracts/deferred.js';
+import {
+	as, type DataCentreId, type Incarnation, type InstanceId, type Milliseconds,
+} from '../../contracts/id.js';
+import {type WorkspaceName} from '../../contracts/workspace.js';
+import {type TenureId} from '../../machines/allotment-lease.js';
+import {type AllotmentOutcome, type RequestAllotments} from '../../machines/request-allotments.js';
+import {type Member} from '../membership.js';
+import {createUnresponsivePeers} from '../unresponsive-peers.js';
+import {type AllotmentEvent} from './allotment-event.js';
+import {type CoordinatorOrder} from './coordinator-order.js';
+import {
+	type AllotmentPeers, type AllotmentReply, type KnownAllotment, type PermitAsk,
+} from './messages.js';
+
+/** Maximum number of requests for which one ask asks; the ask has to fit into a datagram. */
+const requestsPerAsk = 32;
+
+/** Timeout of one of two attempts, as a fraction of the shortest patience, so that time is left for other instances. */
+const timeoutFraction = 0.3;
+const minimumTimeoutMs = 30;
+const maximumTimeoutMs = 150;
+
+/** The same for the delegate of the own data centre, which replies in less than a millisecond. */
+const slackOptions = {timeout: as<Milliseconds>(25), attempts: 1};
+
+/** Number of instances that are asked in one go: the coordinator and the next one. */
+const maximumAsked = 2;
+const attempts = 2;
+
+/** Time by which a permit may come later than its coordinator counts: that of the messages. */
+const messageMarginMs = 5;
+
+/** Age at which a permit is not given back any more, because it may have been granted in an earlier window. */
+const maximumReturnAgeMs = 500;
+
+/** Time for which returned permits wait for an ask that carries them. */
+const returnDelayMs = 50;
+
+/** Time between two searches for a coordinator while requests wait for one. */
+const searchIntervalMs = 30;
+
+/** Time after which a caller without a coordinator retries, and maximum time for which an instance looks for none. */
+const unavailableRetryMs = 300;
+
+type Waiting = {
+	readonly deadline: Milliseconds;
+	/** Whether it is known when the request gets a permit. */
+	isDecided: boolean;
+	readonly isSettled: () => boolean;
+	readonly settle: (outcome: AllotmentOutcome) => void;
+};
+
+type Queue = {
+	readonly workspace: WorkspaceName;
+	known: KnownAllotment;
+	readonly waiting: Set<Waiting>;
+	isServing: boolean;
+	/** Time before which there is no permit. */
+	usedUpUntil: number;
+	/** Time before which no coordinator is looked for. */
+	noCoordinatorUntil: number;
+	returned: {readonly tenure: TenureId; readonly count: number} | undefined;
+};
+
+type Decided = Extract<AllotmentReply, {kind: 'decided'}>;
+
+export type PermitClientOptions = {
+	readonly self: () => Member;
+	readonly startedAt: Incarnation;
+	readonly order: CoordinatorOrder;
+	readonly peers: AllotmentPeers;
+	readonly clock: Clock;
+	readonly onEvent: (event: AllotmentEvent) => void;
+};
+
+export type PermitClient = RequestAllotments & {
+	readonly prune: (isKnown: (workspace: WorkspaceName) => boolean) => void;
+};
+
+/** Creates the permits of an instance. */
+export function createPermitClient(options: PermitClientOptions): PermitClient {
+	const {self, order, peers, clock} = options;
+	const queues = new Map<WorkspaceName, Queue>();
+	const unresponsive = createUnresponsivePeers<InstanceId>(clock);
+	const unreachable = createUnresponsivePeers<DataCentreId>(clock);
+	let lastNumber = 0;
+
+	function queueOf(workspace: WorkspaceName, known: KnownAllotment): Queue {
+		const queue: Queue = queues.get(workspace) ?? {
+			workspace, known, waiting: new Set(), isServing: false, usedUpUntil: 0, noCoordinatorUntil: 0, returned: undefined,
+		};
+		queue.known = known;
+		queues.set(workspace, queue);
+		return queue;
+	}
+
+	function patienceOf(batch: readonly Waiting[]): readonly number[] {
+		const now = clock.now();
+		return batch.map(({deadline}) => Math.max(0, Math.floor(deadline - now - messageMarginMs)));
+	}
+
+	function createAsk(queue: Queue, batch: readonly Waiting[]): PermitAsk {
+		const {workspace, known, returned} = queue;
+		// If the ask is lost, so are these permits: whether they have arrived is not known.
+		queue.returned = undefined;
+		return {
+			workspace,
+			known,
+			asker: {id: self().id, startedAt: options.startedAt},
+			number: ++lastNumber,
+			patience: patienceOf(batch),
+			...(returned && {returned}),
+		};
+	}
+
+	function giveBack(queue: Queue, tenure: TenureId | undefined, grantedAt: Milliseconds): void {
+		if (tenure === undefined || clock.now() - grantedAt > maximumReturnAgeMs) {
+			return;
+		}
+
+		const isFirst = queue.returned?.tenure !== tenure;
+		queue.returned = {tenure, count: isFirst ? 1 : (queue.returned?.count ?? 0) + 1};
+		if (isFirst) {
+			void clock.sleep(as<Milliseconds>(returnDelayMs)).then(async () => serve(queue));
+		}
+	}
+
+	/** Lets the request go when its permit may be used, or gives the permit back if the request is gone by then. */
+	async function grantAfter(delay: Milliseconds, request: Waiting, giveBackPermit: () => void): Promise<void> {
+		await (delay > 0 ? clock.sleep(delay) : undefined);
+		if (request.isSettled()) {
+			giveBackPermit();
+		} else {
+			request.settle({kind: 'granted', giveBack: giveBackPermit});
+		}
+	}
+
+	/** Passes on the permits of a decision. Returns the requests that got none. */
+	function applyGrants(queue: Queue, batch: readonly Waiting[], {tenure, delays}: Decided): readonly Waiting[] {
+		const grantedAt = clock.now();
+		const giveBackPermit = () => {
+			giveBack(queue, tenure, grantedAt);
+		};
+
+		return batch.filter((request, index) => {
+			const delay = delays[index] ?? 'none';
+			if (delay === 'none') {
+				return !request.isDecided;
+			}
+
+			if (request.isDecided) {
+				giveBackPermit();
+			} else {
+				request.isDecided = true;
+				queue.waiting.delete(request);
+				void grantAfter(delay, request, giveBackPermit);
+			}
+
+			return false;
+		});
+	}
+
+	function apply(queue: Queue, batch: readonly Waiting[], decided: Decided): void {
+		const {wait} = decided;
+		for (const request of applyGrants(queue, batch, decided)) {
+			request.settle({kind: 'used-up', wait});
+			queue.usedUpUntil = Math.max(queue.usedUpUntil, clock.now() + wait);
+		}
+	}
+
+	/** Asks for permits from the slack of the data centre. Returns the requests that got none. */
+	async function askSlack(queue: Queue, batch: readonly Waiting[]): Promise<readonly Waiting[]> {
+		const open = batch.filter(request => !request.isDecided);
+		const delegate = order.delegateOf(self().dataCentre, queue.workspace);
+		const reply = delegate && open.length > 0
+			? await peers.request(delegate, {
+				kind: 'ask-slack', workspace: queue.workspace, known: queue.known, patience: patienceOf(open),
+			}, slackOptions)
+			: undefined;
+		if (reply?.kind !== 'decided') {
+			return open;
+		}
+
+		const left = applyGrants(queue, open, reply);
+		options.onEvent({
+			kind: 'allotment-slack', workspace: queue.workspace, asked: open.length, granted: open.length - left.length,
+		});
+		return left;
+	}
+
+	/** Passes over an instance that did not answer, and its data centre if another instance there did not either. */
+	function passOver(workspace: WorkspaceName, {id, dataCentre}: Member): void {
+		const isRemote = dataCentre !== self().dataCentre;
+		if (isRemote && order.candidates(workspace).some(other => other.id !== id && other.dataCentre === dataCentre && unresponsive.has(other.id))) {
+			unreachable.add(dataCentre);
+		}
+
+		unresponsive.add(id);
+		options.onEvent({kind: 'allotment-unanswered', workspace, instance: id});
+	}
+
+	async function askCandidate(ask: PermitAsk, candidate: Member, isFirst: boolean): Promise<AllotmentReply | undefined> {
+		const timeout = as<Milliseconds>(Math.min(maximumTimeoutMs, Math.max(minimumTimeoutMs, Math.min(...ask.patience) * timeoutFraction)));
+		const askedAt = clock.now();
+		const reply = await peers.request(candidate, {
+			kind: 'ask', ask, isFirstUnreachable: !isFirst, isForwarded: false,
+		}, {timeout, attempts});
+		if (!reply) {
+			passOver(ask.workspace, candidate);
+		}
+
+		// An older reply waited for this process, which stood still: its permits count for an earlier time.
+		return clock.now() - askedAt > (timeout * attempts) + messageMarginMs ? undefined : reply;
+	}
+
+	/**
+	Asks for permits once: the coordinator, and the next instance if it does not answer. The slack goes before an instance that
+	has yet to become the coordinator. Returns the requests that still need a permit.
+	*/
+	async function ask(queue: Queue, batch: readonly Waiting[]): Promise<readonly Waiting[]> {
+		const candidates = order.candidates(queue.workspace);
+		const isSearching = clock.now() >= queue.noCoordinatorUntil;
+		const responsive = isSearching ? candidates.filter(({id, dataCentre}) => !unresponsive.has(id) && !unreachable.has(dataCentre)) : [];
+		const permitAsk = createAsk(queue, batch);
+		let hasAskedSlack = false;
+		for (const candidate of responsive.slice(0, maximumAsked)) {
+			const isFirst = candidate === candidates[0];
+			if (!isFirst && !hasAskedSlack) {
+				hasAskedSlack = true;
+				await askSlack(queue, batch);
+			}
+
+			if (batch.length > 0 && batch.every(request => request.isDecided)) {
+				return [];
+			}
+
+			const reply = await askCandidate(permitAsk, candidate, isFirst);
+			if (reply?.kind === 'decided') {
+				apply(queue, batch, reply);
+				return [];
+			}
+
+			const wait = reply?.kind === 'no-coordinator' ? reply.wait : 0;
+			queue.noCoordinatorUntil = Math.max(queue.noCoordinatorUntil, clock.now() + Math.min(wait, unavailableRetryMs));
+		}
+
+		return hasAskedSlack ? batch.filter(request => !request.isDecided) : askSlack(queue, batch);
+	}
+
+	/** Serves all requests that wait, one ask after the other. */
+	async function serve(queue: Queue): Promise<void> {
+		if (queue.isServing) {
+			return;
+		}
+
+		queue.isServing = true;
+		while (queue.waiting.size > 0 || queue.returned) {
+			const left = await ask(queue, [...queue.waiting].slice(0, requestsPerAsk));
+			const now = clock.now();
+			for (const request of left.filter(({deadline}) => deadline <= Math.max(now, queue.noCoordinatorUntil))) {
+				request.settle({kind: 'unavailable', wait: as<Milliseconds>(unavailableRetryMs)});
+			}
+
+			if (queue.waiting.size > 0 && left.length > 0) {
+				await clock.sleep(as<Milliseconds>(searchIntervalMs));
+			}
+		}
+
+		queue.isServing = false;
+	}
+
+	return {
+		async acquire({workspace, allotment, generation, patience}, signal) {
+			if (signal.aborted) {
+				return {kind: 'cancelled'};
+			}
+
+			const queue = queueOf(workspace, {generation, allotment});
+			const deadline = as<Milliseconds>(clock.now() + patience);
+			if (queue.usedUpUntil > deadline) {
+				return {kind: 'used-up', wait: as<Milliseconds>(queue.usedUpUntil - clock.now())};
+			}
+
+			const outcome = createDeferred<AllotmentOutcome>();
+			const settled = new AbortController();
+			const request: Waiting = {
+				deadline,
+				isDecided: false,
+				isSettled: () => settled.signal.aborted,
+				settle(result) {
+					queue.waiting.delete(request);
+					settled.abort();
+					outcome.resolve(result);
+				},
+			};
+			const onAbort = () => {
+				request.settle({kind: 'cancelled'});
+			};
+
+			signal.addEventListener('abort', onAbort, {once: true});
+			queue.waiting.add(request);
+			void serve(queue);
+			void clock.sleep(patience, settled.signal).then(() => {
+				request.settle({kind: 'unavailable', wait: as<Milliseconds>(unavailableRetryMs)});
+			});
+			const result = await outcome.promise;
+			signal.removeEventListener('abort', onAbort);
+			return result;
+		},
+		prune(isKnown) {
+			for (const [workspace, queue] of queues) {
+				if (!isKnown(workspace) && queue.waiting.size === 0) {
+					queues.delete(workspace);
+				}
+			}
+		},
+	};
+}
--- a/src/zones/relay-peers.ts
+++ b/src/zones/relay-peers.ts
@@ -14,6 +14,7 @@
 import {type PromptLocation} from '../machines/prompt-locations.js';
 import {type StreamOrigin} from '../machines/stream-origins.js';
 import {type LoadSource} from '../machines/relay-endpoint.js';
+import {type AllotmentMessage, type AllotmentReply} from './allotments/messages.js';
 import {type BudgetRecord} from './budget-records.js';
 import {type DirectoryEntry} from './endpoint-directory.js';
 import {type Member} from './membership.js';
@@ -56,6 +57,8 @@
 		| {readonly kind: 'find-origin'; readonly attempt: AttemptId}
 	/** Asks for a permit for one request to an endpoint with a rate limit. */
 		| {readonly kind: 'permit'; readonly permit: PermitRequest; readonly isCoordinatorUnreachable: boolean}
+	/** Concerns the allotments of workspaces. */
+		| {readonly kind: 'allotment'; readonly allotment: AllotmentMessage}
 		| {readonly kind: 'loads'; readonly from: LoadSource; readonly loads: readonly EndpointLoad[]};
 
 export type ReservationOutcome
@@ -74,6 +77,7 @@
 		| {readonly kind: 'recorded'; readonly isWritten: boolean}
 		| {readonly kind: 'permit'; readonly outcome: PermitOutcome}
 		| {readonly kind: 'origin'; readonly origin: StreamOrigin | undefined}
+		| {readonly kind: 'allotment'; readonly reply: AllotmentReply}
 	/** Accounts of which the instance has newer data than it was sent. */
 		| {readonly kind: 'accounts'; readonly accounts: readonly TokenAccount[]}
 		| {readonly kind: 'reservation'; readonly outcome: ReservationOutcome; readonly places: readonly PromptLocation[]};
--- a/src/zones/shared-budgets.ts
+++ b/src/zones/shared-budgets.ts
@@ -171,6 +171,7 @@
 				case 'permit':
 				case 'origin':
 				case 'find-origin':
+				case 'allotment':
 				case 'loads': {
 					return undefined;
 				}
