--- a/src/links/relay-log.ts
+++ b/src/links/relay-log.ts
@@ -10,10 +10,11 @@
 import {type VersionHistoryEvent} from '../zones/version-history.js';
 import {type RelayResult} from '../contracts/relay-attempt.js';
 import {type RelayRequest} from '../contracts/relay-request.js';
+import {logAllotment} from './allotment-log.js';
 import {type Log, logMember, logPause} from './log.js';
 import {isRoutineTurnEvent, logTurns} from './turn-log.js';
 
-/** Limit on the lines about successful requests and attempts and about denied permits; failures are always logged. */
+/** Limit on the lines about successful requests and attempts, denied permits and grants from the slack; failures are always logged. */
 const routineLinesPerSecond = 50;
 
 function requestFields(request: RelayRequest) {
@@ -50,8 +51,9 @@
 
 		case 'refused': {
 			log.warn({
-				event: 'refused', ...requestFields(event.request), target: event.request.target, firstAttempt: event.request.firstAttempt,
+				event: 'refused', ...requestFields(event.request), workspace: event.workspace, target: event.request.target, firstAttempt: event.request.firstAttempt,
 				refusal: event.refusal.kind, attempts: event.attempts, elapsedMs: Math.round(event.elapsed),
+				...('retryAfter' in event.refusal && {retryAfterMs: Math.round(event.refusal.retryAfter)}),
 			}, `request refused after ${Math.round(event.elapsed)} ms: ${event.refusal.kind}`);
 			return;
 		}
@@ -63,6 +65,11 @@
 			return;
 		}
 
+		case 'permitted': {
+			// A refusal has a line of its own, and so has every other ending of a request.
+			return;
+		}
+
 		case 'leaving': {
 			log.info({event: 'leaving', ...requestFields(event.request), endpoint: event.endpoint}, `${event.endpoint} said in a response that it leaves`);
 			return;
@@ -178,7 +185,7 @@
 	}
 
 	if (event.kind !== 'relay') {
-		return false;
+		return event.kind === 'allotment-slack';
 	}
 
 	const {relay} = event;
@@ -244,6 +251,16 @@
 			return;
 		}
 
+		case 'allotment-held':
+		case 'allotment-received':
+		case 'allotment-yielded':
+		case 'allotment-not-renewed':
+		case 'allotment-unanswered':
+		case 'allotment-slack': {
+			logAllotment(log, event);
+			return;
+		}
+
 		case 'paused': {
 			logPause(log, event.gap);
 		}
--- a/src/machines/relay-instance-report.ts
+++ b/src/machines/relay-instance-report.ts
@@ -1,10 +1,11 @@
 /**
-What a relaying instance tells operators about its state: counts for metrics, and a dump.
+What a relaying instance tells operators about its state: counts for metrics, and a dump. Keys of workspaces are in neither.
 */
 import {type Clock} from '../contracts/clock.js';
 import {type InstanceId} from '../contracts/id.js';
 import {type ObjectStore} from '../contracts/object-store.js';
 import {type TokenLedger} from '../contracts/token-ledger.js';
+import {type Allotments} from '../zones/allotments/allotments.js';
 import {type Conversations} from '../zones/conversations/conversations.js';
 import {type Membership} from '../zones/membership.js';
 import {type SharedTables} from '../zones/shared-tables.js';
@@ -20,6 +21,7 @@
 	readonly fleet: Pick<RelayFleet, 'endpoints'>;
 	readonly membership: Pick<Membership, 'members'>;
 	readonly ledger: Pick<TokenLedger, 'accounts' | 'programs'>;
+	readonly allotments: Pick<Allotments, 'coordinated'>;
 	readonly conversations: Pick<Conversations, 'gauges'>;
 	readonly store: Pick<ObjectStore, 'calls'>;
 	readonly clock: Clock;
@@ -34,7 +36,7 @@
 /** Creates the report of an instance. */
 export function createRelayInstanceReport(options: RelayInstanceReportOptions): RelayInstanceReport {
 	const {
-		tables, relay, fleet, membership, ledger, conversations, store, clock,
+		tables, relay, fleet, membership, ledger, allotments, conversations, store, clock,
 	} = options;
 	return {
 		gauges: () => ({
@@ -42,6 +44,7 @@
 			members: membership.members().filter(member => member.status === 'alive').length,
 			endpoints: fleet.endpoints().length,
 			limitedEndpoints: fleet.endpoints().filter(endpoint => endpoint.rateLimit().limit.kind === 'limited').length,
+			coordinatedWorkspaces: allotments.coordinated().length,
 			programs: ledger.programs().length,
 			storeCalls: store.calls(),
 			generation: tables.digest().generation,
@@ -56,6 +59,7 @@
 			active: relay.active(),
 			storeCalls: store.calls(),
 			members: membership.members(),
+			coordinatedWorkspaces: allotments.coordinated(),
 			programs: ledger.accounts(),
 			turns: conversations.gauges(),
 			endpoints: fleet.endpoints().map(endpoint => ({
--- a/src/zones/relay-peers.ts
+++ b/src/zones/relay-peers.ts
@@ -15,6 +15,7 @@
 import {type PromptLocation} from '../machines/prompt-locations.js';
 import {type StreamOrigin} from '../machines/stream-origins.js';
 import {type LoadSource} from '../machines/relay-endpoint.js';
+import {type AllotmentMessage, type AllotmentReply} from './allotments/messages.js';
 import {type BudgetRecord} from './budget-records.js';
 import {type DirectoryEntry} from './endpoint-directory.js';
 import {type Member} from './membership.js';
@@ -63,6 +64,8 @@
 		| {readonly kind: 'permit'; readonly permit: PermitRequest; readonly isCoordinatorUnreachable: boolean}
 	/** Asks which archives exist. */
 		| {readonly kind: 'archives'}
+	/** Concerns the allotments of workspaces. */
+		| {readonly kind: 'allotment'; readonly allotment: AllotmentMessage}
 		| {readonly kind: 'loads'; readonly from: LoadSource; readonly loads: readonly EndpointLoad[]};
 
 export type ReservationOutcome
@@ -83,6 +86,7 @@
 		| {readonly kind: 'origin'; readonly origin: StreamOrigin | undefined}
 	/** Archives as the instance knows them; undefined if it knows none. */
 		| {readonly kind: 'archives'; readonly archives: readonly ListedArchive[] | undefined}
+		| {readonly kind: 'allotment'; readonly reply: AllotmentReply}
 	/** Accounts of which the instance has newer data than it was sent. */
 		| {readonly kind: 'accounts'; readonly accounts: readonly TokenAccount[]}
 		| {readonly kind: 'reservation'; readonly outcome: ReservationOutcome; readonly places: readonly PromptLocation[]};
--- a/tests/kept-turns-protocol.test.ts
+++ b/tests/kept-turns-protocol.test.ts
@@ -62,7 +62,7 @@
 			});
 		},
 	};
-	const front = await startFrontEnd(route, [endpoint.port], turns);
+	const front = await startFrontEnd(route, [endpoint.port], {turns});
 	const {text, isReset} = await front.exchange(requestBytes(headers));
 	return {
 		opened, recorded, requests: endpoint.requests, text, isReset,
