--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -4,6 +4,7 @@
 */
 import {err, ok} from 'neverthrow';
 import {type ArchiveLink} from '../contracts/archive.js';
+import {type AllotmentBounds, defaultAllotmentBounds} from '../contracts/allotment.js';
 import {type Clock, type Random} from '../contracts/clock.js';
 import {failure} from '../contracts/failure.js';
 import {
@@ -19,6 +20,7 @@
 import {type TokenAccount, withStoreSlotOnly} from '../contracts/token-account.js';
 import {createTokenLedger} from '../contracts/token-ledger.js';
 import {createConversations} from '../zones/conversations/conversations.js';
+import {createAllotments} from '../zones/allotments/allotments.js';
 import {createSharedBudgets} from '../zones/shared-budgets.js';
 import {type BudgetRecords} from '../zones/budget-records.js';
 import {createMembership, type Member} from '../zones/membership.js';
@@ -60,6 +62,8 @@
 	readonly endpointHeartbeat: Milliseconds;
 	readonly records: BudgetRecords;
 	readonly objects: SharedObjects;
+	/** The bound on the requests of a workspace; the platform's usual one if it is not set. */
+	readonly allotmentBounds?: AllotmentBounds | undefined;
 	readonly link: RelayLink;
 	/** What the availability of endpoints is judged by. */
 	readonly monitoring?: Monitoring;
@@ -77,6 +81,8 @@
 export type RelayInstance = RelayInstanceReport & {
 	readonly relay: Relay;
 	readonly limits: () => CallerLimits | undefined;
+	/** Whether the configuration has workspaces, so that callers need keys. */
+	readonly hasWorkspaces: () => boolean;
 	/** Whether the instance accepts new callers. */
 	readonly isReady: () => boolean;
 	/** Whether the instance's data centre is cut off, so that callers are served better elsewhere. */
@@ -124,6 +130,7 @@
 		random,
 		onConfiguration(configuration) {
 			table = createRoutingTable(configuration);
+			allotments.prune();
 		},
 		onEntry(entry) {
 			const ended = fleet.endedBy(entry);
@@ -174,9 +181,11 @@
 		onMember(member) {
 			options.onEvent({kind: 'member', member});
 			budgets.rebalance();
+			allotments.observeMembers();
 		},
 		onPause(gap) {
 			options.onEvent({kind: 'paused', gap});
+			allotments.recordPause();
 		},
 		onEndpointUpdate() {
 			// The directory is the only source of endpoints.
@@ -260,6 +269,21 @@
 			options.onEvent({kind: 'turns', turns: event});
 		},
 	});
+	const allotments = createAllotments({
+		self: membership.self,
+		members: membership.members,
+		dataCentres: membership.dataCentres,
+		startedAt: incarnation,
+		isFirstStart: options.isFirstStart,
+		bounds: options.allotmentBounds ?? defaultAllotmentBounds,
+		peers,
+		allotmentOf(name) {
+			const workspace = table?.workspace(name);
+			return workspace && table && {generation: table.configuration.generation, allotment: workspace.allotment};
+		},
+		clock,
+		onEvent: options.onEvent,
+	});
 	const relay = createRelay({
 		fleet,
 		quarantine,
@@ -268,11 +292,13 @@
 		link: options.link,
 		budgets,
 		permits: rateLimits.permits,
+		allotments,
 		origins,
 		turns: createRelayTurns({turns: conversations, dataOf: options.dataOf}),
 		dataCentre,
 		table: () => table,
 		onFailing: loads.announceFailing,
+		tablesAge: tables.age,
 		onEvent(event) {
 			options.onEvent({kind: 'relay', relay: event});
 			if (event.kind === 'crash-suspected') {
@@ -281,7 +307,7 @@
 		},
 	});
 	const report = createRelayInstanceReport({
-		id, isLeaving, isWarm: warmUp.isWarm, tables, relay, fleet, membership, ledger, conversations, store, clock,
+		id, isLeaving, isWarm: warmUp.isWarm, tables, relay, fleet, membership, ledger, allotments, conversations, store, clock,
 	});
 
 	function receiveDigest(peer: Member, digest: RelayDigest): void {
@@ -307,9 +333,10 @@
 	return {
 		relay,
 		answer: createMessageHandler({
-			id, membership, gossipProtocol, tables, budgets, loads, rateLimits, origins, conversations, receiveDigest,
+			id, membership, gossipProtocol, tables, budgets, loads, rateLimits, origins, conversations, allotments, receiveDigest,
 		}),
 		limits: () => table?.configuration.limits,
+		hasWorkspaces: () => table?.configuration.workspaces !== undefined,
 		isCutOff: conversations.isCutOff,
 		isReady: () => table !== undefined && warmUp.isWarm() && !isLeaving() && !conversations.isCutOff(),
 		greeting: () => ({
@@ -326,7 +353,7 @@
 			const leaveCompleted = gossipProtocol.leave();
 			// The instances that take over the counting need the accounts of this instance.
 			budgets.rebalance();
-			await leaveCompleted;
+			await Promise.all([leaveCompleted, allotments.leave()]);
 		},
 		...report,
 	};
--- a/src/machines/relay-messages.ts
+++ b/src/machines/relay-messages.ts
@@ -4,6 +4,7 @@
 import {type InstanceId} from '../contracts/id.js';
 import {type RelayDigest} from '../contracts/relay-digest.js';
 import {type Conversations} from '../zones/conversations/conversations.js';
+import {type Allotments} from '../zones/allotments/allotments.js';
 import {type GossipProtocol} from '../zones/gossip-protocol.js';
 import {type Member, type Membership} from '../zones/membership.js';
 import {type RateLimits} from '../zones/rate-limits.js';
@@ -23,6 +24,7 @@
 	readonly rateLimits: Pick<RateLimits, 'answer'>;
 	readonly origins: Pick<SharedOrigins, 'answer'>;
 	readonly conversations: Pick<Conversations, 'answer'>;
+	readonly allotments: Pick<Allotments, 'answer'>;
 	readonly receiveDigest: (peer: Member, digest: RelayDigest) => void;
 };
 
@@ -31,7 +33,7 @@
 /** Creates the handler of an instance's messages. */
 export function createMessageHandler(recipients: MessageRecipients): (message: RelayMessage) => Promise<RelayReply> {
 	const {
-		id, membership, gossipProtocol, tables, budgets, loads, rateLimits, origins, conversations, receiveDigest,
+		id, membership, gossipProtocol, tables, budgets, loads, rateLimits, origins, conversations, allotments, receiveDigest,
 	} = recipients;
 
 	return async message => {
@@ -68,6 +70,10 @@
 				return rateLimits.answer(message);
 			}
 
+			case 'allotment': {
+				return {kind: 'allotment', reply: await allotments.answer(message.allotment)};
+			}
+
 			case 'loads': {
 				loads.receive(message);
 				return done;
--- a/src/machines/relay-turn.ts
+++ b/src/machines/relay-turn.ts
@@ -5,6 +5,7 @@
 import {type Milliseconds} from '../contracts/id.js';
 import {type RelayRoute} from '../contracts/relay.js';
 import {type Refusal, type RelayRequest, type StreamEvent} from '../contracts/relay-request.js';
+import {type WorkspaceName} from '../contracts/workspace.js';
 import {type KeptTurns, type OpenedTurn, type TurnResumption} from './kept-turns.js';
 
 /** A turn that was opened. */
@@ -30,7 +31,8 @@
 };
 
 export type RelayTurns = {
-	readonly open: (request: RelayRequest, route: RelayRoute, timeLeft: Milliseconds) => Promise<TurnOpening>;
+	/** Opens the turn of a request that was admitted for a workspace, if there are any, and whose caller waits for some time. */
+	readonly open: (request: RelayRequest, route: RelayRoute, admitted: {readonly workspace: WorkspaceName | undefined; readonly timeLeft: Milliseconds}) => Promise<TurnOpening>;
 };
 
 const notResumable: TurnOpening = {kind: 'refused', refusal: {kind: 'not-resumable'}};
@@ -69,8 +71,8 @@
 	}
 
 	return {
-		async open(request, route, timeLeft) {
-			const {attempt, previousTurn: previous, workspace, body: input, lastEvent, firstAttempt} = request;
+		async open(request, route, {workspace, timeLeft}) {
+			const {attempt, previousTurn: previous, body: input, lastEvent, firstAttempt} = request;
 			if (lastEvent !== undefined && firstAttempt === undefined) {
 				return notResumable;
 			}
--- a/tests/platform-boundary.test.ts
+++ b/tests/platform-boundary.test.ts
@@ -20,7 +20,7 @@
 	'pin-ms',
 	'previous-turn',
 ].join('|'), 'iv');
-const fields = /PathPrefix|MaxAttempts|LatencyGoalMs|GapGoalMs|Serializable|RetentionS|\bRetained\b|FaultTolerance|CurrentRev|\/api\/objects|HICKORYFORK_SETTINGS/v;
+const fields = /PathPrefix|ApiKeys|RatePerS|Tenants|MaxAttempts|LatencyGoalMs|GapGoalMs|Serializable|RetentionS|\bRetained\b|FaultTolerance|CurrentRev|\/api\/objects|HICKORYFORK_SETTINGS/v;
 
 function sources(folder: string): string[] {
 	return readdirSync(folder, {withFileTypes: true}).flatMap(entry => {
