Store records of used tokens in the turn store

While the object store answers nobody, what programs have used has to be recorded elsewhere before more is granted, and archives already sync, recover and expire records of turns.

A third kind of content holds a program, an amount, and the data centre and address of the writer. Its id is derived from the writer and the program and contains line feeds, so that no caller can send it. Of two amounts the index keeps the higher one. The records stay in memory, as they are few and are read at once; a reply that leaves some out is not complete.

They are kept for 120 s and turns may expire after 60 s, so an archive that lost its disk has lost records for longer than turns. The two are told apart, also in the first record of a segment.

--- a/src/machines/turn-store/recovery.ts
+++ b/src/machines/turn-store/recovery.ts
@@ -15,7 +15,7 @@
 } from './segment.js';
 import {scanSegment, type SegmentScan} from './segment-scan.js';
 import {decodeTurn} from './turn-encoding.js';
-import {extentOf, type TurnIndex} from './turn-index.js';
+import {extentOf, type TurnIndex, usedPartOf} from './turn-index.js';
 import {type TurnStoreEvent} from './turn-store-event.js';
 
 /** Delay before the directory is listed again after a failure. */
@@ -26,6 +26,8 @@
 	readonly segments: readonly Segment[];
 	/** Whether turns that were acknowledged may be lost. */
 	readonly hasLoss: boolean;
+	/** Whether acknowledged records of used tokens may be lost. */
+	readonly hasLossOfUsed: boolean;
 };
 
 export type RecoveryOptions = {
@@ -56,6 +58,7 @@
 	/** Synced lengths of segments as the newer ones recorded them, by number. */
 	const sealedLengths = new Map<number, number>();
 	let hasLoss = false;
+	let isUsedIncomplete = false;
 	/** Whether there was a batch that is intact from its start, without which the disk may be a new one. */
 	let hasStart = false;
 	/** Shared by all segments, as a small machine has no memory for several at once. */
@@ -97,7 +100,7 @@
 				const expiresAt = options.expiryOf(record.retention);
 				segment.expiresAt = as<Milliseconds>(Math.max(segment.expiresAt, expiresAt));
 				index.put(record.turn, {
-					segment, position: frame.position, length: frame.bytes.length, checksum: frame.checksum, extent: extentOf(record.content), expiresAt,
+					segment, position: frame.position, length: frame.bytes.length, checksum: frame.checksum, extent: extentOf(record.content), expiresAt, used: usedPartOf(record),
 				});
 				return true;
 			}
@@ -109,6 +112,7 @@
 				}
 
 				hasLoss ||= start?.isIncomplete ?? false;
+				isUsedIncomplete ||= start?.isUsedIncomplete ?? false;
 				hasStart ||= start !== undefined;
 				return start !== undefined;
 			}
@@ -177,5 +181,6 @@
 		await syncNewest(newest);
 	}
 
-	return {segments, hasLoss: hasLoss || (!hasStart && !options.isFirstStart)};
+	hasLoss ||= !hasStart && !options.isFirstStart;
+	return {segments, hasLoss, hasLossOfUsed: hasLoss || isUsedIncomplete};
 }
--- a/src/machines/turn-store/segment-log.ts
+++ b/src/machines/turn-store/segment-log.ts
@@ -10,7 +10,7 @@
 	createRecord, framedBytes, type FrameRecord, layOutBatch, recordType,
 } from './frame.js';
 import {
-	encodeSegmentStart, saltOf, type Segment, segmentName,
+	encodeSegmentStart, saltOf, type Segment, segmentName, type SegmentStart,
 } from './segment.js';
 import {type DiskOperation, type TurnStoreEvent} from './turn-store-event.js';
 
@@ -39,7 +39,8 @@
 	readonly segmentBytes: number;
 	/** Segments that were there at the start, in the order of their numbers. */
 	readonly recovered: readonly Segment[];
-	readonly isIncomplete: () => boolean;
+	/** What may be missing when a segment is begun. */
+	readonly completeness: () => Pick<SegmentStart, 'isIncomplete' | 'isUsedIncomplete'>;
 	/** Called before the file of a segment is removed. */
 	readonly onDrop: (segment: Segment) => void;
 	readonly clock: Clock;
@@ -82,7 +83,7 @@
 	function startOf(segment: Segment): FrameRecord {
 		const earlier = segments.filter(other => other !== segment);
 		return createRecord(recordType.segmentStart, encodeSegmentStart({
-			isIncomplete: options.isIncomplete(),
+			...options.completeness(),
 			lengths: new Map(earlier.map(({number, length}) => [number, length])),
 		}));
 	}
--- a/src/machines/turn-store/segment.ts
+++ b/src/machines/turn-store/segment.ts
@@ -51,13 +51,18 @@
 export type SegmentStart = {
 	/** Whether turns that were acknowledged earlier may have been lost when the segment was begun. */
 	readonly isIncomplete: boolean;
+	/** The same for records of used tokens, whose retention is longer. */
+	readonly isUsedIncomplete: boolean;
 	/** Earlier segments by number, with the number of bytes that had been synced. */
 	readonly lengths: ReadonlyMap<number, number>;
 };
 
-export function encodeSegmentStart({isIncomplete, lengths}: SegmentStart): Uint8Array {
+const incompleteFlag = 1;
+const usedIncompleteFlag = 2;
+
+export function encodeSegmentStart({isIncomplete, isUsedIncomplete, lengths}: SegmentStart): Uint8Array {
 	const bytes = Buffer.alloc(1 + (lengths.size * 8));
-	let at = bytes.writeUInt8(isIncomplete ? 1 : 0, 0);
+	let at = bytes.writeUInt8((isIncomplete ? incompleteFlag : 0) + (isUsedIncomplete ? usedIncompleteFlag : 0), 0);
 	for (const [number, length] of lengths) {
 		at = bytes.writeUInt32LE(number, at);
 		at = bytes.writeUInt32LE(length, at);
@@ -78,5 +83,7 @@
 		lengths.set(bytes.readUInt32LE(at), bytes.readUInt32LE(at + 4));
 	}
 
-	return {isIncomplete: bytes.readUInt8(0) !== 0, lengths};
+	const flags = bytes.readUInt8(0);
+	// eslint-disable-next-line no-bitwise -- Flags.
+	return {isIncomplete: (flags & incompleteFlag) !== 0, isUsedIncomplete: (flags & usedIncompleteFlag) !== 0, lengths};
 }
--- a/src/machines/turn-store/turn-encoding.ts
+++ b/src/machines/turn-store/turn-encoding.ts
@@ -3,14 +3,18 @@
 the output up to the end.
 */
 import {Buffer, isUtf8} from 'node:buffer';
-import {as, type AttemptId, type Milliseconds} from '../../contracts/id.js';
-import {type TurnContent, type TurnRecord} from '../../contracts/turn.js';
+import {
+	as, type Address, type AttemptId, type DataCentreId, type Milliseconds, type ProgramId, type Tokens,
+} from '../../contracts/id.js';
+import {
+	type TurnContent, type TurnRecord, usedRecordId,
+} from '../../contracts/turn.js';
 import {type WorkspaceName} from '../../contracts/workspace.js';
 
 /** Maximum size of an encoded turn: the longest request body of 4 MB, and an answer. */
 export const maximumTurnBytes = 6 * 1024 * 1024;
 
-/** Size of the head: kind, retention, last event, and the lengths of three names and of the input. */
+/** Size of the head: kind, retention, last event or used tokens, and the lengths of three names and of the input. */
 const headBytes = 1 + 8 + 8 + 2 + 2 + 2 + 4;
 
 /** Longer names than callers can send in a header. */
@@ -19,18 +23,57 @@
 /** Length of a name that is absent, as opposed to empty. */
 const absentName = 0xFF_FF;
 
-const kindNumbers = {whole: 1, partial: 2} as const;
+const kindNumbers = {whole: 1, partial: 2, used: 3} as const;
+
+/** Separates the writer of a record of used tokens from its data centre. */
+const separator = '\n';
 
 function toBytes(name: string | undefined): Uint8Array | undefined {
 	return name === undefined ? undefined : Buffer.from(name, 'utf8');
 }
 
+/** Size of what a record holds. */
+export function contentBytes(content: TurnContent): number {
+	switch (content.kind) {
+		case 'whole': {
+			return content.input.length + content.output.length;
+		}
+
+		case 'partial': {
+			return content.output.length;
+		}
+
+		case 'used': {
+			return content.program.length;
+		}
+	}
+}
+
+type ContentParts = {readonly number: number; readonly input: Uint8Array; readonly output: Uint8Array};
+
+function partsOf(content: TurnContent): ContentParts {
+	switch (content.kind) {
+		case 'whole': {
+			return {number: 0, input: content.input, output: content.output};
+		}
+
+		case 'partial': {
+			return {number: content.lastEvent, input: new Uint8Array(), output: content.output};
+		}
+
+		case 'used': {
+			const {program, tokens, dataCentre, writer} = content;
+			return {number: tokens, input: Buffer.from(program, 'utf8'), output: Buffer.from(`${writer}${separator}${dataCentre}`, 'utf8')};
+		}
+	}
+}
+
 /** Encodes a turn; undefined if one of its names or the whole is too long. */
 export function encodeTurn(record: TurnRecord): Uint8Array | undefined {
 	const {content} = record;
 	const names = [toBytes(record.turn), toBytes(record.previous), toBytes(record.workspace)];
-	const input = content.kind === 'whole' ? content.input : new Uint8Array();
-	const parts = [...names.map(name => name ?? new Uint8Array()), input, content.output];
+	const {number, input, output} = partsOf(content);
+	const parts = [...names.map(name => name ?? new Uint8Array()), input, output];
 	const size = parts.reduce((sum, part) => sum + part.length, headBytes);
 	if (size > maximumTurnBytes || names.some(name => name !== undefined && name.length > maximumNameBytes)) {
 		return undefined;
@@ -40,7 +83,7 @@
 	const bytes = Buffer.allocUnsafeSlow(size);
 	let at = bytes.writeUInt8(kindNumbers[content.kind], 0);
 	at = bytes.writeDoubleLE(record.retention, at);
-	at = bytes.writeDoubleLE(content.kind === 'partial' ? content.lastEvent : 0, at);
+	at = bytes.writeDoubleLE(number, at);
 	for (const name of names) {
 		at = bytes.writeUInt16LE(name?.length ?? absentName, at);
 	}
@@ -54,6 +97,20 @@
 	return bytes;
 }
 
+function usedTokensOf(tokens: number, input: Uint8Array, output: Uint8Array): TurnContent | undefined {
+	const text = isUtf8(output) ? Buffer.from(output).toString('utf8') : '';
+	const end = text.indexOf(separator);
+	return end !== -1 && isUtf8(input) && Number.isFinite(tokens) && tokens >= 0
+		? {
+			kind: 'used',
+			program: as<ProgramId>(Buffer.from(input).toString('utf8')),
+			tokens: as<Tokens>(tokens),
+			writer: as<Address>(text.slice(0, end)),
+			dataCentre: as<DataCentreId>(text.slice(end + 1)),
+		}
+		: undefined;
+}
+
 function contentOf(kind: number, lastEvent: number, input: Uint8Array, output: Uint8Array): TurnContent | undefined {
 	switch (kind) {
 		case kindNumbers.whole: {
@@ -64,6 +121,10 @@
 			return Number.isFinite(lastEvent) && input.length === 0 ? {kind: 'partial', lastEvent, output} : undefined;
 		}
 
+		case kindNumbers.used: {
+			return usedTokensOf(lastEvent, input, output);
+		}
+
 		default: {
 			return undefined;
 		}
@@ -102,6 +163,10 @@
 		return undefined;
 	}
 
+	if (content.kind === 'used' && turn !== usedRecordId(content)) {
+		return undefined;
+	}
+
 	return {
 		turn: as<AttemptId>(turn),
 		previous: previous === undefined ? undefined : as<AttemptId>(previous),
--- a/src/machines/turn-store/turn-index.ts
+++ b/src/machines/turn-store/turn-index.ts
@@ -2,7 +2,9 @@
 Index of a turn store: where the newest record of each turn lies. It is kept in memory, so its size is bounded.
 */
 import {as, type AttemptId, type Milliseconds} from '../../contracts/id.js';
-import {type TurnContent} from '../../contracts/turn.js';
+import {
+	isUsedRecord, type TurnContent, type TurnRecord, type UsedRecord,
+} from '../../contracts/turn.js';
 import {type Segment} from './segment.js';
 
 /** Memory that the index may take, a third of the heap that the process may use. */
@@ -11,7 +13,10 @@
 /** Memory of an entry besides its name. */
 const entryBytes = 240;
 
-/** How much of a turn a record holds: a whole one replaces any part, and a longer part a shorter one. */
+/** The same of an entry that holds its record, whose names are short. */
+const usedEntryBytes = 1000;
+
+/** How much of a turn a record holds: a whole one replaces any part, a longer part a shorter one, and more used tokens fewer. */
 export type Extent = number;
 
 const wholeExtent = Number.POSITIVE_INFINITY;
@@ -23,6 +28,8 @@
 	readonly checksum: number;
 	readonly extent: Extent;
 	readonly expiresAt: Milliseconds;
+	/** The record itself if it is one of used tokens. They are few and are all read at once, so they need no read from the disk. */
+	readonly used: UsedRecord | undefined;
 };
 
 export type TurnIndex = {
@@ -32,6 +39,8 @@
 	/** Removes the entries of a segment and returns their turns. */
 	readonly removeSegment: (segment: Segment) => readonly AttemptId[];
 	readonly entries: () => Iterable<readonly [AttemptId, IndexEntry]>;
+	/** Entries with records of used tokens. */
+	readonly used: () => readonly IndexEntry[];
 	readonly isFull: () => boolean;
 	readonly size: () => number;
 };
@@ -46,9 +55,18 @@
 		case 'partial': {
 			return content.lastEvent;
 		}
+
+		case 'used': {
+			return content.tokens;
+		}
 	}
 }
 
+/** The record that the index holds itself; undefined for those that lie on the disk only. */
+export function usedPartOf(record: TurnRecord): UsedRecord | undefined {
+	return isUsedRecord(record) ? record : undefined;
+}
+
 export function isWhole({extent}: IndexEntry): boolean {
 	return extent === wholeExtent;
 }
@@ -56,7 +74,19 @@
 /** Creates an empty index. */
 export function createTurnIndex(): TurnIndex {
 	const entries = new Map<AttemptId, IndexEntry>();
+	/** Those entries that have records of used tokens. */
+	const used = new Map<AttemptId, IndexEntry>();
 	let bytes = 0;
+
+	function set(turn: AttemptId, entry: IndexEntry): void {
+		entries.set(turn, entry);
+		if (entry.used) {
+			used.set(turn, entry);
+		}
+	}
+
+	const sizeOf = (turn: AttemptId, entry: IndexEntry) => turn.length + (entry.used ? usedEntryBytes : entryBytes);
+
 	return {
 		get: turn => entries.get(turn),
 		put(turn, entry) {
@@ -66,28 +96,31 @@
 				// The longer record takes the place of the shorter one for the retention of both.
 				const expiresAt = as<Milliseconds>(Math.max(existing.expiresAt, entry.expiresAt));
 				existing.segment.expiresAt = as<Milliseconds>(Math.max(existing.segment.expiresAt, expiresAt));
-				entries.set(turn, {...existing, expiresAt});
+				set(turn, {...existing, expiresAt});
 				return false;
 			}
 
-			entries.set(turn, entry);
-			bytes += existing ? 0 : entryBytes + turn.length;
+			set(turn, entry);
+			bytes += existing ? 0 : sizeOf(turn, entry);
 			return true;
 		},
 		removeSegment(segment) {
 			const removed = segment.turns.filter(turn => {
-				const isOfSegment = entries.get(turn)?.segment === segment;
-				if (isOfSegment) {
-					entries.delete(turn);
-					bytes -= entryBytes + turn.length;
+				const entry = entries.get(turn);
+				if (entry?.segment !== segment) {
+					return false;
 				}
 
-				return isOfSegment;
+				entries.delete(turn);
+				used.delete(turn);
+				bytes -= sizeOf(turn, entry);
+				return true;
 			});
 			segment.turns.length = 0;
 			return removed;
 		},
 		entries: () => entries,
+		used: () => [...used.values()],
 		isFull: () => bytes >= maximumBytes,
 		size: () => entries.size,
 	};
--- a/src/machines/turn-store/turn-store.ts
+++ b/src/machines/turn-store/turn-store.ts
@@ -6,21 +6,25 @@
 import {type Clock, type Random} from '../../contracts/clock.js';
 import {type Disk} from '../../contracts/disk.js';
 import {as, type AttemptId, type Milliseconds} from '../../contracts/id.js';
-import {type ChainReply, type KeepResult, type TurnRecord} from '../../contracts/turn.js';
+import {
+	type ChainReply, type KeepResult, type TurnRecord, type UsedRecord, type UsedReply,
+} from '../../contracts/turn.js';
 import {withTimeout} from '../../zones/with-timeout.js';
 import {
 	createRecord, framedBytes, type FrameRecord, isIntact, recordType,
 } from './frame.js';
+import {createCompleteness} from './completeness.js';
 import {createGroupCommit} from './group-commit.js';
 import {createRecordCache} from './record-cache.js';
 import {recoverSegments} from './recovery.js';
 import {defaultSegmentBytes, type Segment} from './segment.js';
 import {createSegmentLog} from './segment-log.js';
-import {decodeTurn, encodeTurn} from './turn-encoding.js';
+import {contentBytes, decodeTurn, encodeTurn} from './turn-encoding.js';
 import {
-	createTurnIndex, type Extent, extentOf, type IndexEntry, isWhole,
+	createTurnIndex, type Extent, extentOf, type IndexEntry, isWhole, usedPartOf,
 } from './turn-index.js';
 import {type TurnStoreEvent} from './turn-store-event.js';
+import {createUsedReply} from './used-reply.js';
 
 /** Part of the disk that the store uses; the rest is for logs and the file system. */
 const usableShare = 0.85;
@@ -34,6 +38,9 @@
 /** Retention for which an absent turn may be one that was lost, unless a longer one is known. */
 const assumedRetentionMs = 60_000;
 
+/** The same for records of used tokens, which are kept for twice the retention of a program, of 60 s. */
+const assumedUsedRetentionMs = 120_000;
+
 /** Limits of one reply: the rest of a longer chain is asked for by its own turn. */
 const maximumChainRecords = 64;
 const maximumChainBytes = 1024 * 1024;
@@ -50,6 +57,8 @@
 	/** Resolves once the record is synced, or refused: disk full, hanging, closing. */
 	readonly keep: (record: TurnRecord) => Promise<KeepResult>;
 	readonly chain: (turn: AttemptId) => Promise<ChainReply>;
+	/** Reads all records of used tokens. */
+	readonly used: () => UsedReply;
 	/** Whether a whole record of the turn is synced and has not expired. */
 	readonly holds: (turn: AttemptId) => boolean;
 	/** Turns that have not expired, for emptying the machine. */
@@ -74,7 +83,7 @@
 	readonly signal: AbortSignal;
 };
 
-type Item = {readonly turn: AttemptId; readonly retention: Milliseconds; readonly extent: Extent; readonly record: FrameRecord};
+type Item = {readonly turn: AttemptId; readonly retention: Milliseconds; readonly extent: Extent; readonly used: UsedRecord | undefined; readonly record: FrameRecord};
 
 type Reading = {readonly kind: 'read'; readonly bytes: Uint8Array} | {readonly kind: 'absent'} | {readonly kind: 'unreadable'};
 
@@ -97,18 +106,19 @@
 	const recovery = await recoverSegments({
 		directory, disk, index, clock, onEvent, expiryOf, isFirstStart: options.isFirstStart, signal: options.signal,
 	});
-	let incompleteSince = recovery.hasLoss ? clock.now() : undefined;
-
-	function isComplete(): boolean {
-		return incompleteSince === undefined || clock.now() >= incompleteSince + longestRetention + retentionMarginMs;
-	}
+	const turns = createCompleteness({hasLoss: recovery.hasLoss, lifetime: () => as<Milliseconds>(longestRetention + retentionMarginMs), clock});
+	const usedTokens = createCompleteness({
+		hasLoss: recovery.hasLossOfUsed,
+		lifetime: () => as<Milliseconds>(Math.max(longestRetention, assumedUsedRetentionMs) + retentionMarginMs),
+		clock,
+	});
 
 	const log = createSegmentLog({
 		directory,
 		disk,
 		segmentBytes: limits.segmentBytes ?? defaultSegmentBytes,
 		recovered: recovery.segments,
-		isIncomplete: () => !isComplete(),
+		completeness: () => ({isIncomplete: !turns.isComplete(), isUsedIncomplete: !usedTokens.isComplete()}),
 		onDrop(segment: Segment) {
 			for (const turn of index.removeSegment(segment)) {
 				cache.remove(turn);
@@ -124,7 +134,7 @@
 		const expiresAt = expiryOf(item.retention);
 		segment.expiresAt = as<Milliseconds>(Math.max(segment.expiresAt, expiresAt));
 		const isNewest = index.put(item.turn, {
-			segment, position, length: bytes.length, checksum, extent: item.extent, expiresAt,
+			segment, position, length: bytes.length, checksum, extent: item.extent, expiresAt, used: item.used,
 		});
 		if (isNewest) {
 			cache.put(item.turn, bytes);
@@ -173,7 +183,7 @@
 		}
 
 		return commit.add({
-			turn: record.turn, retention: record.retention, extent: extentOf(record.content), record: createRecord(recordType.turn, bytes),
+			turn: record.turn, retention: record.retention, extent: extentOf(record.content), used: usedPartOf(record), record: createRecord(recordType.turn, bytes),
 		});
 	}
 
@@ -226,7 +236,7 @@
 			}
 
 			records.push(record);
-			bytes += record.content.output.length + (record.content.kind === 'whole' ? record.content.input.length : 0);
+			bytes += contentBytes(record.content);
 			next = record.previous;
 		}
 
@@ -234,13 +244,16 @@
 	}
 
 	async function dropExpired(): Promise<void> {
-		if (incompleteSince !== undefined && isComplete()) {
-			incompleteSince = undefined;
-			// The first record of the current segment says that turns are missing.
+		// The first record of the current segment says what is missing.
+		if (turns.hasBecomeComplete()) {
 			log.seal();
 			onEvent({kind: 'complete'});
 		}
 
+		if (usedTokens.hasBecomeComplete()) {
+			log.seal();
+		}
+
 		await log.dropExpired();
 	}
 
@@ -252,7 +265,7 @@
 	}
 
 	onEvent({
-		kind: 'recovered', segments: recovery.segments.length, turns: index.size(), isComplete: isComplete(), took: as<Milliseconds>(clock.now() - startedAt),
+		kind: 'recovered', segments: recovery.segments.length, turns: index.size(), isComplete: turns.isComplete(), took: as<Milliseconds>(clock.now() - startedAt),
 	});
 	void expire();
 	return {
@@ -264,8 +277,9 @@
 		async chain(turn) {
 			const records: TurnRecord[] = [];
 			const isWholeChain = await withTimeout(clock, readLimitMs, collectChain(turn, records));
-			return {records: [...records], isComplete: (isWholeChain ?? false) && isComplete()};
+			return {records: [...records], isComplete: (isWholeChain ?? false) && turns.isComplete()};
 		},
+		used: () => createUsedReply(index.used(), clock.now(), usedTokens.isComplete()),
 		holds(turn) {
 			const entry = index.get(turn);
 			return entry !== undefined && isWhole(entry) && entry.expiresAt > clock.now();
@@ -279,12 +293,14 @@
 		},
 		gauges: () => ({
 			turns: index.size(),
+			usedRecords: index.used().length,
 			segments: log.segments().length,
 			diskBytes: log.bytes(),
 			cacheBytes: cache.bytes(),
 			waitingBytes: commit.waitingBytes(),
 			isHanging: Number(commit.isHanging()),
-			isComplete: Number(isComplete()),
+			isComplete: Number(turns.isComplete()),
+			isUsedComplete: Number(usedTokens.isComplete()),
 			...counts,
 		}),
 		async close() {
--- a/src/zones/conversations/part-lookup.ts
+++ b/src/zones/conversations/part-lookup.ts
@@ -25,8 +25,8 @@
 	readonly clock: Clock;
 };
 
-/** The output in a record. A whole turn has all events of its stream. */
-function partOf({content}: TurnRecord): ReceivedPart {
+/** The output in a record; undefined if it is not that of a turn. A whole turn has all events of its stream. */
+function partOf({content}: TurnRecord): ReceivedPart | undefined {
 	switch (content.kind) {
 		case 'whole': {
 			return {lastEvent: Infinity, output: content.output};
@@ -35,6 +35,10 @@
 		case 'partial': {
 			return {lastEvent: content.lastEvent, output: content.output};
 		}
+
+		case 'used': {
+			return undefined;
+		}
 	}
 }
 
@@ -43,7 +47,7 @@
 	return {
 		async find(turn, {firstAttempt, lastEvent}, ranked, deadline) {
 			const until = as<Milliseconds>(Math.min(deadline, clock.now() + lookupTimeoutMs));
-			const isWanted = (record: TurnRecord) => partOf(record).lastEvent >= lastEvent && record.previous === turn.previous && record.workspace === turn.workspace;
+			const isWanted = (record: TurnRecord) => (partOf(record)?.lastEvent ?? -Infinity) >= lastEvent && record.previous === turn.previous && record.workspace === turn.workspace;
 			for (;;) {
 				const {found} = await search.find(firstAttempt, search.wavesOf(ranked, dataCentre), until, isWanted);
 				const [record] = found?.records ?? [];
--- a/tests/turn-store.test.ts
+++ b/tests/turn-store.test.ts
@@ -7,6 +7,7 @@
 import fc from 'fast-check';
 import {type TurnRecord} from '../src/contracts/turn.js';
 import {decodeTurn, encodeTurn} from '../src/machines/turn-store/turn-encoding.js';
+import {extentOf} from '../src/machines/turn-store/turn-index.js';
 import {createSeededRandom} from './fixtures/fake-clock.js';
 import {
 	createMachine, name, plain, recordOf, retentionMs,
@@ -51,7 +52,7 @@
 	function keep(turn: string, record: TurnRecord): void {
 		const own = incarnation;
 		sent.set(turn, [...sent.get(turn) ?? [], record]);
-		const extent = record.content.kind === 'whole' ? Infinity : record.content.lastEvent;
+		const extent = extentOf(record.content);
 		void store.keep(record).then(result => {
 			if (result.kind === 'kept' && own === incarnation) {
 				const before = kept.get(turn);
