Read the records of used tokens of an archive with one request

An instance that has lost its memory needs all records that an archive holds, not one by name. /1/used returns them with their remaining time and whether they are all that the archive acknowledged; an archive that still reads its disk refuses, as it does for chains.

--- a/src/contracts/archive.ts
+++ b/src/contracts/archive.ts
@@ -6,7 +6,9 @@
 	as, type Address, type AttemptId, type DataCentreId, type InstanceId, type Milliseconds,
 } from './id.js';
 import {type VersionedObject} from './object-store.js';
-import {type ChainReply, type KeepResult, type TurnRecord} from './turn.js';
+import {
+	type ChainReply, type KeepResult, type TurnRecord, type UsedReply,
+} from './turn.js';
 
 /** Kind of the objects under which archives register. */
 export const archiveKind = 'hickoryfork-archives';
@@ -49,6 +51,8 @@
 	readonly keep: (archive: Address, record: TurnRecord, timeout: Milliseconds) => Promise<KeepResult>;
 	/** Resolves to undefined if the archive did not answer in time, or cannot answer yet. */
 	readonly chain: (archive: Address, turn: AttemptId, timeout: Milliseconds) => Promise<ChainReply | undefined>;
+	/** Reads all records of used tokens. Resolves to undefined if the archive did not answer in time, or cannot answer yet. */
+	readonly used: (archive: Address, timeout: Milliseconds) => Promise<UsedReply | undefined>;
 };
 
 /** Outcome of a request to store several records; a record that is not among the stored ones may have been stored. */
--- a/src/links/archive-client.ts
+++ b/src/links/archive-client.ts
@@ -8,7 +8,7 @@
 import {describeError} from '../contracts/failure.js';
 import {type Address, type Milliseconds} from '../contracts/id.js';
 import {
-	archivePath, archiveStatus, decodeChainReply, decodeTurnNames, encodeCopyRequest, encodeKeepRequest, encodeTurnNames, maximumReplyBytes, requestNumberHeader,
+	archivePath, archiveStatus, decodeChainReply, decodeTurnNames, decodeUsedReply, encodeCopyRequest, encodeKeepRequest, encodeTurnNames, maximumReplyBytes, requestNumberHeader,
 } from './archive-protocol.js';
 import {readBoundedBytes} from './bounded-body.js';
 
@@ -165,6 +165,10 @@
 			const reply = await request(archive, archivePath.chain, encodeTurnNames([turn]), timeout);
 			return reply.kind === 'answered' ? decodeChainReply(reply.body, turn) : undefined;
 		},
+		async used(archive, timeout) {
+			const reply = await request(archive, archivePath.used, encodeTurnNames([]), timeout);
+			return reply.kind === 'answered' ? decodeUsedReply(reply.body) : undefined;
+		},
 		async holds(archive, turns, timeout) {
 			const reply = await request(archive, archivePath.holds, encodeTurnNames(turns), timeout);
 			const held = reply.kind === 'answered' ? decodeTurnNames(reply.body) : undefined;
--- a/src/links/archive-protocol.ts
+++ b/src/links/archive-protocol.ts
@@ -5,11 +5,14 @@
 import {Buffer} from 'node:buffer';
 import {crc32} from 'node:zlib';
 import {as, type AttemptId} from '../contracts/id.js';
-import {type ChainReply, type TurnRecord} from '../contracts/turn.js';
+import {
+	type ChainReply, isUsedRecord, type TurnRecord, type UsedReply,
+} from '../contracts/turn.js';
 import {decodeTurn, encodeTurn, maximumTurnBytes} from '../machines/turn-store/turn-encoding.js';
+import {maximumUsedRecords} from '../machines/turn-store/used-reply.js';
 
 export const archivePath = {
-	keep: '/1/keep', chain: '/1/chain', holds: '/1/holds', copy: '/1/copy',
+	keep: '/1/keep', chain: '/1/chain', used: '/1/used', holds: '/1/holds', copy: '/1/copy',
 } as const;
 
 export const requestNumberHeader = 'hickoryfork-request';
@@ -59,11 +62,11 @@
 }
 
 /** Splits parts that have their lengths in front; undefined if they do not end with the last one, or are too many. */
-function splitParts(bytes: Uint8Array): readonly Uint8Array[] | undefined {
+function splitParts(bytes: Uint8Array, limit = maximumParts): readonly Uint8Array[] | undefined {
 	const view = new DataView(bytes.buffer, bytes.byteOffset, bytes.length);
 	const parts: Uint8Array[] = [];
 	let at = 0;
-	while (at + 4 <= bytes.length && parts.length < maximumParts) {
+	while (at + 4 <= bytes.length && parts.length < limit) {
 		const start = at + 4;
 		at = start + view.getUint32(at, true);
 		parts.push(bytes.subarray(start, at));
@@ -106,21 +109,44 @@
 	return content && splitParts(content)?.map(part => as<AttemptId>(Buffer.from(part).toString('utf8')));
 }
 
-export function encodeChainReply({records, isComplete}: ChainReply): Uint8Array {
+/** Body of a reply with records. */
+function encodeRecords({records, isComplete}: ChainReply): Uint8Array {
 	const parts = records.map(record => encodeTurn(record)).filter(part => part !== undefined);
 	return sealBody([Uint8Array.of(isComplete ? 1 : 0), ...parts.flatMap(part => withLength(part))]);
 }
 
+export function encodeChainReply(reply: ChainReply): Uint8Array {
+	return encodeRecords(reply);
+}
+
+export function encodeUsedReply(reply: UsedReply): Uint8Array {
+	return encodeRecords(reply);
+}
+
+/** Decodes a reply with at most `limit` records; undefined if the bytes are none. */
+function decodeRecords(body: Uint8Array, limit: number): ChainReply | undefined {
+	const content = openBody(body);
+	const parts = content && content.length > 0 ? splitParts(content.subarray(1), limit) : undefined;
+	const records = parts?.flatMap(part => decodeTurn(part) ?? []);
+	return records && records.length === parts?.length ? {records, isComplete: content?.[0] === 1} : undefined;
+}
+
+/** Decodes the reply to a request for the records of used tokens; undefined if the bytes are none. */
+export function decodeUsedReply(body: Uint8Array): UsedReply | undefined {
+	const reply = decodeRecords(body, maximumUsedRecords);
+	const records = reply?.records.filter(record => isUsedRecord(record));
+	return records && records.length === reply?.records.length ? {records, isComplete: reply.isComplete} : undefined;
+}
+
 /** Decodes the reply to a request for a chain; undefined if the bytes are none, or that of another turn. */
 export function decodeChainReply(body: Uint8Array, turn: AttemptId): ChainReply | undefined {
-	const content = openBody(body);
-	const parts = content && content.length > 0 ? splitParts(content.subarray(1)) : undefined;
-	if (!content || !parts) {
+	const reply = decodeRecords(body, maximumParts);
+	if (!reply) {
 		return undefined;
 	}
 
-	const records = parts.flatMap(part => decodeTurn(part) ?? []);
+	const {records} = reply;
 	const isOfTurn = records.length === 0 || records[0]?.turn === turn;
 	const isChain = records.every((record, index) => index === 0 || records[index - 1]?.previous === record.turn);
-	return records.length === parts.length && isOfTurn && isChain ? {records, isComplete: content[0] === 1} : undefined;
+	return isOfTurn && isChain ? reply : undefined;
 }
--- a/src/links/archive-server.ts
+++ b/src/links/archive-server.ts
@@ -9,9 +9,11 @@
 } from 'node:http';
 import {describeError} from '../contracts/failure.js';
 import {type AttemptId} from '../contracts/id.js';
-import {type ChainReply, type KeepResult, type TurnRecord} from '../contracts/turn.js';
 import {
-	archivePath, archiveStatus, decodeCopyRequest, decodeKeepRequest, decodeTurnNames, encodeChainReply, encodeTurnNames, maximumRequestBytes, requestNumberHeader,
+	type ChainReply, type KeepResult, type TurnRecord, type UsedReply,
+} from '../contracts/turn.js';
+import {
+	archivePath, archiveStatus, decodeCopyRequest, decodeKeepRequest, decodeTurnNames, encodeChainReply, encodeTurnNames, encodeUsedReply, maximumRequestBytes, requestNumberHeader,
 } from './archive-protocol.js';
 import {createBoundedBody} from './bounded-body.js';
 import {createHeldBytes, type Holding} from './held-bytes.js';
@@ -43,6 +45,8 @@
 	readonly keep: (record: TurnRecord) => Promise<KeepResult>;
 	/** Resolves to undefined while the archive cannot answer yet. */
 	readonly chain: (turn: AttemptId) => Promise<ChainReply | undefined>;
+	/** Records of used tokens; undefined while the archive cannot answer yet. */
+	readonly used: () => UsedReply | undefined;
 	/** The turns that the archive holds whole; undefined while it cannot answer yet. */
 	readonly holds: (turns: readonly AttemptId[]) => readonly AttemptId[] | undefined;
 };
@@ -124,6 +128,15 @@
 		return reply ? {status: archiveStatus.answered, body: encodeChainReply(reply)} : notReady;
 	}
 
+	function used(body: Uint8Array): Reply {
+		if (decodeTurnNames(body)?.length !== 0) {
+			return invalidBody;
+		}
+
+		const reply = archive.used();
+		return reply ? {status: archiveStatus.answered, body: encodeUsedReply(reply)} : notReady;
+	}
+
 	function holds(body: Uint8Array): Reply {
 		const turns = decodeTurnNames(body);
 		const heldTurns = turns && archive.holds(turns);
@@ -155,6 +168,10 @@
 				return chain(body);
 			}
 
+			case archivePath.used: {
+				return used(body);
+			}
+
 			case archivePath.holds: {
 				return holds(body);
 			}
--- a/src/machines/archive.ts
+++ b/src/machines/archive.ts
@@ -11,7 +11,9 @@
 import {type Failure} from '../contracts/failure.js';
 import {type AttemptId} from '../contracts/id.js';
 import {type ObjectList, type ObjectStore} from '../contracts/object-store.js';
-import {type ChainReply, type KeepResult, type TurnRecord} from '../contracts/turn.js';
+import {
+	type ChainReply, type KeepResult, type TurnRecord, type UsedReply,
+} from '../contracts/turn.js';
 import {type ArchiveDrainEvent, drainArchive} from './archive-drain.js';
 import {type ArchiveRegistrationEvent, createArchiveRegistration} from './archive-registration.js';
 import {type LossTolerance} from './copy-targets.js';
@@ -30,6 +32,8 @@
 	readonly keep: (record: TurnRecord) => Promise<KeepResult>;
 	/** Resolves to undefined until the store has been read. */
 	readonly chain: (turn: AttemptId) => Promise<ChainReply | undefined>;
+	/** Records of used tokens; undefined until the store has been read. */
+	readonly used: () => UsedReply | undefined;
 	/** The turns that are held whole; undefined until the store has been read. */
 	readonly holds: (turns: readonly AttemptId[]) => readonly AttemptId[] | undefined;
 	/** Opens the store and registers the archive. Resolves when both are done or the signal aborts. */
@@ -132,6 +136,7 @@
 			hasRequests = true;
 			return store?.chain(turn);
 		},
+		used: () => store?.used(),
 		holds(turns) {
 			const current = store;
 			return current && turns.filter(turn => current.holds(turn));
--- a/tests/archive-links.test.ts
+++ b/tests/archive-links.test.ts
@@ -92,7 +92,7 @@
 		host: '127.0.0.1',
 		port: 0,
 		archive: {
-			keep: async () => ({kind: 'kept'}), chain: async () => undefined, holds: () => undefined, ...archive,
+			keep: async () => ({kind: 'kept'}), chain: async () => undefined, used: () => undefined, holds: () => undefined, ...archive,
 		},
 		limits,
 		onError(reason) {
