Keep records of used tokens at archives while the store is away

The store's retries go on. Reading the records needs the list in the store, and enough complete replies of the archives that the store lists by a consistent read: those that are missing must not be able to hold all copies of a record.

It takes whichever is durable first. What it writes for a neighbour goes to the store only, as the neighbour uses the archives itself.

--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -15,11 +15,13 @@
 import {type RelayLink} from '../contracts/relay-attempt.js';
 import {type RelayDigest} from '../contracts/relay-digest.js';
 import {createRoutingTable, type RoutingTable} from '../contracts/routing-table.js';
-import {type Tolerance} from '../contracts/tolerance.js';
+import {copiesFor, type Tolerance} from '../contracts/tolerance.js';
 import {type TokenAccount, withStoreSlotOnly} from '../contracts/token-account.js';
 import {createTokenLedger} from '../contracts/token-ledger.js';
+import {createArchivedRecords} from '../zones/archived-records.js';
 import {createConversations} from '../zones/conversations/conversations.js';
 import {createSharedBudgets} from '../zones/shared-budgets.js';
+import {type BudgetEvent} from '../zones/budget-event.js';
 import {type BudgetRecords} from '../zones/budget-records.js';
 import {createMembership, type Member} from '../zones/membership.js';
 import {createGossipProtocol} from '../zones/gossip-protocol.js';
@@ -144,18 +146,32 @@
 		isStoreReachableFrom: member => (member === id ? tables.digest() : digests.get(member))?.isStoreReachable ?? true,
 		clock,
 	});
+	function onBudgetEvent(event: BudgetEvent): void {
+		options.onEvent({kind: 'budget', budget: event});
+	}
+
+	const records = createArchivedRecords({
+		records: options.records,
+		dataCentre,
+		address,
+		keepsTurns: () => table?.turnRetention() !== undefined,
+		keepAtArchives: async record => conversations.keepUsed(record),
+		required: copiesFor(options.tolerance),
+		store,
+		link: options.archives,
+		clock,
+		onEvent: onBudgetEvent,
+	});
 	const budgets = createSharedBudgets({
 		self: membership.self,
 		members: membership.members,
 		dataCentres: membership.dataCentres,
 		peers,
 		ledger,
-		records: options.records,
+		records,
 		clock,
 		isWarm: () => warmUp.isWarm(),
-		onEvent(event) {
-			options.onEvent({kind: 'budget', budget: event});
-		},
+		onEvent: onBudgetEvent,
 	});
 	const gossipProtocol = createGossipProtocol({
 		membership,
@@ -212,7 +228,7 @@
 			budgets.receive(homes.value);
 			return true;
 		},
-		records: options.records,
+		records,
 		ledger,
 		clock,
 		onEvent(event) {
--- a/src/zones/budget-coordinator.ts
+++ b/src/zones/budget-coordinator.ts
@@ -11,7 +11,7 @@
 	type Entitlement, type LedgerDecision, type ReservationRequest, type TokenLedger,
 } from '../contracts/token-ledger.js';
 import {type BudgetEvent, type WithholdReason} from './budget-event.js';
-import {type BudgetRecord, type BudgetRecords} from './budget-records.js';
+import {type BudgetRecord, type DurableRecords} from './budget-records.js';
 import {createBudgetReplication} from './budget-replication.js';
 import {createBudgetConfirmation} from './budget-confirmation.js';
 import {createBudgetRecovery} from './budget-recovery.js';
@@ -61,7 +61,7 @@
 	readonly dataCentres: () => readonly DataCentreId[];
 	readonly peers: Pick<RelayPeers, 'request' | 'post'>;
 	readonly ledger: TokenLedger;
-	readonly records: BudgetRecords;
+	readonly records: DurableRecords;
 	readonly clock: Clock;
 	/** Whether this instance has recovered what programs used before it started. */
 	readonly isWarm: () => boolean;
--- a/src/zones/budget-event.ts
+++ b/src/zones/budget-event.ts
@@ -2,7 +2,7 @@
 Decisions about the budget of one request, for logs and metrics.
 */
 import {
-	type AttemptId, type InstanceId, type ProgramId, type Tokens,
+	type AttemptId, type InstanceId, type Milliseconds, type ProgramId, type Tokens,
 } from '../contracts/id.js';
 import {type Entitlement} from '../contracts/token-ledger.js';
 
@@ -17,6 +17,13 @@
 export type BudgetEvent
 	/** The store did not confirm the record in time; the call may proceed without it. */
 	= | {readonly kind: 'unrecorded'; readonly request: AttemptId; readonly program: ProgramId}
+	/** The store did not acknowledge a record in time, so it was sent to archives, which hold `copies` of it; `isKept` tells whether these are enough. */
+		| {
+			readonly kind: 'archived'; readonly program: ProgramId; readonly recorded: Tokens; readonly isKept: boolean;
+			readonly copies: readonly InstanceId[]; readonly missing: readonly string[]; readonly took: Milliseconds;
+		}
+	/** What programs used cannot be read, since the records at the archives are unknown. */
+		| {readonly kind: 'archives-unread'; readonly reason: string}
 	/** Instances that knew the account were lost; of what the store recorded, no instance is known to have granted `unaccounted`. */
 		| {readonly kind: 'recovered'; readonly program: ProgramId; readonly recorded: Tokens; readonly unaccounted: Tokens}
 	/** A coordinator, here called `keeper`, did not answer. */
--- a/src/zones/budget-records.ts
+++ b/src/zones/budget-records.ts
@@ -48,6 +48,16 @@
 	readonly load: () => Promise<Result<StoredRecords, Failure>>;
 };
 
+export type RecordWrite = {
+	/** Resolves to whether the store holds the record, after its last attempt at the latest. */
+	readonly inStore: Promise<boolean>;
+	/** Resolves to true as soon as the store or enough archives hold the record. */
+	readonly durable: Promise<boolean>;
+};
+
+/** Records that may also be kept at archives. `write` goes to the store only; `load` fails as well if too few archives answer. */
+export type DurableRecords = BudgetRecords & {readonly keep: (record: BudgetRecord) => RecordWrite};
+
 export type BudgetRecordsOptions = {
 	readonly id: InstanceId;
 	readonly dataCentre: DataCentreId;
--- a/src/zones/budget-recovery.ts
+++ b/src/zones/budget-recovery.ts
@@ -27,7 +27,7 @@
 
 export type BudgetRecoveryOptions = AccountExchange & {
 	readonly ledger: TokenLedger;
-	readonly records: BudgetRecords;
+	readonly records: Pick<BudgetRecords, 'load'>;
 	readonly clock: Clock;
 	readonly onEvent: (event: BudgetEvent) => void;
 };
--- a/src/zones/conversations/conversations.ts
+++ b/src/zones/conversations/conversations.ts
@@ -8,6 +8,7 @@
 import {as, type DataCentreId, type Milliseconds} from '../../contracts/id.js';
 import {type ObjectStore} from '../../contracts/object-store.js';
 import {copiesFor, type Tolerance} from '../../contracts/tolerance.js';
+import {type UsedRecord} from '../../contracts/turn.js';
 import {
 	type KeptTurns, type OpenedTurn, type ReceivedPart, type TurnRequest,
 } from '../../machines/kept-turns.js';
@@ -23,7 +24,7 @@
 import {isEnough, rankArchives} from './copy-placement.js';
 import {createDataCentreContact} from './data-centre-contact.js';
 import {createPartLookup} from './part-lookup.js';
-import {createTurnKeeping} from './turn-keeping.js';
+import {createTurnKeeping, type KeepOutcome} from './turn-keeping.js';
 import {createTurnMemory, type MemoryShare} from './turn-memory.js';
 import {createTurnRecorder, storedRetention} from './turn-recorder.js';
 import {type TurnEvent, type UnavailableReason} from './turn-event.js';
@@ -59,6 +60,8 @@
 
 export type Conversations = KeptTurns & {
 	readonly answer: (message: Extract<RelayMessage, {kind: 'archives'}>) => RelayReply;
+	/** Keeps a record of used tokens at as many archives as a turn; undefined if no archive is known. */
+	readonly keepUsed: (record: UsedRecord) => Promise<KeepOutcome | undefined>;
 	/** Whether turns that arrive here cannot be kept because this data centre is cut off. */
 	readonly isCutOff: () => boolean;
 	/** Current counts for metrics. */
@@ -120,12 +123,14 @@
 		return {kind: 'unavailable', retryAfter: as<Milliseconds>(retryAfterMs * (1 + random.fraction()))};
 	}
 
-	/** Archives for the turns of a program, in the order in which they are preferred. */
-	function rankedFor({program, previous, attempt}: TurnRequest): readonly ListedArchive[] {
+	/** Archives in the order in which they are preferred for a key. */
+	function rankedBy(key: string): readonly ListedArchive[] {
 		const archives = registry.known() ?? [];
-		return rankArchives(archives.filter(archive => !registry.isDrained(archive)), program ?? previous ?? attempt, dataCentre);
+		return rankArchives(archives.filter(archive => !registry.isDrained(archive)), key, dataCentre);
 	}
 
+	/** Archives for the turns of a program. */
+	const rankedFor = ({program, previous, attempt}: TurnRequest) => rankedBy(program ?? previous ?? attempt);
 	const rankedForCopies = (turn: TurnRequest) => rankedFor(turn).filter(archive => isServing(archive));
 
 	async function findChain(turn: TurnRequest, share: MemoryShare, deadline: Milliseconds): Promise<ChainResult> {
@@ -221,6 +226,9 @@
 
 			return opened;
 		},
+		async keepUsed(record) {
+			return registry.known() && keeping.keep(record, rankedBy(record.content.program).filter(archive => isServing(archive)), as<Milliseconds>(Infinity));
+		},
 		isCutOff: contact.isCutOff,
 		answer: () => registry.answer(),
 		gauges: () => ({
--- a/src/zones/record-writer.ts
+++ b/src/zones/record-writer.ts
@@ -1,12 +1,14 @@
 /**
 Writes records of budgets to the store: directly or, while the store does not answer this instance, through a
-neighbour that the store answers. An outage often affects only some instances.
+neighbour that the store answers. An outage often affects only some instances. While it affects all, a record counts as
+written once it is durable at archives.
 */
 import {type Clock} from '../contracts/clock.js';
 import {as, type InstanceId, type Milliseconds} from '../contracts/id.js';
-import {type BudgetRecord, type BudgetRecords} from './budget-records.js';
+import {type BudgetRecord, type DurableRecords} from './budget-records.js';
 import {type Member} from './membership.js';
 import {type PeerView, replicasFor} from './replicas.js';
+import {anyOf} from './any-of.js';
 import {withTimeout} from './with-timeout.js';
 import {type RelayPeers} from './relay-peers.js';
 
@@ -18,15 +20,15 @@
 const maximumNeighbours = 2;
 
 export type RecordWriter = {
-	/** Resolves to whether the store holds the record; to true as soon as any instance has written it. */
+	/** Resolves to whether the record is durable; to true as soon as any instance has written it, or archives hold it. */
 	readonly write: (record: BudgetRecord) => Promise<boolean>;
-	/** Writes on behalf of a neighbour. Resolves to false after a short timeout when the store does not answer. */
+	/** Writes to the store on behalf of a neighbour, which uses the archives itself. Resolves to false after a short timeout when the store does not answer. */
 	readonly writeOnBehalf: (record: BudgetRecord) => Promise<boolean>;
 };
 
 export type RecordWriterOptions = PeerView & {
 	readonly peers: Pick<RelayPeers, 'request'>;
-	readonly records: BudgetRecords;
+	readonly records: DurableRecords;
 	readonly clock: Clock;
 };
 
@@ -37,8 +39,9 @@
 	/** Neighbour that wrote the last record on behalf of this instance. */
 	let lastWriter: InstanceId | undefined;
 
-	async function writeDirectly(record: BudgetRecord): Promise<boolean> {
-		const isWritten = await records.write(record);
+	/** Observes whether the store takes a record. */
+	async function observe(inStore: Promise<boolean>): Promise<boolean> {
+		const isWritten = await inStore;
 		isStalled = !isWritten;
 		return isWritten;
 	}
@@ -73,12 +76,13 @@
 
 	return {
 		async write(record) {
-			const writing = writeDirectly(record);
+			const {inStore, durable} = records.keep(record);
+			const writing = observe(inStore);
 			const isWritten = isStalled ? undefined : await waitForWrite(writing);
-			return isWritten ?? (await writeThroughNeighbour(record) || writing);
+			return isWritten ?? anyOf([durable, writeThroughNeighbour(record)]);
 		},
 		async writeOnBehalf(record) {
-			return isStalled ? false : await waitForWrite(writeDirectly(record)) ?? false;
+			return isStalled ? false : await waitForWrite(observe(records.write(record))) ?? false;
 		},
 	};
 }
--- a/src/zones/warm-up.ts
+++ b/src/zones/warm-up.ts
@@ -49,7 +49,7 @@
 	of programs from a warm peer. Resolves to whether that succeeded.
 	*/
 	readonly fetchHomes: () => Promise<boolean>;
-	readonly records: BudgetRecords;
+	readonly records: Pick<BudgetRecords, 'load'>;
 	readonly ledger: TokenLedger;
 	readonly clock: Clock;
 	readonly onEvent: (event: WarmUpEvent) => void;
