--- a/src/machines/turn-store/turn-encoding.ts
+++ b/src/machines/turn-store/turn-encoding.ts
@@ -105,8 +105,8 @@
 			kind: 'used',
 			program: as<ProgramId>(Buffer.from(input).toString('utf8')),
 			tokens: as<Tokens>(tokens),
-			writer: as<Address>(text.slice(0, end)),
 			dataCentre: as<DataCentreId>(text.slice(end + 1)),
+			writer: as<Address>(text.slice(0, end)),
 		}
 		: undefined;
 }
--- a/src/zones/archived-records.ts
+++ b/src/zones/archived-records.ts
@@ -151,15 +151,15 @@
 		},
 		async load() {
 			const [stored, archived] = await Promise.all([records.load(), loadArchived()]);
-			if (stored.isErr()) {
-				return err(stored.error);
-			}
-
 			if (archived.isErr()) {
 				options.onEvent({kind: 'archives-unread', reason: archived.error.message});
 				return err(archived.error);
 			}
 
+			if (stored.isErr()) {
+				return err(stored.error);
+			}
+
 			const held = archived.value.records;
 			return ok({
 				records: [...stored.value.records, ...held.map(({retention, content}) => ({
--- a/tests/archive-links.test.ts
+++ b/tests/archive-links.test.ts
@@ -22,7 +22,9 @@
 import {type ArchiveServerOptions, serveArchive, type ServedArchive} from '../src/links/archive-server.js';
 import {createDisk} from '../src/links/disk.js';
 import {waitFor} from '../standins/cluster.js';
-import {name, plain, recordOf} from './fixtures/turn-machine.js';
+import {
+	name, plain, recordOf, usedRecord,
+} from './fixtures/turn-machine.js';
 
 const timeout = as<Milliseconds>(2000);
 
@@ -115,12 +117,14 @@
 test('records, chains and inventories pass between client and server byte for byte', async context => {
 	const kept: unknown[] = [];
 	const records = [recordOf('b', {previous: 'a'}), recordOf('a', {lastEvent: 7})];
+	const used = usedRecord('p', 700);
 	const {client, address} = await serve(context, {
 		async keep(record) {
 			kept.push(plain(record));
 			return kept.length === 1 ? {kind: 'kept'} : {kind: 'refused', reason: 'the disk is full'};
 		},
 		chain: async turn => ({records: turn === 'b' ? records : [], isComplete: turn !== 'b'}),
+		used: () => ({records: [used], isComplete: true}),
 		holds: turns => turns.filter(turn => turn !== 'x'),
 	});
 	assert.deepEqual(await client.keep(address, recordOf('a'), timeout), {kind: 'kept'});
@@ -129,6 +133,7 @@
 	const reply = await client.chain(address, name('b'), timeout);
 	assert.deepEqual([reply?.isComplete, reply?.records.map(record => plain(record))], [false, records.map(record => plain(record))]);
 	assert.deepEqual(await client.chain(address, name('c'), timeout), {records: [], isComplete: true});
+	assert.deepEqual(await client.used(address, timeout), {records: [used], isComplete: true});
 	assert.deepEqual(await client.holds(address, [name('a'), name('x'), name('é')], timeout), new Set([name('a'), name('é')]));
 	kept.length = 0;
 	assert.deepEqual(await client.copy(address, [recordOf('c'), recordOf('d')], timeout), {stored: new Set([name('c')]), reason: 'the archive refused some of the turns'});
@@ -137,6 +142,7 @@
 test('an archive that still reads its disk gives no answer to reads and keeps nothing', async context => {
 	const {client, address} = await serve(context, {keep: async () => ({kind: 'refused', reason: 'reading'})});
 	assert.equal(await client.chain(address, name('a'), timeout), undefined);
+	assert.equal(await client.used(address, timeout), undefined);
 	assert.equal(await client.holds(address, [name('a')], timeout), undefined);
 	assert.deepEqual(await client.keep(address, recordOf('a'), timeout), {kind: 'refused', reason: 'reading'});
 });
--- a/tests/archive-retirement.test.ts
+++ b/tests/archive-retirement.test.ts
@@ -18,7 +18,7 @@
 import {createFakeClock} from './fixtures/fake-clock.js';
 import {createFakeObjectStore, type StoreAccess} from './fixtures/fake-object-store.js';
 import {
-	createMachine, keepAll, name, plain, recordOf, retentionMs,
+	createMachine, keepAll, name, plain, recordOf, retentionMs, usedRecord,
 } from './fixtures/turn-machine.js';
 
 const kind = 'retirements';
@@ -220,6 +220,24 @@
 	assert.equal(calls() - 3, 1);
 });
 
+// Guards against a machine that is removed with the highest amount, as the others hold a lower one under the same id.
+test('a record of used tokens is copied to enough others, also if these hold a lower amount', async context => {
+	const {clock, statuses, other, retire, archive} = await createDeployment(context, ['a-2', 'b-1']);
+	const used = usedRecord('p', 700);
+	void archive.keep(used);
+	await clock.advance(100);
+	for (const id of ['a-2', 'b-1']) {
+		other(id).records.set(used.turn, plain(usedRecord('p', 300)));
+	}
+
+	await retire();
+	await clock.advance(3000);
+	assert.deepEqual(statuses, [running, completed]);
+	for (const id of ['a-2', 'b-1']) {
+		assert.equal(other(id).records.get(used.turn), plain(used));
+	}
+});
+
 // Guards against a report of an earlier stage that takes effect last and keeps the operator waiting.
 test('the end is reported again if an earlier report takes effect after it', async context => {
 	const {clock, statuses, keep, retire, objects} = await createDeployment(context, ['a-2', 'b-1']);
--- a/tests/conversation-cluster.test.ts
+++ b/tests/conversation-cluster.test.ts
@@ -45,13 +45,14 @@
 	};
 }
 
-async function createScene(keepsTurns = true): Promise<Scene> {
+async function createScene(keepsTurns = true, hasRecords = false): Promise<Scene> {
 	const bodies: string[] = [];
 	let archives: FakeArchives | undefined;
 	const cluster = await createTablesCluster(ids, 1, {
 		routes: [routeWith({
 			isStream: true, repetition: 'resumable', maxEndpoints: 1, timeout: as<Milliseconds>(5000), keepsTurns,
 		})],
+		hasRecords,
 		linkOf: (clock, _id, isRunning) => linkOf(clock, bodies, isRunning),
 		archivesOf(clock, store) {
 			archives ??= createFakeArchives(clock, ['a8', 'b8', 'c8'], store);
@@ -151,3 +152,37 @@
 	assert.ok(!scene.cluster.store.listedKinds.includes('hickoryfork-archives'));
 	assert.deepEqual(scene.archives.all().flatMap(({keeps, reads}) => [...keeps, ...reads]), []);
 });
+
+/** Lets a program make five calls, which are within its budget, while the store answers nobody. Returns how each ended. */
+async function callDuringOutage(scene: Scene): Promise<ReadonlyArray<string | undefined>> {
+	const {cluster} = scene;
+	await cluster.clock.advance(2000);
+	for (const id of ids) {
+		cluster.storeAccess.set(id, 'silent');
+	}
+
+	await cluster.clock.advance(500);
+	const ends = [];
+	for (const [index, id] of ids.slice(0, 5).entries()) {
+		const caller = await serve(scene, id, requestOf(`call ${index}`));
+		ends.push(caller.refusals[0]?.kind ?? caller.ending());
+	}
+
+	return ends;
+}
+
+// Guards against programs that get one turn each and are then refused while the store is away, although the archives answer.
+test('a program goes on while the store answers nobody, if turns are kept', async () => {
+	const scene = await createScene(true, true);
+	assert.deepEqual(await callDuringOutage(scene), ['finished', 'finished', 'finished', 'finished', 'finished']);
+	assert.ok(scene.archives.all().some(({records}) => [...records.values()].some(({content}) => content.kind === 'used')));
+});
+
+// Shows what the archives change, and guards against a use of them where no turns are kept.
+test('a program gets one call while the store answers nobody, if no turns are kept', async () => {
+	const scene = await createScene(false, true);
+	const ends = await callDuringOutage(scene);
+	assert.equal(ends[0], 'finished');
+	assert.deepEqual(ends.slice(1), ['not-run', 'not-run', 'not-run', 'not-run']);
+	assert.ok(scene.archives.all().every(({records, keeps, usedReads}) => records.size === 0 && keeps.length === 0 && usedReads === 0));
+});
