--- a/src/zones/allotments/permit-client.ts
+++ b/src/zones/allotments/permit-client.ts
@@ -52,6 +52,8 @@
 
 type Waiting = {
 	readonly deadline: Milliseconds;
+	/** Whether it is the first request of its program. */
+	readonly isFirst: boolean;
 	/** Whether it is known when the request gets a permit. */
 	isDecided: boolean;
 	readonly isSettled: () => boolean;
@@ -63,8 +65,9 @@
 	known: KnownAllotment;
 	readonly waiting: Set<Waiting>;
 	isServing: boolean;
-	/** Time before which there is no permit. */
+	/** Time before which there is no permit, and before which there is none for the first request of a program. */
 	usedUpUntil: number;
+	usedUpForFirstUntil: number;
 	/** Time before which no coordinator is looked for. */
 	noCoordinatorUntil: number;
 	returned: {readonly tenure: TenureId; readonly count: number} | undefined;
@@ -95,7 +98,7 @@
 
 	function queueOf(workspace: WorkspaceName, known: KnownAllotment): Queue {
 		const queue: Queue = queues.get(workspace) ?? {
-			workspace, known, waiting: new Set(), isServing: false, usedUpUntil: 0, noCoordinatorUntil: 0, returned: undefined,
+			workspace, known, waiting: new Set(), isServing: false, usedUpUntil: 0, usedUpForFirstUntil: 0, noCoordinatorUntil: 0, returned: undefined,
 		};
 		queue.known = known;
 		queues.set(workspace, queue);
@@ -117,6 +120,7 @@
 			asker: {id: self().id, startedAt: options.startedAt},
 			number: ++lastNumber,
 			patience: patienceOf(batch),
+			...(batch.some(request => request.isFirst) && {isFirst: batch.map(request => request.isFirst)}),
 			...(returned && {returned}),
 		};
 	}
@@ -169,10 +173,13 @@
 	}
 
 	function apply(queue: Queue, batch: readonly Waiting[], decided: Decided): void {
-		const {wait} = decided;
+		const {wait, firstWait = wait} = decided;
 		for (const request of applyGrants(queue, batch, decided)) {
-			request.settle({kind: 'used-up', wait});
-			queue.usedUpUntil = Math.max(queue.usedUpUntil, clock.now() + wait);
+			request.settle({kind: 'used-up', wait: request.isFirst ? firstWait : wait});
+			queue.usedUpForFirstUntil = Math.max(queue.usedUpForFirstUntil, clock.now() + firstWait);
+			if (!request.isFirst) {
+				queue.usedUpUntil = Math.max(queue.usedUpUntil, clock.now() + wait);
+			}
 		}
 	}
 
@@ -278,21 +285,23 @@
 	}
 
 	return {
-		async acquire({workspace, allotment, generation, patience}, signal) {
+		async acquire({workspace, allotment, generation, patience, isFirst}, signal) {
 			if (signal.aborted) {
 				return {kind: 'cancelled'};
 			}
 
 			const queue = queueOf(workspace, {generation, allotment});
 			const deadline = as<Milliseconds>(clock.now() + patience);
-			if (queue.usedUpUntil > deadline) {
-				return {kind: 'used-up', wait: as<Milliseconds>(queue.usedUpUntil - clock.now())};
+			const usedUpUntil = isFirst ? queue.usedUpForFirstUntil : queue.usedUpUntil;
+			if (usedUpUntil > deadline) {
+				return {kind: 'used-up', wait: as<Milliseconds>(usedUpUntil - clock.now())};
 			}
 
 			const outcome = createDeferred<AllotmentOutcome>();
 			const settled = new AbortController();
 			const request: Waiting = {
 				deadline,
+				isFirst,
 				isDecided: false,
 				isSettled: () => settled.signal.aborted,
 				settle(result) {
