--- a/src/machines/allotment-bucket.ts
+++ b/src/machines/allotment-bucket.ts
@@ -34,14 +34,9 @@
 	let current: BucketLimit | undefined;
 
 	function refill(limit: BucketLimit, now: Milliseconds): void {
-		current ??= limit;
-		level = Math.min(current.capacity, level + ((now - refilledAt) * current.rate / 1000));
+		const previous = current ?? limit;
+		level = Math.min(limit.capacity, previous.capacity, level + ((now - refilledAt) * previous.rate / 1000));
 		refilledAt = now;
-		if (limit.capacity !== current.capacity) {
-			// What has been used of the old burst counts as used of the new one.
-			level = Math.max(Math.min(0, level), limit.capacity - (current.capacity - level));
-		}
-
 		current = limit;
 	}
 
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -171,7 +171,6 @@
 		},
 		onPause(gap) {
 			options.onEvent({kind: 'paused', gap});
-			allotments.recordPause();
 		},
 		onEndpointUpdate() {
 			// The directory is the only source of endpoints.
--- a/src/zones/allotments/allotments.ts
+++ b/src/zones/allotments/allotments.ts
@@ -42,8 +42,6 @@
 	readonly answer: (message: AllotmentMessage) => Promise<AllotmentReply>;
 	/** Called when the membership has changed. */
 	readonly observeMembers: () => void;
-	/** Called after the process stood still: others may have taken its place meanwhile. */
-	readonly recordPause: () => void;
 	/** Called when the configuration has changed. */
 	readonly prune: () => void;
 	/** Hands over what this instance coordinates. */
@@ -105,7 +103,11 @@
 			}
 
 			case 'inherit': {
-				return delegate.passOn(message.workspace, message.to);
+				return delegate.passOn(message.workspace, message.to, message.age);
+			}
+
+			case 'witness': {
+				return delegate.witness(message.workspace, message.record, message.predecessor);
 			}
 
 			case 'yield': {
@@ -125,7 +127,6 @@
 		observeMembers() {
 			order.observe();
 		},
-		recordPause: delegate.forget,
 		prune() {
 			const isKnown = (workspace: WorkspaceName) => options.allotmentOf(workspace) !== undefined;
 			for (const workspace of newer.keys()) {
--- a/src/zones/allotments/coordinator-order.ts
+++ b/src/zones/allotments/coordinator-order.ts
@@ -45,16 +45,13 @@
 
 /** Creates the order as seen by an instance that has just started. */
 export function createCoordinatorOrder({self, members, dataCentres, isFirstStart, clock}: CoordinatorOrderOptions) {
+	let ownIncarnation = self().incarnation;
 	let known: readonly Member[] = [];
 	const ranked = new Map<WorkspaceName, readonly Member[]>();
 	const isBeforeSelf = new Map<string, boolean>();
 	/** Candidates of the own data centre in the past, oldest first; this instance counts as one even when it leaves. */
 	const views: Array<{readonly at: Milliseconds; readonly candidates: readonly InstanceId[]}> = [];
 
-	function neighbours(): readonly Member[] {
-		return candidatesIn(self().dataCentre, members()).filter(({id}) => id !== self().id);
-	}
-
 	function comesBeforeSelf(id: InstanceId, workspace: WorkspaceName): boolean {
 		const comparison = `${id}|${workspace}`;
 		const result = isBeforeSelf.get(comparison) ?? isBefore(id, self().id, workspace);
@@ -68,10 +65,17 @@
 
 	/** Records the present view of the own data centre. `isTrusted` tells that no earlier vote can be in force. */
 	function observe(isTrusted = false): void {
-		const candidates = [self().id, ...neighbours().map(({id}) => id)].toSorted();
+		const {incarnation, status} = self();
+		if (incarnation !== ownIncarnation && status === 'alive') {
+			// Others took this instance for dead, or it stood still: another may have been the delegate meanwhile.
+			views.length = 0;
+		}
+
+		ownIncarnation = incarnation;
+		const local = [...new Set([self().id, ...candidatesIn(self().dataCentre, members()).map(({id}) => id)])].toSorted();
 		const last = views.at(-1);
-		if (!last || !areSame(last.candidates, candidates)) {
-			views.push({at: as<Milliseconds>(clock.now() - (isTrusted ? leaseMs : 0)), candidates});
+		if (!last || !areSame(last.candidates, local)) {
+			views.push({at: as<Milliseconds>(clock.now() - (isTrusted ? leaseMs : 0)), candidates: local});
 			views.splice(0, views.length - maximumViews);
 		}
 	}
@@ -103,17 +107,24 @@
 		delegateOf: (dataCentre: DataCentreId, workspace: WorkspaceName) => candidates(workspace).find(member => member.dataCentre === dataCentre),
 		/** Votes of each data centre. */
 		weights: (workspace: WorkspaceName) => voteWeights(dataCentres(), key(workspace)),
+		/** Live neighbours in the order of the workspace, and whether any are known, live or not. */
+		neighbours(workspace: WorkspaceName) {
+			const {id, dataCentre} = self();
+			const known = members().some(member => member.dataCentre === dataCentre && member.id !== id && member.status !== 'leaving');
+			return {isKnown: known, live: candidates(workspace).filter(member => member.dataCentre === dataCentre && member.id !== id)};
+		},
 		/** Neighbour that was or would be the delegate if this instance were not one. */
 		precedingDelegate(workspace: WorkspaceName) {
 			const others = members().filter(member => member.dataCentre === self().dataCentre && member.id !== self().id && member.status !== 'dead');
 			return rankByRendezvous(others, ({id}) => id, key(workspace))[0];
 		},
-		/** Time since which this instance has come before all others of its data centre except `ignored`; undefined if it does not now. */
-		delegateSince(workspace: WorkspaceName, ignored?: InstanceId): Milliseconds | undefined {
+		/** Time since which this instance has been the delegate, but for an instance that came `successor.at`; undefined if it is not. */
+		delegateSince(workspace: WorkspaceName, successor?: {readonly id: InstanceId; readonly at: Milliseconds}): Milliseconds | undefined {
 			observe();
 			let since: Milliseconds | undefined;
 			for (const view of views.toReversed()) {
-				if (view.candidates.some(id => id !== ignored && comesBeforeSelf(id, workspace))) {
+				const isEarlier = successor !== undefined && view.at > successor.at;
+				if (view.candidates.some(id => !(isEarlier && id === successor.id) && comesBeforeSelf(id, workspace))) {
 					return since;
 				}
 
@@ -127,10 +138,5 @@
 			const local = members().filter(member => member.dataCentre === self().dataCentre && member.status !== 'leaving');
 			return Math.max(1, local.filter(({status}) => status === 'alive').length) / Math.max(1, local.length);
 		},
-		/** Starts to observe anew after this instance stood still, because others may have voted in its place. */
-		forget() {
-			views.length = 0;
-			observe();
-		},
 	};
 }
--- a/src/zones/allotments/coordinator.ts
+++ b/src/zones/allotments/coordinator.ts
@@ -96,7 +96,8 @@
 		}
 
 		const [first] = order.candidates(workspace);
-		const isCandidate = self().status !== 'leaving' && (first?.id === self().id || (isFirstUnreachable && !isForwarded));
+		const isNext = first?.id === self().id || (isFirstUnreachable && !isForwarded) || leases.hasBucket(workspace);
+		const isCandidate = isNext && self().status !== 'leaving';
 		if (!isCandidate) {
 			return isForwarded ? {kind: 'no-coordinator', wait: defaultWait} : forward(ask, first, defaultWait);
 		}
--- a/src/zones/allotments/held-leases.ts
+++ b/src/zones/allotments/held-leases.ts
@@ -78,6 +78,8 @@
 export type HeldLeases = {
 	/** The lease if this instance holds it now. */
 	readonly current: (workspace: WorkspaceName, limit: BucketLimit) => HeldLease | undefined;
+	/** Whether this instance has the bucket, with a lease or without. */
+	readonly hasBucket: (workspace: WorkspaceName) => boolean;
 	readonly acquire: (workspace: WorkspaceName, limit: BucketLimit) => Promise<LeaseOutcome>;
 	/** Answers an instance that asks for the bucket. */
 	readonly yieldTo: (workspace: WorkspaceName, to: Coordinator) => AllotmentReply;
@@ -218,7 +220,7 @@
 
 	async function acquireNow(workspace: WorkspaceName, state: State): Promise<LeaseOutcome> {
 		const first = await hold(workspace, state, {isTakeover: false, message: acquisition});
-		if (first?.kind === 'minority' && first.holder) {
+		if (first?.kind === 'minority' && first.holder && first.isMajorityPossible) {
 			const {holder, remaining} = first;
 			const isPassedOver = remaining <= 0 || replaces(holder, workspace);
 			const reply = isPassedOver && isOtherAndLive(holder) ? await askForBucket(workspace, state, holder) : undefined;
@@ -281,6 +283,7 @@
 
 			return lease;
 		},
+		hasBucket: workspace => states.get(workspace)?.bucket !== undefined,
 		async acquire(workspace, limit) {
 			const state = stateOf(workspace, limit);
 			if (state.acquiring) {
--- a/src/zones/allotments/messages.ts
+++ b/src/zones/allotments/messages.ts
@@ -38,8 +38,10 @@
 		| ({readonly kind: 'ask-slack'} & Pick<PermitAsk, 'workspace' | 'known' | 'patience'>)
 		| {readonly kind: 'vote'; readonly workspace: WorkspaceName; readonly vote: VoteRequest}
 		| {readonly kind: 'withdraw'; readonly workspace: WorkspaceName; readonly tenure: TenureId; readonly round: number}
-	/** A new delegate asks the one before it for its record, which votes no more. */
-		| {readonly kind: 'inherit'; readonly workspace: WorkspaceName; readonly to: InstanceAddress}
+	/** An instance that has been the delegate for `age` asks the one before it for its record, which votes no more. */
+		| {readonly kind: 'inherit'; readonly workspace: WorkspaceName; readonly to: InstanceAddress; readonly age: Milliseconds}
+	/** Asks an instance to acknowledge a vote of the sender, unless it knows of another. */
+		| {readonly kind: 'witness'; readonly workspace: WorkspaceName; readonly record: RelativeRecord; readonly predecessor: TenureId | undefined}
 	/** Asks the holder of a lease for its bucket. */
 		| {readonly kind: 'yield'; readonly workspace: WorkspaceName; readonly to: Coordinator}
 	/** An instance that leaves hands its bucket to its successor. */
@@ -93,6 +95,12 @@
 	};
 }
 
+export function fromRelativeRecord({holder, round, remaining, undisputed}: RelativeRecord, now: Milliseconds): LeaseRecord {
+	return {
+		holder, round, until: as<Milliseconds>(now + remaining), othersUntil: as<Milliseconds>(now - undisputed),
+	};
+}
+
 export function toRelativeRecord({holder, round, until, othersUntil}: LeaseRecord, now: Milliseconds): RelativeRecord {
 	return {
 		holder, round, remaining: as<Milliseconds>(Math.max(0, until - now)), undisputed: as<Milliseconds>(now - othersUntil),
--- a/src/zones/allotments/vote-round.ts
+++ b/src/zones/allotments/vote-round.ts
@@ -20,8 +20,11 @@
 
 export type RoundResult
 	= | {readonly kind: 'majority'; readonly undisputed: Milliseconds}
-	/** `holder` and `remaining` are those of the vote for another that lasts longest; `remaining` is zero if nobody refused. */
-		| {readonly kind: 'minority'; readonly holder: Coordinator | undefined; readonly remaining: Milliseconds};
+	/**
+	`holder` and `remaining` are those of the vote for another that lasts longest; `remaining` is zero if nobody refused. A
+	majority is possible if more than half of the votes answered.
+	*/
+		| {readonly kind: 'minority'; readonly holder: Coordinator | undefined; readonly remaining: Milliseconds; readonly isMajorityPossible: boolean};
 
 export type VoteRoundOptions = {
 	readonly order: CoordinatorOrder;
@@ -60,6 +63,7 @@
 		const granted: GrantedVote[] = [];
 		const result = createDeferred<RoundResult>();
 		let pendingWeight = total;
+		let answeredWeight = 0;
 		let holder: Coordinator | undefined;
 		let remaining = as<Milliseconds>(0);
 
@@ -68,13 +72,16 @@
 			if (undisputed !== undefined && (isFinal || undisputed >= round.sufficient)) {
 				result.resolve({kind: 'majority', undisputed});
 			} else if (undisputed === undefined && granted.reduce((sum, vote) => sum + vote.weight, pendingWeight) <= total / 2) {
-				result.resolve({kind: 'minority', holder, remaining});
+				result.resolve({
+					kind: 'minority', holder, remaining, isMajorityPossible: answeredWeight + pendingWeight > total / 2,
+				});
 			}
 		}
 
 		async function count(dataCentre: DataCentreId, weight: number): Promise<void> {
 			const vote = await ask(dataCentre, round);
 			pendingWeight -= weight;
+			answeredWeight += vote ? weight : 0;
 			if (vote?.kind === 'granted') {
 				granted.push({weight, undisputed: vote.undisputed});
 			} else if (vote && (vote.remaining >= remaining || !holder)) {
