Show that a call does not wait for neighbours beside archives

Two breaking trials passed the tests: waiting for neighbours before archives, and counting a record for as long as its longest copy. The first needs a data centre with two neighbours, the second an archive that does not answer, so that both copies are read.

--- a/tests/archived-records.test.ts
+++ b/tests/archived-records.test.ts
@@ -12,7 +12,7 @@
 import {type BudgetCluster, createBudgetCluster, most} from './fixtures/budget-cluster.js';
 import {timed} from './fixtures/conversation-scene.js';
 
-const instances = ['a1', 'a2', 'b1', 'b2', 'c1', 'c2'];
+const instances = ['a1', 'a2', 'a3', 'b1', 'b2', 'c1', 'c2'];
 const three = ['a9', 'b9', 'c9'];
 
 function createCluster(archives = three, machines = 1): BudgetCluster {
@@ -129,6 +129,16 @@
 	assert.ok(cluster.events.some(event => event.kind === 'archived' && !event.isKept && event.copies.length === 1 && event.missing.length === 2));
 });
 
+// Guards against a record that is at archives in time, but is waited for behind neighbours that cannot write it either.
+test('a call whose record is at archives does not wait for neighbours', async () => {
+	const cluster = createCluster();
+	cluster.isStoreDown = true;
+	const reservation = await cluster.reserve('a1', 'p', '1', 5 * most);
+	assert.equal(reservation.kind, 'granted');
+	assert.ok(cluster.events.some(event => event.kind === 'archived' && event.isKept));
+	assert.ok(!cluster.events.some(event => event.kind === 'unrecorded'));
+});
+
 // Guards against a neighbour that makes copies of its own beside those of the instance that asks it.
 test('a neighbour that the store does not answer either sends nothing to archives', async () => {
 	const cluster = createCluster();
@@ -205,6 +215,7 @@
 	const cluster = createCluster();
 	put(cluster, 'b9', usedRecord('a1', 700, 50_000));
 	put(cluster, 'c9', usedRecord('a1', 700, 90_000));
+	cluster.archives.archive('a9').state = 'hanging';
 	const {result} = await load(cluster);
 	assert.ok(result.isOk() && result.value.records.every(({retention}) => retention <= 80_000));
 });
