--- a/tests/conversation-cluster.test.ts
+++ b/tests/conversation-cluster.test.ts
@@ -77,18 +77,6 @@
 	return caller;
 }
 
-test('the turns of a program may arrive at any instance', async () => {
-	const scene = await createScene();
-	const names = ['one', 'two', 'three', 'four', 'five'];
-	for (const [index, name] of names.entries()) {
-		const caller = await serve(scene, ids[index] ?? 'a1', requestOf(name, names[index - 1]));
-		assert.equal(caller.ending(), 'finished');
-	}
-
-	scene.cluster.stop();
-	assert.equal(scene.bodies.at(-1), `${names.slice(0, -1).map(name => `<${name}>${output}`).join('')}<five>`);
-});
-
 test('a stream that broke off towards its caller is resumed at another instance, and continued with all of its events', async () => {
 	const scene = await createScene();
 	const {cluster} = scene;
@@ -105,10 +93,11 @@
 	assert.equal(scene.bodies.at(-1), `<one>${output}<two>`);
 });
 
-test('a turn outlasts the loss of a disk and of all memory, also for an instance that the store does not answer', async () => {
+test('turns arrive anywhere and outlast the loss of a disk and of all memory, also for an instance that the store does not answer', async () => {
 	const scene = await createScene();
 	const {cluster, archives} = scene;
-	await serve(scene, 'a1', requestOf('one'));
+	await serve(scene, 'a1', requestOf('root'));
+	await serve(scene, 'c2', requestOf('one', 'root'));
 	const holder = archives.all().find(({records}) => records.has('one'));
 	assert.ok(holder);
 	for (const id of ids) {
@@ -138,7 +127,7 @@
 	const caller = await serve(scene, 'b2', requestOf('two', 'one'));
 	cluster.stop();
 	assert.equal(caller.ending(), 'finished');
-	assert.equal(scene.bodies.at(-1), `<one>${output}<two>`);
+	assert.equal(scene.bodies.at(-1), `<root>${output}<one>${output}<two>`);
 });
 
 test('instances whose routes keep no turns send requests unchanged and ask nobody about archives', async () => {
--- a/tests/conversations-exploration.test.ts
+++ b/tests/conversations-exploration.test.ts
@@ -8,7 +8,7 @@
 import {test} from 'node:test';
 import {as, type Milliseconds, type ProgramId} from '../src/contracts/id.js';
 import {
-	type ConversationNode, createConversationNode, createFakeArchives, type FakeArchives, turnWith,
+	type ConversationNode, createConversationNode, createFakeArchives, type FakeArchive, type FakeArchives, turnWith,
 } from './fixtures/fake-archives.js';
 import {createFakeClock, createSeededRandom} from './fixtures/fake-clock.js';
 
@@ -36,70 +36,52 @@
 };
 
 /** Each fault returns how it ends. */
-const faults: ReadonlyArray<(strike: Strike, archive: string, instance: string) => () => void> = [
-	({archives, fraction}, id) => {
-		const archive = archives.archive(id);
-		archive.state = fraction() < 0.5 ? 'hanging' : 'full';
-		return () => {
-			archive.state = 'answering';
-		};
+const faults: ReadonlyArray<(strike: Strike, archive: FakeArchive, instance: string) => (() => unknown) | undefined> = [
+	({fraction}, archive) => {
+		Object.assign(archive, {state: fraction() < 0.5 ? 'hanging' : 'full'});
+		return () => Object.assign(archive, {state: 'answering'});
 	},
-	({archives, fraction}, id) => {
-		const archive = archives.archive(id);
-		archive.delayMs = fraction() * 400;
-		return () => {
-			archive.delayMs = 0;
-		};
+	({fraction}, archive) => {
+		Object.assign(archive, {delayMs: fraction() * 400});
+		return () => Object.assign(archive, {delayMs: 0});
 	},
-	({archives, mayLoseDisk}, id) => {
+	({mayLoseDisk}, archive) => {
 		if (mayLoseDisk()) {
-			archives.archive(id).records.clear();
-			archives.archive(id).isComplete = false;
+			archive.records.clear();
+			archive.isComplete = false;
 		}
 
-		return () => undefined;
+		return undefined;
 	},
 	// A loss of power: all instances lose their memory, and the archives read their disks before they answer.
 	({archives, start}) => {
-		for (const archive of archives.all()) {
-			archive.state = 'starting';
-		}
-
 		for (const id of instances) {
 			start(id);
 		}
 
-		return () => {
-			for (const archive of archives.all()) {
-				archive.state = 'answering';
-			}
-		};
+		const all = archives.all().map(archive => Object.assign(archive, {state: 'starting'}));
+		return () => all.map(archive => Object.assign(archive, {state: 'answering'}));
 	},
 	// A cut between the data centre of an archive and the others.
-	({archives, nodes}, cut) => {
-		const isInside = (id: string) => id.startsWith(cut.slice(0, 1));
-		for (const [id, node] of nodes) {
-			for (const archive of archives.all().filter(other => isInside(other.id) !== isInside(id))) {
-				node.unreachable.add(archive.id);
+	({archives, nodes}, {dataCentre}) => {
+		for (const [id, {unreachable}] of nodes) {
+			for (const archive of archives.all().filter(other => (other.dataCentre === dataCentre) !== id.startsWith(dataCentre))) {
+				unreachable.add(archive.id);
 			}
 		}
 
-		return () => {
-			for (const node of nodes.values()) {
-				node.unreachable.clear();
-			}
-		};
+		return () => [...nodes.values()].map(({unreachable}) => {
+			unreachable.clear();
+			return unreachable;
+		});
 	},
 	({nodes}, _archive, id) => {
-		const node = nodes.get(id);
-		Object.assign(node ?? {}, {storeAccess: 'silent'});
-		return () => {
-			Object.assign(node ?? {}, {storeAccess: 'answering'});
-		};
+		const node = Object.assign(nodes.get(id) ?? {}, {storeAccess: 'silent'});
+		return () => Object.assign(node, {storeAccess: 'answering'});
 	},
 	({start}, _archive, id) => {
 		start(id);
-		return () => undefined;
+		return undefined;
 	},
 ];
 
@@ -113,7 +95,7 @@
 			const nodes = new Map<string, ConversationNode>();
 			const ended: EndedTurn[] = [];
 			const running: Array<Promise<void>> = [];
-			const restores: Array<{readonly at: number; readonly restore: () => void}> = [];
+			const restores: Array<{readonly at: number; readonly restore: () => unknown}> = [];
 			let disksToLose = machines;
 			const mayLoseDisk = () => disksToLose-- > 0;
 
@@ -159,7 +141,7 @@
 					const fault = faults[Math.floor(random.fraction() * faults.length)];
 					const restore = fault?.({
 						archives, nodes, start, fraction: random.fraction, mayLoseDisk,
-					}, pick(archiveIds), pick(instances));
+					}, archives.archive(pick(archiveIds)), pick(instances));
 					restores.push({at: elapsed + 200 + (random.fraction() * 2500), restore: () => restore?.()});
 				}
 
--- a/tests/turn-keeping.test.ts
+++ b/tests/turn-keeping.test.ts
@@ -76,6 +76,11 @@
 	const {isKept, took} = await keepTurn(scene, turnWith('one'));
 	assert.ok(isKept && took < 10, `kept after ${took} ms`);
 	assert.deepEqual(holdersOf(scene, 'one'), ['b1', 'c1']);
+	scene.archives.archive('b1').state = 'full';
+	scene.archives.archive('c1').state = 'full';
+	const refused = await keepTurn(scene, turnWith('two'));
+	const next = await openTurn(scene, turnWith('three', 'two'));
+	assert.deepEqual([refused.isKept, next.kind], [false, 'unknown-turn']);
 });
 
 test('an archive that is leaving gets no copies', async () => {
@@ -94,6 +99,8 @@
 	const {isKept, took} = await keepTurn(scene, turnWith('one'));
 	assert.equal(isKept, false);
 	assert.ok(took <= 1000, `given up after ${took} ms`);
+	// A second copy in the own data centre would not help.
+	assert.equal(['a1', 'a2'].filter(id => scene.archives.archive(id).keeps.length > 0).length, 1);
 	const hurried = await keepTurn(scene, turnWith('hurried', undefined, {timeLeft: as<Milliseconds>(300)}));
 	assert.ok(!hurried.isKept && hurried.took <= 300, `given up after ${hurried.took} ms`);
 	const other = await addInstance(scene, 'b0');
@@ -102,6 +109,13 @@
 	assert.ok(beyond.isKept);
 });
 
+test('a turn is refused as not run if the listed archives are all in one data centre', async () => {
+	const scene = await createConversationScene(['a1', 'a2']);
+	const opened = await openTurn(scene, turnWith('one'));
+	assert.equal(opened.kind, 'unavailable');
+	assert.deepEqual(reasonsOf(scene.node), ['too-few-archives']);
+});
+
 test('while the archives that a turn needs are down, turns are refused as not run, and served again soon after they are back', async () => {
 	const scene = await createConversationScene(['a1', 'b1', 'c1']);
 	scene.node.unreachable.add('b1').add('c1');
