--- a/src/zones/allotments/messages.ts
+++ b/src/zones/allotments/messages.ts
@@ -24,6 +24,8 @@
 	readonly number: number;
 	/** For each request that needs a permit, the time for which it waits. */
 	readonly patience: readonly number[];
+	/** Whether each of these requests is the first of its program; absent if none is. */
+	readonly isFirst?: readonly boolean[] | undefined;
 	/** Permits that were not used, and the tenure that granted them. */
 	readonly returned?: {readonly tenure: TenureId; readonly count: number} | undefined;
 };
@@ -38,8 +40,10 @@
 		| ({readonly kind: 'ask-slack'} & Pick<PermitAsk, 'workspace' | 'known' | 'patience'>)
 		| {readonly kind: 'vote'; readonly workspace: WorkspaceName; readonly vote: VoteRequest}
 		| {readonly kind: 'withdraw'; readonly workspace: WorkspaceName; readonly tenure: TenureId; readonly round: number}
-	/** A new delegate asks the one before it for its record, which votes no more. */
-		| {readonly kind: 'inherit'; readonly workspace: WorkspaceName; readonly to: InstanceAddress}
+	/** An instance that has been the delegate for `age` asks the one before it for its record, which votes no more. */
+		| {readonly kind: 'inherit'; readonly workspace: WorkspaceName; readonly to: InstanceAddress; readonly age: Milliseconds}
+	/** Asks an instance to acknowledge a vote of the sender, unless it knows of another. */
+		| {readonly kind: 'witness'; readonly workspace: WorkspaceName; readonly record: RelativeRecord; readonly predecessor: TenureId | undefined}
 	/** Asks the holder of a lease for its bucket. */
 		| {readonly kind: 'yield'; readonly workspace: WorkspaceName; readonly to: Coordinator}
 	/** An instance that leaves hands its bucket to its successor. */
@@ -51,8 +55,11 @@
 export type InstanceAddress = {readonly id: InstanceId; readonly address: Address};
 
 export type AllotmentReply
-	/** For each request, the time after which it may be sent; `wait` is the time until there is a permit that nobody waits for. */
-	= | {readonly kind: 'decided'; readonly tenure: TenureId | undefined; readonly delays: ReadonlyArray<Milliseconds | 'none'>; readonly wait: Milliseconds}
+	/**
+	For each request, the time after which it may be sent; `wait` is the time until there is a permit that nobody waits for, and
+	`firstWait` the same for the first request of a program, if it differs.
+	*/
+	= | {readonly kind: 'decided'; readonly tenure: TenureId | undefined; readonly delays: ReadonlyArray<Milliseconds | 'none'>; readonly wait: Milliseconds; readonly firstWait?: Milliseconds | undefined}
 	/** No coordinator is known to the instance; one may be after `wait`. */
 		| {readonly kind: 'no-coordinator'; readonly wait: Milliseconds}
 		| {readonly kind: 'voted'; readonly vote: Vote}
@@ -93,6 +100,12 @@
 	};
 }
 
+export function fromRelativeRecord({holder, round, remaining, undisputed}: RelativeRecord, now: Milliseconds): LeaseRecord {
+	return {
+		holder, round, until: as<Milliseconds>(now + remaining), othersUntil: as<Milliseconds>(now - undisputed),
+	};
+}
+
 export function toRelativeRecord({holder, round, until, othersUntil}: LeaseRecord, now: Milliseconds): RelativeRecord {
 	return {
 		holder, round, remaining: as<Milliseconds>(Math.max(0, until - now)), undisputed: as<Milliseconds>(now - othersUntil),
--- a/tests/conversation-cluster.test.ts
+++ b/tests/conversation-cluster.test.ts
@@ -45,13 +45,14 @@
 	};
 }
 
-async function createScene(keepsTurns = true): Promise<Scene> {
+async function createScene(keepsTurns = true, hasRecords = false): Promise<Scene> {
 	const bodies: string[] = [];
 	let archives: FakeArchives | undefined;
 	const cluster = await createTablesCluster(ids, 1, {
 		routes: [routeWith({
 			isStream: true, repetition: 'resumable', maxEndpoints: 1, timeout: as<Milliseconds>(5000), keepsTurns,
 		})],
+		hasRecords,
 		linkOf: (clock, _id, isRunning) => linkOf(clock, bodies, isRunning),
 		archivesOf(clock, store) {
 			archives ??= createFakeArchives(clock, ['a8', 'b8', 'c8'], store);
@@ -77,18 +78,6 @@
 	return caller;
 }
 
-test('the turns of a program may arrive at any instance', async () => {
-	const scene = await createScene();
-	const names = ['one', 'two', 'three', 'four', 'five'];
-	for (const [index, name] of names.entries()) {
-		const caller = await serve(scene, ids[index] ?? 'a1', requestOf(name, names[index - 1]));
-		assert.equal(caller.ending(), 'finished');
-	}
-
-	scene.cluster.stop();
-	assert.equal(scene.bodies.at(-1), `${names.slice(0, -1).map(name => `<${name}>${output}`).join('')}<five>`);
-});
-
 test('a stream that broke off towards its caller is resumed at another instance, and continued with all of its events', async () => {
 	const scene = await createScene();
 	const {cluster} = scene;
@@ -105,10 +94,11 @@
 	assert.equal(scene.bodies.at(-1), `<one>${output}<two>`);
 });
 
-test('a turn outlasts the loss of a disk and of all memory, also for an instance that the store does not answer', async () => {
+test('turns arrive anywhere and outlast the loss of a disk and of all memory, also for an instance that the store does not answer', async () => {
 	const scene = await createScene();
 	const {cluster, archives} = scene;
-	await serve(scene, 'a1', requestOf('one'));
+	await serve(scene, 'a1', requestOf('root'));
+	await serve(scene, 'c2', requestOf('one', 'root'));
 	const holder = archives.all().find(({records}) => records.has('one'));
 	assert.ok(holder);
 	for (const id of ids) {
@@ -138,7 +128,7 @@
 	const caller = await serve(scene, 'b2', requestOf('two', 'one'));
 	cluster.stop();
 	assert.equal(caller.ending(), 'finished');
-	assert.equal(scene.bodies.at(-1), `<one>${output}<two>`);
+	assert.equal(scene.bodies.at(-1), `<root>${output}<one>${output}<two>`);
 });
 
 test('instances whose routes keep no turns send requests unchanged and ask nobody about archives', async () => {
@@ -151,3 +141,37 @@
 	assert.ok(!scene.cluster.store.listedKinds.includes('hickoryfork-archives'));
 	assert.deepEqual(scene.archives.all().flatMap(({keeps, reads}) => [...keeps, ...reads]), []);
 });
+
+/** Lets a program make five calls, which are within its budget, while the store answers nobody. Returns how each ended. */
+async function callDuringOutage(scene: Scene): Promise<ReadonlyArray<string | undefined>> {
+	const {cluster} = scene;
+	await cluster.clock.advance(2000);
+	for (const id of ids) {
+		cluster.storeAccess.set(id, 'silent');
+	}
+
+	await cluster.clock.advance(500);
+	const ends = [];
+	for (const [index, id] of ids.slice(0, 5).entries()) {
+		const caller = await serve(scene, id, requestOf(`call ${index}`));
+		ends.push(caller.refusals[0]?.kind ?? caller.ending());
+	}
+
+	return ends;
+}
+
+// Guards against programs that get one turn each and are then refused while the store is away, although the archives answer.
+test('a program goes on while the store answers nobody, if turns are kept', async () => {
+	const scene = await createScene(true, true);
+	assert.deepEqual(await callDuringOutage(scene), ['finished', 'finished', 'finished', 'finished', 'finished']);
+	assert.ok(scene.archives.all().some(({records}) => [...records.values()].some(({content}) => content.kind === 'used')));
+});
+
+// Shows what the archives change, and guards against a use of them where no turns are kept.
+test('a program gets one call while the store answers nobody, if no turns are kept', async () => {
+	const scene = await createScene(false, true);
+	const ends = await callDuringOutage(scene);
+	assert.equal(ends[0], 'finished');
+	assert.deepEqual(ends.slice(1), ['not-run', 'not-run', 'not-run', 'not-run']);
+	assert.ok(scene.archives.all().every(({records, keeps, usedReads}) => records.size === 0 && keeps.length === 0 && usedReads === 0));
+});
