Count a found record as held only if it is known to be synced

After the end of a process, the records of its last write may be in the system's memory only. Another archive that is emptied asks which turns are held and would have relied on them; syncing at the start is no proof either, since a sync that failed before lets later ones succeed without the data. Such records are read as before, but they no longer count as copies.

--- a/src/machines/turn-store/recovery.ts
+++ b/src/machines/turn-store/recovery.ts
@@ -86,7 +86,7 @@
 	}
 
 	/** Returns whether the record was taken. */
-	function takeFrame(frame: Frame, segment: Segment): boolean {
+	function takeFrame(frame: Frame, segment: Segment, scan: SegmentScan): boolean {
 		switch (frame.type) {
 			case recordType.turn: {
 				const record = decodeTurn(frame.bytes);
@@ -97,7 +97,13 @@
 				const expiresAt = options.expiryOf(record.retention);
 				segment.expiresAt = as<Milliseconds>(Math.max(segment.expiresAt, expiresAt));
 				index.put(record.turn, {
-					segment, position: frame.position, length: frame.bytes.length, checksum: frame.checksum, extent: extentOf(record.content), expiresAt,
+					segment,
+					position: frame.position,
+					length: frame.bytes.length,
+					checksum: frame.checksum,
+					extent: extentOf(record.content),
+					expiresAt,
+					isSynced: frame.position + frame.bytes.length <= scan.syncedLength,
 				});
 				return true;
 			}
@@ -141,9 +147,9 @@
 		const content = await readContent(file, bytes);
 		const scan = scanSegment(content.bytes, saltOf(name), sealedLengths.get(number) ?? 0);
 		const segment: Segment = {
-			number, name, file, length: scan.intactLength, bytes, expiresAt: options.expiryOf(as<Milliseconds>(0)), turns: [],
+			number, name, file, length: scan.syncedLength, bytes, expiresAt: options.expiryOf(as<Milliseconds>(0)), turns: [],
 		};
-		const droppedRecords = scan.frames.filter(frame => !takeFrame(frame, segment)).length;
+		const droppedRecords = scan.frames.filter(frame => !takeFrame(frame, segment, scan)).length;
 		const hasLossHere = content.failure !== undefined || scan.hasLoss || droppedRecords > 0;
 		hasLoss ||= hasLossHere;
 		onEvent({
@@ -153,16 +159,6 @@
 		return segment;
 	}
 
-	/** A process that was killed may have left bytes that are not synced; found turns must outlast the next loss of power. */
-	async function syncNewest(segment: Segment): Promise<void> {
-		const results = [await segment.file.sync(), await disk.syncDirectory(directory)];
-		for (const result of results) {
-			if (result.isErr()) {
-				onEvent({kind: 'disk-failed', operation: 'sync', failure: result.error});
-			}
-		}
-	}
-
 	const files = await listFiles();
 	const numbered = files.flatMap(file => {
 		const number = segmentNumberOf(file.name);
@@ -172,10 +168,5 @@
 		segments.unshift(await recoverSegment(file, number));
 	}
 
-	const newest = segments.at(-1);
-	if (newest) {
-		await syncNewest(newest);
-	}
-
 	return {segments, hasLoss: hasLoss || (!hasStart && !options.isFirstStart)};
 }
--- a/src/machines/turn-store/segment-scan.ts
+++ b/src/machines/turn-store/segment-scan.ts
@@ -13,7 +13,9 @@
 	readonly damagedBytes: number;
 	/** End of the frames that are intact without a gap from the start of the segment. */
 	readonly intactLength: number;
-	/** Whether bytes are missing or damaged that had been synced. */
+	/** Number of bytes that had been synced for certain. */
+	readonly syncedLength: number;
+	/** Whether some of these bytes are missing or damaged. */
 	readonly hasLoss: boolean;
 };
 
@@ -41,6 +43,6 @@
 
 	intactLength ??= segment.length;
 	return {
-		frames, damagedBytes, intactLength, hasLoss: intactLength < syncedLength,
+		frames, damagedBytes, intactLength, syncedLength, hasLoss: intactLength < syncedLength,
 	};
 }
--- a/src/machines/turn-store/turn-index.ts
+++ b/src/machines/turn-store/turn-index.ts
@@ -23,6 +23,8 @@
 	readonly checksum: number;
 	readonly extent: Extent;
 	readonly expiresAt: Milliseconds;
+	/** Whether the record is known to be synced. The last one that an ended process wrote may not be. */
+	readonly isSynced: boolean;
 };
 
 export type TurnIndex = {
--- a/src/machines/turn-store/turn-store-event.ts
+++ b/src/machines/turn-store/turn-store-event.ts
@@ -19,7 +19,7 @@
 	readonly hasLoss: boolean;
 };
 
-export type DiskOperation = 'list' | 'read' | 'write' | 'remove' | 'sync';
+export type DiskOperation = 'list' | 'write' | 'remove';
 
 export type TurnStoreEvent
 	= | ({readonly kind: 'segment-recovered'} & RecoveredSegment)
--- a/src/machines/turn-store/turn-store.ts
+++ b/src/machines/turn-store/turn-store.ts
@@ -124,7 +124,7 @@
 		const expiresAt = expiryOf(item.retention);
 		segment.expiresAt = as<Milliseconds>(Math.max(segment.expiresAt, expiresAt));
 		const isNewest = index.put(item.turn, {
-			segment, position, length: bytes.length, checksum, extent: item.extent, expiresAt,
+			segment, position, length: bytes.length, checksum, extent: item.extent, expiresAt, isSynced: true,
 		});
 		if (isNewest) {
 			cache.put(item.turn, bytes);
@@ -268,7 +268,7 @@
 		},
 		holds(turn) {
 			const entry = index.get(turn);
-			return entry !== undefined && isWhole(entry) && entry.expiresAt > clock.now();
+			return entry !== undefined && entry.isSynced && isWhole(entry) && entry.expiresAt > clock.now();
 		},
 		turns: () => [...index.entries()]
 			.filter(([, entry]) => entry.expiresAt > clock.now())
--- a/tests/turn-store-faults.test.ts
+++ b/tests/turn-store-faults.test.ts
@@ -133,6 +133,9 @@
 	disk.losePower(machine.random);
 	// An empty directory would look like a lost disk.
 	assert.equal(await isComplete(machine, await machine.start()), true);
+	await clock.advance(expiryMs * 2);
+	disk.losePower(machine.random);
+	assert.equal(await isComplete(machine, await machine.start()), true);
 });
 
 // Guards against 404 for turns that went with a disk, also when the process starts again meanwhile.
@@ -148,6 +151,7 @@
 	disk.crash();
 	const next = await machine.start();
 	assert.equal(await isComplete(machine, next), false);
+	await keepAll(machine, next, [recordOf('early')]);
 	await clock.advance(retentionMs);
 	assert.equal(await isComplete(machine, next), false);
 	await clock.advance(expiryMs - retentionMs + 5000);
