Bound what clients of an entry hold together

Cause: bodies, connections and requests were bounded one by one. A request counts from its head until it has ended. - Many chunks in one read made Node.js call for ten thousand chunks at a time, for each such connection in turn. These connections are read one at a time with pauses. - An announced length over the limit is refused before the body is read, and before a client is told to continue. - Connections, incomplete heads, requests and requests on one connection have limits from the machine's descriptors. Responses that waited for an earlier one when their connection closed were never released, and kept all their connection's requests in memory. - A refusal before the request ran is 503 with Retry-After, and the connection closes without reading on; 413 only for a body over MaxBodyBytes. A request whose body was complete is only ever cut off. - A body has as long as its caller waits (Deadline-Ms, else the route's time-out), and at least the idle time-out. - Problems are counted, and logged once a second for each kind.

--- a/src/links/relay-log.ts
+++ b/src/links/relay-log.ts
@@ -10,6 +10,7 @@
 import {type VersionHistoryEvent} from '../zones/version-history.js';
 import {type RelayResult} from '../contracts/relay-attempt.js';
 import {type RelayRequest} from '../contracts/relay-request.js';
+import {type ClientLog, createClientLog} from './client-log.js';
 import {type Log, logMember, logPause} from './log.js';
 
 /** Limit on the lines about successful requests and attempts and about denied permits; failures are always logged. */
@@ -180,7 +181,7 @@
 	return relay.kind === 'served' || relay.kind === 'no-permit' || (relay.kind === 'attempted' && isComplete(relay.attempt.result));
 }
 
-function writeEvent(log: Log, event: RelayInstanceEvent): void {
+function writeEvent(log: Log, logClient: ClientLog, event: RelayInstanceEvent): void {
 	switch (event.kind) {
 		case 'relay': {
 			logRelay(log, event.relay);
@@ -234,6 +235,11 @@
 			return;
 		}
 
+		case 'client': {
+			logClient(event);
+			return;
+		}
+
 		case 'paused': {
 			logPause(log, event.gap);
 		}
@@ -242,6 +248,7 @@
 
 /** Creates a writer that limits the lines about routine decisions and logs how many it omitted. */
 export function createRelayLog(log: Log): (event: RelayInstanceEvent) => void {
+	const logClient = createClientLog(log);
 	let second = 0;
 	let lines = 0;
 	let omitted = 0;
@@ -262,6 +269,6 @@
 			return;
 		}
 
-		writeEvent(log, event);
+		writeEvent(log, logClient, event);
 	};
 }
--- a/src/links/relay-metrics.ts
+++ b/src/links/relay-metrics.ts
@@ -42,6 +42,10 @@
 			return event.member.status;
 		}
 
+		case 'client': {
+			return `${event.listener}-${event.problem.kind}`;
+		}
+
 		case 'leaving-reported':
 		case 'rate-limit-reported':
 		case 'permit-unanswered':
--- a/src/links/snapshots.ts
+++ b/src/links/snapshots.ts
@@ -2,20 +2,31 @@
 Link between relaying instances for data that does not fit into datagrams, such as complete tables, over tRPC.
 */
 import {once} from 'node:events';
-import {createServer, type Server} from 'node:http';
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
 import {initTRPC} from '@trpc/server';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {err, ok, type Result} from 'neverthrow';
 import {fetch as undiciFetch} from 'undici';
+import {type ClientLimits} from '../contracts/client-limits.js';
 import {describeError, type Failure, failure} from '../contracts/failure.js';
-import {type Address} from '../contracts/id.js';
+import {as, type Address, type Milliseconds} from '../contracts/id.js';
+import {type CallerLimits} from '../contracts/relay.js';
 import {type TokenAccount} from '../contracts/token-account.js';
+import {type ClientProblem} from '../machines/client-problem.js';
 import {type Greeting, type RelayPeers, type RelayTables} from '../zones/relay-peers.js';
+import {createGuardedServer, type EarlyRefusal, type GuardedServer} from './guarded-server.js';
 
 /** A snapshot of a few hundred kilobytes takes some dozens of milliseconds. */
 const requestTimeoutMs = 800;
 
+/** Time after which a response that its peer has not read is given up; longer than the peer waits for it. */
+const responseTimeMs = 2000;
+
+/** Bounds of a query, which has no body. */
+const bounds: CallerLimits = {
+	headerBytes: 16_384, bodyBytes: 0, headerTimeout: as<Milliseconds>(3000), idleTimeout: as<Milliseconds>(5000),
+};
+
 const trpc = initTRPC.create();
 
 export type SnapshotSource = {
@@ -38,14 +49,48 @@
 	readonly host: string;
 	readonly port: number;
 	readonly source: SnapshotSource;
+	readonly limits: ClientLimits;
+	readonly onProblem: (problem: ClientProblem) => void;
 };
 
+function statusOf(refusal: EarlyRefusal): number {
+	switch (refusal) {
+		case 'too-large': {
+			return 413;
+		}
+
+		case 'overloaded': {
+			return 503;
+		}
+	}
+}
+
 /** Starts the snapshot server for peers. Resolves once the port is bound. */
-export async function serveSnapshots(options: SnapshotServerOptions): Promise<Server> {
-	const server = createServer(createHTTPHandler({router: createRouter(options.source)}));
-	server.listen(options.port, options.host);
-	await once(server, 'listening');
-	return server;
+export async function serveSnapshots(options: SnapshotServerOptions): Promise<GuardedServer> {
+	// A batch could ask for a snapshot many times in one request.
+	const answer = createHTTPHandler({router: createRouter(options.source), allowBatching: false});
+	const guarded = createGuardedServer({
+		limits: options.limits,
+		bounds: () => bounds,
+		timeOf: () => undefined,
+		serve(request, response) {
+			const timer = setTimeout(() => {
+				response.destroy();
+			}, responseTimeMs);
+			response.once('close', () => {
+				clearTimeout(timer);
+			});
+			answer(request, response);
+		},
+		refuse(response, refusal) {
+			response.writeHead(statusOf(refusal), {'content-length': 0});
+			response.end();
+		},
+		onProblem: options.onProblem,
+	});
+	guarded.server.listen(options.port, options.host);
+	await once(guarded.server, 'listening');
+	return guarded;
 }
 
 // eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- The built-in fetch would load a second copy of undici.
--- a/src/machines/relay-instance-event.ts
+++ b/src/machines/relay-instance-event.ts
@@ -8,6 +8,7 @@
 import {type SharedTablesEvent} from '../zones/shared-tables.js';
 import {type VersionHistoryEvent} from '../zones/version-history.js';
 import {type WarmUpEvent} from '../zones/warm-up.js';
+import {type ClientEvent} from './client-problem.js';
 import {type RelayEvent} from './relay-event.js';
 
 export type RelayInstanceEvent
@@ -20,5 +21,6 @@
 		| {readonly kind: 'paused'; readonly gap: Milliseconds}
 		/** A peer reported that an endpoint leaves. */
 		| {readonly kind: 'leaving-reported'; readonly endpoint: EndpointId}
-		| RateLimitEvent;
+		| RateLimitEvent
+		| ClientEvent;
 
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -12,6 +12,7 @@
 import {type ObjectStore} from '../contracts/object-store.js';
 import {type CallerLimits} from '../contracts/relay.js';
 import {type RelayLink} from '../contracts/relay-attempt.js';
+import {pathOf} from '../contracts/relay-request.js';
 import {type RelayDigest} from '../contracts/relay-digest.js';
 import {createRoutingTable, type RoutingTable} from '../contracts/routing-table.js';
 import {type TokenAccount, withStoreSlotOnly} from '../contracts/token-account.js';
@@ -64,6 +65,8 @@
 export type RelayInstance = {
 	readonly relay: Relay;
 	readonly limits: () => CallerLimits | undefined;
+	/** Time-out of the route of a request; undefined if there is none. */
+	readonly routeTimeout: (host: string, target: string) => Milliseconds | undefined;
 	/** Whether the instance accepts new callers. */
 	readonly isReady: () => boolean;
 	/** Handles a message from a peer. */
@@ -277,6 +280,7 @@
 			id, membership, gossipProtocol, tables, budgets, loads, rateLimits, origins, receiveDigest,
 		}),
 		limits: () => table?.configuration.limits,
+		routeTimeout: (host, target) => table?.routeOf(host, pathOf({target}))?.timeout,
 		isReady: () => table !== undefined && warmUp.isWarm() && !isLeaving(),
 		greeting: () => ({
 			self: membership.self(), members: membership.members(), dataCentres: membership.dataCentres(), digest: tables.digest(),
--- a/src/programs/relay-settings.ts
+++ b/src/programs/relay-settings.ts
@@ -10,6 +10,7 @@
 import {
 	addressField, logField, parseSettingsText, readSettingsFile,
 } from './settings-file.js';
+import {limitsField, type ListenerLimits, toListenerLimits} from './limits-settings.js';
 
 const schema = z.strictObject({
 	instance: z.strictObject({
@@ -20,6 +21,7 @@
 	peers: z.strictObject({address: addressField, seeds: z.array(addressField).default([])}).optional(),
 	operators: z.strictObject({address: addressField}).optional(),
 	stop: z.strictObject({graceMs: z.number().int().positive().max(600_000)}),
+	limits: limitsField,
 	log: logField,
 });
 
@@ -42,10 +44,11 @@
 	readonly operators: Address | undefined;
 	/** Time from the stop signal until the process is killed. */
 	readonly gracePeriod: Milliseconds;
+	readonly limits: ListenerLimits;
 	readonly logLevel: Parsed['log']['level'];
 };
 
-function toSettings({instance, platform, callers, peers, operators, stop, log}: Parsed): RelaySettings {
+function toSettings({instance, platform, callers, peers, operators, stop, limits, log}: Parsed): RelaySettings {
 	return {
 		id: as<InstanceId>(instance.id),
 		dataCentre: as<DataCentreId>(instance.dataCentre),
@@ -57,6 +60,7 @@
 		peers: peers && {address: as<Address>(peers.address), seeds: peers.seeds.map(seed => as<Address>(seed))},
 		operators: operators && as<Address>(operators.address),
 		gracePeriod: as<Milliseconds>(stop.graceMs),
+		limits: toListenerLimits(limits),
 		logLevel: log.level,
 	};
 }
--- /dev/null
+++ b/tests/snapshot-server.test.ts
@@ -0,0 +1,59 @@
+/**
+The snapshot server for peers, to which anyone can connect who reaches its port.
+*/
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import {test} from 'node:test';
+import {as, type Address} from '../src/contracts/id.js';
+import {createSnapshotClient, serveSnapshots} from '../src/links/snapshots.js';
+import {peerLimits} from '../src/machines/client-limits.js';
+import {type ClientProblem} from '../src/machines/client-problem.js';
+
+test('peers get snapshots, while bodies and batches are refused', async context => {
+	const problems: ClientProblem[] = [];
+	let asked = 0;
+	const {server} = await serveSnapshots({
+		host: '127.0.0.1',
+		port: 0,
+		limits: peerLimits({memory: undefined, descriptors: 256}),
+		source: {
+			greeting: () => assert.fail('not asked for'),
+			tables: () => assert.fail('not asked for'),
+			homes() {
+				asked++;
+				return [];
+			},
+		},
+		onProblem(problem) {
+			problems.push(problem);
+		},
+	});
+	const closing = new AbortController();
+	context.after(() => {
+		closing.abort();
+		server.close();
+		server.closeAllConnections();
+	});
+	const bound = server.address() ?? undefined;
+	const port = typeof bound === 'object' ? bound.port : 0;
+	const homes = await createSnapshotClient(closing.signal).homes(as<Address>(`127.0.0.1:${port}`));
+	assert.deepEqual([homes._unsafeUnwrap(), asked], [[], 1]);
+
+	const statusOf = async (request: string) => {
+		const socket = connect(port, '127.0.0.1');
+		socket.write(request);
+		let text = '';
+		socket.on('data', bytes => {
+			text += bytes.toString();
+		});
+		await once(socket, 'data');
+		socket.destroy();
+		return Number(/^HTTP\/1\.1 (\d+)/v.exec(text)?.[1]);
+	};
+
+	// Guards against one small request that makes a snapshot many times over.
+	assert.equal(await statusOf('GET /homes,homes,homes?batch=1 HTTP/1.1\r\nHost: peer\r\n\r\n'), 400);
+	assert.equal(await statusOf('POST /homes HTTP/1.1\r\nHost: peer\r\nContent-Length: 100000\r\n\r\n'), 413);
+	assert.deepEqual([asked, problems.map(problem => problem.kind)], [1, ['too-large']]);
+});
