Bound what callers of the product's own interface hold together

Cause: the same as on the platform, with links/caller.ts reading bodies by itself. It uses links/guarded-server now: requests are routed once their body is complete, and the settings have the same section [limits]. Problems are counted and logged as on the platform.

--- a/src/links/caller.ts
+++ b/src/links/caller.ts
@@ -3,22 +3,24 @@
 calls as plain HTTP under the path of a program. See docs/INTERFACE.md.
 */
 import {createHash} from 'node:crypto';
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {once} from 'node:events';
 import {err, ok, type Result} from 'neverthrow';
 import polka, {type RoutedRequest} from 'polka';
 import {type Budget} from '../contracts/budget.js';
 import {type Call, answerStart} from '../contracts/call.js';
+import {type ClientLimits} from '../contracts/client-limits.js';
 import {type Random} from '../contracts/clock.js';
 import {describeError, type Failure, failure} from '../contracts/failure.js';
 import {
 	as, type CallId, type CustomerId, type IdempotencyKey, type Milliseconds, parseProgramId, type ProgramId,
 	type RouteName, type Tokens,
 } from '../contracts/id.js';
+import {type ClientProblem} from '../machines/client-problem.js';
 import {type Instance} from '../machines/instance.js';
-import {readRequestJson, readRequestText} from './request-body.js';
+import {createCallerServer} from './caller-server.js';
+import {type GuardedServer} from './guarded-server.js';
+import {decodeJsonBody, decodeTextBody} from './request-body.js';
 import {
 	finalEvent, sendCompletion, sendFinalEvent, sendProgramReply, streamCallEvents,
 } from './caller-reply.js';
@@ -42,7 +44,10 @@
 	readonly random: Random;
 	readonly host: string;
 	readonly port: number;
+	/** Limits on what all callers hold together. */
+	readonly limits: ClientLimits;
 	readonly onRequest: (request: ServedRequest) => void;
+	readonly onProblem: (problem: ClientProblem) => void;
 };
 
 /** A request whose response has ended, or whose connection has closed before. */
@@ -57,6 +62,7 @@
 	readonly server: Server;
 	/** Stops accepting connections and resolves when all requests have been answered. */
 	readonly drain: () => Promise<void>;
+	readonly gauges: GuardedServer['gauges'];
 };
 
 /** Starts the server for callers. Resolves once the port is bound. */
@@ -71,7 +77,7 @@
 
 	async function openProgram(request: IncomingMessage, response: ServerResponse, parent?: ProgramId): Promise<void> {
 		const customer = authenticate(request);
-		const body = await readRequestJson(request, budgetBody);
+		const body = decodeJsonBody(bodyOf(request), budgetBody);
 		if (customer.isErr() || body.isErr()) {
 			sendFailure(response, customer.isErr() ? customer.error : body._unsafeUnwrapErr());
 			return;
@@ -141,7 +147,7 @@
 		const customer = authenticate(request);
 		const headers = readCallHeaders(request, random.unique);
 		const position = positionOf(request);
-		const body = await readRequestJson(request, completionBody);
+		const body = decodeJsonBody(bodyOf(request), completionBody);
 		const refusal = [customer, headers, position, body].find(part => part.isErr());
 		if (customer.isErr() || headers.isErr() || position.isErr() || body.isErr()) {
 			sendFailure(response, refusal?._unsafeUnwrapErr() ?? invalidRequest('The request is not valid'));
@@ -189,9 +195,8 @@
 		await withProgram(request, response, async (customer, program) => {
 			const headers = readCallHeaders(request, random.unique);
 			const method = methods.safeParse(request.method);
-			const body = await readRequestText(request);
-			if (headers.isErr() || !method.success || body.isErr()) {
-				sendFailure(response, headers.isErr() ? headers.error : (body.isErr() ? body.error : invalidRequest('The method is not supported')));
+			if (headers.isErr() || !method.success) {
+				sendFailure(response, headers.isErr() ? headers.error : invalidRequest('The method is not supported'));
 				return;
 			}
 
@@ -201,7 +206,7 @@
 				customer,
 				route: as<RouteName>(request.params.route ?? ''),
 				request: {
-					kind: 'service', method: method.data, path, body: body.value,
+					kind: 'service', method: method.data, path, body: decodeTextBody(bodyOf(request)),
 				},
 			}, headers.value);
 			response.setHeader('hickoryfork-key', call.key);
@@ -268,7 +273,13 @@
 		};
 	}
 
-	const server = createServer();
+	const {server, gauges, bodyOf} = createCallerServer({
+		limits: options.limits,
+		handle(request, response) {
+			app.handler(request, response);
+		},
+		onProblem: options.onProblem,
+	});
 	const app = polka({
 		server,
 		onNoMatch(_request, response) {
@@ -284,11 +295,12 @@
 	app.get('/v1/programs/:id/calls/:key', withErrorHandling(async (request, response) => followCall(request, response)));
 	app.post('/v1/chat/completions', withErrorHandling(async (request, response) => complete(request, response)));
 	app.all('/v1/programs/:id/services/:route/*', withErrorHandling(async (request, response) => callService(request, response)));
-	app.listen(options.port, options.host);
+	server.listen(options.port, options.host);
 	await once(server, 'listening');
 
 	return {
 		server,
+		gauges,
 		async drain() {
 			const closed = once(server, 'close');
 			server.close();
--- a/src/links/metrics.ts
+++ b/src/links/metrics.ts
@@ -4,6 +4,7 @@
 import {
 	collectDefaultMetrics, Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import {type ClientEvent} from '../machines/client-problem.js';
 import {type InstanceEvent} from '../machines/instance-event.js';
 import {type Gauges} from '../machines/instance-report.js';
 import {type ServedRequest} from './caller.js';
@@ -11,14 +12,14 @@
 const bucketsSeconds = [0.001, 0.005, 0.01, 0.05, 0.1, 0.5, 1, 5, 10, 60];
 
 export type Metrics = {
-	readonly count: (event: InstanceEvent) => void;
+	readonly count: (event: InstanceEvent | ClientEvent) => void;
 	readonly observe: (request: ServedRequest) => void;
 	/** Returns all metrics in the text format. */
 	readonly text: () => Promise<string>;
 };
 
 /** Creates the metrics of one process; gauges are read on each scrape. */
-export function createMetrics(readGauges: () => Gauges): Metrics {
+export function createMetrics(readGauges: () => Gauges, readClientGauges: () => Readonly<Record<string, number>>): Metrics {
 	const registry = new Registry();
 	const registers = [registry];
 	collectDefaultMetrics({register: registry, prefix: 'hickoryfork_'});
@@ -40,7 +41,19 @@
 		});
 	}
 
-	function detailOf(event: InstanceEvent): string {
+	const clients: Gauge = new Gauge({
+		name: 'hickoryfork_callers',
+		help: 'What callers hold together',
+		labelNames: ['of'],
+		registers,
+		collect() {
+			for (const [of, value] of Object.entries(readClientGauges())) {
+				clients.set({of}, value);
+			}
+		},
+	});
+
+	function detailOf(event: InstanceEvent | ClientEvent): string {
 		switch (event.kind) {
 			case 'execution': {
 				return event.execution.kind;
@@ -58,6 +71,10 @@
 				return event.state;
 			}
 
+			case 'client': {
+				return `${event.listener}-${event.problem.kind}`;
+			}
+
 			case 'paused':
 			case 'configuration':
 			case 'configuration-refused': {
--- a/src/links/polka.d.ts
+++ b/src/links/polka.d.ts
@@ -21,6 +21,8 @@
 		readonly delete: (pattern: string, handler: Handler) => Router;
 		readonly all: (pattern: string, handler: Handler) => Router;
 		readonly listen: (port: number, host: string) => Router;
+		/** Routes a request; for servers that do not pass every request on. */
+		readonly handler: (request: IncomingMessage, response: ServerResponse) => void;
 	};
 
 	export type Options = {
--- a/src/programs/entry.ts
+++ b/src/programs/entry.ts
@@ -16,6 +16,7 @@
 	as, type Address, type Incarnation, type Milliseconds,
 } from '../contracts/id.js';
 import {serveCallers} from '../links/caller.js';
+import {createClientLog} from '../links/client-log.js';
 import {createDispatch} from '../links/dispatch.js';
 import {createLog, type Log, logEvent} from '../links/log.js';
 import {createMetrics} from '../links/metrics.js';
@@ -88,7 +89,8 @@
 	const instance = createEntryInstance(settings, log, stopped.signal, event => {
 		metrics.count(event);
 	});
-	const metrics = createMetrics(() => instance.gauges());
+	const metrics = createMetrics(() => instance.gauges(), () => callers.gauges());
+	const logClient = createClientLog(log);
 	const peers = await servePeers({instance, ...settings.peers});
 	const operators = await serveOperators({
 		instance,
@@ -103,6 +105,12 @@
 		customers: settings.customers,
 		random: systemRandom,
 		...settings.callers,
+		limits: settings.callerLimits,
+		onProblem(problem) {
+			const event = {kind: 'client', listener: 'callers', problem} as const;
+			metrics.count(event);
+			logClient(event);
+		},
 		onRequest(request) {
 			metrics.observe(request);
 			log.debug({event: 'request', ...request}, `${request.method} ${request.path} completed with status ${request.status}`);
--- a/src/programs/settings.ts
+++ b/src/programs/settings.ts
@@ -7,7 +7,9 @@
 import {
 	as, type Address, type CustomerId, type DataCentreId, type InstanceId, type Milliseconds,
 } from '../contracts/id.js';
+import {type ClientLimits} from '../contracts/client-limits.js';
 import {type Policy} from '../machines/policy.js';
+import {limitsField, toListenerLimits} from './limits-settings.js';
 import {
 	addressField, logField, parseSettingsText, readSettingsFile,
 } from './settings-file.js';
@@ -31,6 +33,7 @@
 		policy: z.enum(['adaptive', 'naive']).default('adaptive'),
 		commitWindowMs: z.number().int().min(0).max(10_000).default(0),
 	}).prefault({}),
+	limits: limitsField,
 	log: logField,
 	stop: z.strictObject({deadlineMs: z.number().int().positive().max(600_000).default(defaultStopDeadlineMs)}).prefault({}),
 });
@@ -47,6 +50,8 @@
 	readonly customers: ReadonlyMap<string, CustomerId>;
 	readonly policy: Policy;
 	readonly commitWindow: Milliseconds;
+	/** Limits on what all callers hold together. */
+	readonly callerLimits: ClientLimits;
 	readonly logLevel: Parsed['log']['level'];
 	readonly stopDeadline: Milliseconds;
 };
@@ -62,6 +67,7 @@
 		customers: new Map(parsed.customers.map(customer => [customer.keySha256, as<CustomerId>(customer.name)])),
 		policy: {kind: parsed.scheduling.policy},
 		commitWindow: as<Milliseconds>(parsed.scheduling.commitWindowMs),
+		callerLimits: toListenerLimits(parsed.limits).callers,
 		logLevel: parsed.log.level,
 		stopDeadline: as<Milliseconds>(parsed.stop.deadlineMs),
 	};
--- a/tests/caller-contract.test.ts
+++ b/tests/caller-contract.test.ts
@@ -15,6 +15,7 @@
 } from '../src/contracts/id.js';
 import {type CallerServer, serveCallers} from '../src/links/caller.js';
 import {maximumRequestBytes} from '../src/links/request-body.js';
+import {callerLimits} from '../src/machines/client-limits.js';
 import {type StreamRequest} from '../src/zones/peers.js';
 import {type ProgramView} from '../src/zones/shard.js';
 import {createSeededRandom} from './fixtures/fake-clock.js';
@@ -57,9 +58,13 @@
 		random: createSeededRandom(1),
 		host: '127.0.0.1',
 		port: 0,
+		limits: callerLimits({memory: undefined, descriptors: undefined}),
 		onRequest() {
 			// These tests do not check the reported requests.
 		},
+		onProblem() {
+			// Nor the reported problems.
+		},
 	});
 	const address = callers.server.address();
 	assert.ok(typeof address === 'object' && address);
