--- a/src/links/relay-log.ts
+++ b/src/links/relay-log.ts
@@ -11,6 +11,7 @@
 import {type RelayResult} from '../contracts/relay-attempt.js';
 import {type RelayRequest} from '../contracts/relay-request.js';
 import {logAllotment} from './allotment-log.js';
+import {type ClientLog, createClientLog} from './client-log.js';
 import {type Log, logMember, logPause} from './log.js';
 import {isRoutineTurnEvent, logTurns} from './turn-log.js';
 
@@ -192,7 +193,7 @@
 	return relay.kind === 'served' || relay.kind === 'no-permit' || (relay.kind === 'attempted' && isComplete(relay.attempt.result));
 }
 
-function writeEvent(log: Log, event: RelayInstanceEvent): void {
+function writeEvent(log: Log, logClient: ClientLog, event: RelayInstanceEvent): void {
 	switch (event.kind) {
 		case 'relay': {
 			logRelay(log, event.relay);
@@ -261,6 +262,11 @@
 			return;
 		}
 
+		case 'client': {
+			logClient(event);
+			return;
+		}
+
 		case 'paused': {
 			logPause(log, event.gap);
 		}
@@ -269,6 +275,7 @@
 
 /** Creates a writer that limits the lines about routine decisions and logs how many it omitted. */
 export function createRelayLog(log: Log): (event: RelayInstanceEvent) => void {
+	const logClient = createClientLog(log);
 	let second = 0;
 	let lines = 0;
 	let omitted = 0;
@@ -289,6 +296,6 @@
 			return;
 		}
 
-		writeEvent(log, event);
+		writeEvent(log, logClient, event);
 	};
 }
--- a/src/links/relay-metrics.ts
+++ b/src/links/relay-metrics.ts
@@ -51,6 +51,10 @@
 			return event.member.status;
 		}
 
+		case 'client': {
+			return `${event.listener}-${event.problem.kind}`;
+		}
+
 		case 'allotment-held':
 		case 'allotment-received':
 		case 'allotment-yielded':
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -14,6 +14,7 @@
 import {type ObjectStore} from '../contracts/object-store.js';
 import {type CallerLimits} from '../contracts/relay.js';
 import {type RelayLink} from '../contracts/relay-attempt.js';
+import {pathOf} from '../contracts/relay-request.js';
 import {type RelayDigest} from '../contracts/relay-digest.js';
 import {createRoutingTable, type RoutingTable} from '../contracts/routing-table.js';
 import {copiesFor, type Tolerance} from '../contracts/tolerance.js';
@@ -85,6 +86,8 @@
 	readonly limits: () => CallerLimits | undefined;
 	/** Whether the configuration has workspaces, so that callers need keys. */
 	readonly hasWorkspaces: () => boolean;
+	/** Time-out of the route of a request; undefined if there is none. */
+	readonly routeTimeout: (host: string, target: string) => Milliseconds | undefined;
 	/** Whether the instance accepts new callers. */
 	readonly isReady: () => boolean;
 	/** Whether the instance's data centre is cut off, so that callers are served better elsewhere. */
@@ -354,6 +357,7 @@
 		hasWorkspaces: () => table?.configuration.workspaces !== undefined,
 		isCutOff: conversations.isCutOff,
 		isReady: () => table !== undefined && warmUp.isWarm() && !isLeaving() && !conversations.isCutOff(),
+		routeTimeout: (host, target) => table?.routeOf(host, pathOf({target}))?.timeout,
 		greeting: () => ({
 			self: membership.self(), members: membership.members(), dataCentres: membership.dataCentres(), digest: tables.digest(),
 		}),
--- a/src/programs/relay-settings.ts
+++ b/src/programs/relay-settings.ts
@@ -12,6 +12,7 @@
 import {
 	addressField, logField, parseSettingsText, readSettingsFile,
 } from './settings-file.js';
+import {limitsField, type ListenerLimits, toListenerLimits} from './limits-settings.js';
 
 const bytesPerMb = 1_000_000;
 
@@ -48,6 +49,7 @@
 	archive: archiveField.optional(),
 	tolerance: z.strictObject({machines: filledNumber, dataCentres: filledNumber}).optional(),
 	stop: z.strictObject({graceMs: z.number().int().positive().max(600_000)}),
+	limits: limitsField,
 	log: logField,
 });
 
@@ -86,6 +88,7 @@
 	readonly tolerance: Tolerance;
 	/** Time from the stop signal until the process is killed. */
 	readonly gracePeriod: Milliseconds;
+	readonly limits: ListenerLimits;
 	readonly logLevel: Parsed['log']['level'];
 };
 
@@ -104,7 +107,7 @@
 	};
 }
 
-function toSettings({instance, platform, callers, peers, operators, deployment, endpoints, archive, tolerance, stop, log}: Parsed): RelaySettings {
+function toSettings({instance, platform, callers, peers, operators, deployment, endpoints, archive, tolerance, stop, limits, log}: Parsed): RelaySettings {
 	return {
 		id: as<InstanceId>(instance.id),
 		dataCentre: as<DataCentreId>(instance.dataCentre),
@@ -120,6 +123,7 @@
 		archive: toArchiveSettings(archive),
 		tolerance: {machines: tolerance?.machines ?? 1, dataCentres: tolerance?.dataCentres ?? 1},
 		gracePeriod: as<Milliseconds>(stop.graceMs),
+		limits: toListenerLimits(limits),
 		logLevel: log.level,
 	};
 }
