--- a/tests/allotments.test.ts
+++ b/tests/allotments.test.ts
@@ -6,6 +6,7 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {defaultAllotmentBounds, type LimitedAllotment} from '../src/contracts/allotment.js';
+import {as, type Milliseconds} from '../src/contracts/id.js';
 import {type AllotmentOutcome} from '../src/machines/request-allotments.js';
 import {allotmentOf, type AllotmentCluster, createAllotmentCluster} from './fixtures/allotment-cluster.js';
 import {createSeededRandom} from './fixtures/fake-clock.js';
@@ -60,7 +61,8 @@
 
 async function kindsOf(cluster: AllotmentCluster, outcomes: ReadonlyArray<Promise<AllotmentOutcome | undefined>>) {
 	await cluster.clock.advance(300);
-	return (await Promise.all(outcomes)).map(outcome => outcome?.kind);
+	const settled = await Promise.all(outcomes);
+	return settled.map(outcome => outcome?.kind);
 }
 
 type Step
@@ -76,12 +78,16 @@
 const step: fc.Arbitrary<Step> = fc.oneof(
 	{weight: 2, arbitrary: fc.record({kind: fc.constant('cut' as const), dataCentres: fc.subarray(['a', 'b', 'c', 'd'], {minLength: 1, maxLength: 3}), duration})},
 	{weight: 5, arbitrary: fc.record({kind: fc.constantFrom('isolate' as const, 'pause' as const, 'crash' as const, 'leave' as const), node, duration})},
-	{weight: 1, arbitrary: fc.record({
-		kind: fc.constant('misjudge' as const), node, other: node, duration,
-	})},
-	{weight: 1, arbitrary: fc.record({
-		kind: fc.constant('datagrams' as const), fraction: fc.constantFrom(0.02, 0.1, 0.3), late: fc.constantFrom(30, 300, 2000), duration,
-	})},
+	{
+		weight: 1, arbitrary: fc.record({
+			kind: fc.constant('misjudge' as const), node, other: node, duration,
+		}),
+	},
+	{
+		weight: 1, arbitrary: fc.record({
+			kind: fc.constant('datagrams' as const), fraction: fc.constantFrom(0.02, 0.1, 0.3), late: fc.constantFrom(30, 300, 2000), duration,
+		}),
+	},
 	{weight: 1, arbitrary: fc.record({kind: fc.constant('limit' as const), rate: fc.constantFrom(1, 5, 20, 40), burst: fc.constantFrom(0, 5, 60)})},
 	{weight: 4, arbitrary: fc.record({kind: fc.constant('wait' as const), duration})},
 );
@@ -89,7 +95,7 @@
 /** Lets a fault strike, which ends by itself. */
 async function strike(cluster: AllotmentCluster, fault: Step): Promise<void> {
 	const after = async (delay: number, end: () => void) => {
-		await cluster.clock.sleep(delay as never);
+		await cluster.clock.sleep(as<Milliseconds>(delay));
 		end();
 	};
 
@@ -153,7 +159,7 @@
 
 		case 'limit': {
 			cluster.state(allotmentOf(fault.rate, fault.burst));
-			return;
+			break;
 		}
 
 		case 'wait': {
@@ -223,7 +229,7 @@
 			}
 		}
 
-		const refused = (await kindsOf(cluster, outcomes)).filter(kind => kind !== 'granted');
-		assert.deepEqual(refused, [], `of ${outcomes.length} requests`);
+		const kinds = await kindsOf(cluster, outcomes);
+		assert.deepEqual(kinds.filter(kind => kind !== 'granted'), [], `of ${outcomes.length} requests`);
 	}), {seed, numRuns: runs, endOnFailure: true});
 });
