--- a/src/machines/turn-store/turn-index.ts
+++ b/src/machines/turn-store/turn-index.ts
@@ -30,6 +30,8 @@
 	readonly expiresAt: Milliseconds;
 	/** The record itself if it is one of used tokens. They are few and are all read at once, so they need no read from the disk. */
 	readonly used: UsedRecord | undefined;
+	/** Whether the record is known to be synced. The last one that an ended process wrote may not be. */
+	readonly isSynced: boolean;
 };
 
 export type TurnIndex = {
--- a/src/machines/turn-store/turn-store.ts
+++ b/src/machines/turn-store/turn-store.ts
@@ -134,7 +134,7 @@
 		const expiresAt = expiryOf(item.retention);
 		segment.expiresAt = as<Milliseconds>(Math.max(segment.expiresAt, expiresAt));
 		const isNewest = index.put(item.turn, {
-			segment, position, length: bytes.length, checksum, extent: item.extent, expiresAt, used: item.used,
+			segment, position, length: bytes.length, checksum, extent: item.extent, expiresAt, isSynced: true, used: item.used,
 		});
 		if (isNewest) {
 			cache.put(item.turn, bytes);
@@ -282,7 +282,7 @@
 		used: () => createUsedReply(index.used(), clock.now(), usedTokens.isComplete()),
 		holds(turn) {
 			const entry = index.get(turn);
-			return entry !== undefined && isWhole(entry) && entry.expiresAt > clock.now();
+			return entry !== undefined && entry.isSynced && isWhole(entry) && entry.expiresAt > clock.now();
 		},
 		turns: () => [...index.entries()]
 			.filter(([, entry]) => entry.expiresAt > clock.now())
