--- a/src/machines/turn-store/recovery.ts
+++ b/src/machines/turn-store/recovery.ts
@@ -85,7 +85,7 @@
 		return content.match<Content>(value => ({bytes: value, failure: undefined}), failure => ({bytes: new Uint8Array(), failure}));
 	}
 
-	/** Returns whether the record was taken. */
+	/** Returns whether the record was understood and its turn taken. */
 	function takeFrame(frame: Frame, segment: Segment, scan: SegmentScan): boolean {
 		switch (frame.type) {
 			case recordType.turn: {
@@ -120,7 +120,8 @@
 			}
 
 			default: {
-				return false;
+				// Written by a later version; it holds no turn.
+				return true;
 			}
 		}
 	}
--- a/src/machines/turn-store/turn-store-event.ts
+++ b/src/machines/turn-store/turn-store-event.ts
@@ -11,7 +11,7 @@
 	readonly turns: number;
 	/** Bytes that belong to no intact record. */
 	readonly droppedBytes: number;
-	/** Records that are intact, but of a type that this version does not know or with a content that it cannot decode. */
+	/** Records that are intact, but cannot be decoded or entered into the index. */
 	readonly droppedRecords: number;
 	/** Why something was dropped; undefined if nothing was. */
 	readonly reason: string | undefined;
--- a/src/machines/turn-store/turn-store.ts
+++ b/src/machines/turn-store/turn-store.ts
@@ -241,7 +241,10 @@
 			onEvent({kind: 'complete'});
 		}
 
-		await log.dropExpired();
+		// Until then, a further start has to see in the segments what this one has seen.
+		if (incompleteSince === undefined) {
+			await log.dropExpired();
+		}
 	}
 
 	async function expire(): Promise<void> {
--- a/tests/turn-store-faults.test.ts
+++ b/tests/turn-store-faults.test.ts
@@ -214,6 +214,23 @@
 	assert.match(machine.ofKind('segment-recovered').find(event => event.segment === older.name)?.reason ?? '', /missing from byte/v);
 });
 
+// Guards against a start that finds no trace of a loss which the one before has seen.
+test('a segment without a readable record says that turns are missing until the retention is over', async () => {
+	const machine = createMachine();
+	const store = await machine.start(true);
+	await keepAll(machine, store, recordsOf(3, 20_000));
+	await keepAll(machine, store, [recordOf('next', {inputBytes: 50_000})]);
+	machine.disk.crash();
+	machine.disk.truncate(machine.disk.files()[0]?.name ?? '', 10);
+	await machine.start();
+	await machine.clock.advance(retentionMs - 1000);
+	machine.disk.crash();
+	const next = await machine.start();
+	assert.equal(await isComplete(machine, next), false);
+	await machine.clock.advance(expiryMs + 5000);
+	assert.equal(await isComplete(machine, next), true);
+});
+
 // Guards against turns of other workspaces that a caller hides in the input of its own.
 test('frames in the content of a turn are not taken for records when the turn is damaged', async () => {
 	const machine = createMachine();
