--- a/src/machines/turn-store/turn-store.ts
+++ b/src/machines/turn-store/turn-store.ts
@@ -254,7 +254,10 @@
 			log.seal();
 		}
 
-		await log.dropExpired();
+		// Until then, a further start has to see in the segments what this one has seen.
+		if (turns.isComplete() && usedTokens.isComplete()) {
+			await log.dropExpired();
+		}
 	}
 
 	async function expire(): Promise<void> {
