--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -3,21 +3,17 @@
 requests, reports whether it is ready, and leaves without interrupting a request.
 */
 import {err, ok} from 'neverthrow';
-import {type ArchiveLink} from '../contracts/archive.js';
-import {type AllotmentBounds, defaultAllotmentBounds} from '../contracts/allotment.js';
-import {type Clock, type Random} from '../contracts/clock.js';
+import {defaultAllotmentBounds} from '../contracts/allotment.js';
 import {failure} from '../contracts/failure.js';
 import {
-	as, type Address, type ChangeNumber, type ConfigurationGeneration, type CounterId, type DataCentreId, type Incarnation, type InstanceId,
+	as, type Address, type ChangeNumber, type ConfigurationGeneration, type CounterId, type Incarnation, type InstanceId,
 	type Milliseconds,
 } from '../contracts/id.js';
-import {type ObjectStore} from '../contracts/object-store.js';
 import {type CallerLimits} from '../contracts/relay.js';
-import {type RelayLink} from '../contracts/relay-attempt.js';
 import {pathOf} from '../contracts/relay-request.js';
 import {type RelayDigest} from '../contracts/relay-digest.js';
 import {createRoutingTable, type RoutingTable} from '../contracts/routing-table.js';
-import {copiesFor, type Tolerance} from '../contracts/tolerance.js';
+import {copiesFor} from '../contracts/tolerance.js';
 import {type TokenAccount, withStoreSlotOnly} from '../contracts/token-account.js';
 import {createTokenLedger} from '../contracts/token-ledger.js';
 import {createArchivedRecords} from '../zones/archived-records.js';
@@ -25,22 +21,19 @@
 import {createAllotments} from '../zones/allotments/allotments.js';
 import {createSharedBudgets} from '../zones/shared-budgets.js';
 import {type BudgetEvent} from '../zones/budget-event.js';
-import {type BudgetRecords} from '../zones/budget-records.js';
 import {createMembership, type Member} from '../zones/membership.js';
 import {createGossipProtocol} from '../zones/gossip-protocol.js';
 import {
-	type Greeting, type RelayMessage, type RelayPeers, type RelayReply, type RelayTables,
+	type Greeting, type RelayMessage, type RelayReply, type RelayTables,
 } from '../zones/relay-peers.js';
 import {createSharedOrigins} from '../zones/shared-origins.js';
-import {createRateLimits} from '../zones/rate-limits.js';
-import {createSharedTables, type SharedObjects} from '../zones/shared-tables.js';
+import {createSharedTables} from '../zones/shared-tables.js';
 import {createWatcherElection} from '../zones/watcher-election.js';
 import {createWarmUp} from '../zones/warm-up.js';
-import {type Monitoring} from './endpoint-availability.js';
-import {createLoadReports} from './load-reports.js';
+import {createEndpointKnowledge} from './endpoint-knowledge.js';
 import {createQuarantine} from './quarantine.js';
 import {createRelay, type Relay} from './relay.js';
-import {type RelayInstanceEvent} from './relay-instance-event.js';
+import {type RelayInstanceOptions} from './relay-instance-options.js';
 import {createRelayInstanceReport, type RelayInstanceReport} from './relay-instance-report.js';
 import {createMessageHandler} from './relay-messages.js';
 import {createRelayFleet} from './relay-fleet.js';
@@ -50,37 +43,6 @@
 const gossipTimeoutMs = 250;
 const gossipAttempts = 2;
 
-export type RelayInstanceOptions = {
-	readonly id: InstanceId;
-	readonly dataCentre: DataCentreId;
-	/** All data centres that have instances, whether or not these can be reached. */
-	readonly dataCentres: readonly DataCentreId[];
-	/** Address at which peers reach this instance. */
-	readonly address: Address;
-	readonly seeds: readonly Address[];
-	/** Whether the entire system is starting for the first time. */
-	readonly isFirstStart: boolean;
-	readonly store: ObjectStore;
-	/** Interval at which endpoints renew their entries in the list. */
-	readonly endpointHeartbeat: Milliseconds;
-	readonly records: BudgetRecords;
-	readonly objects: SharedObjects;
-	/** The bound on the requests of a workspace; the platform's usual one if it is not set. */
-	readonly allotmentBounds?: AllotmentBounds | undefined;
-	readonly link: RelayLink;
-	/** What the availability of endpoints is judged by. */
-	readonly monitoring?: Monitoring;
-	/** Archives, and what kept turns outlast there. */
-	readonly archives: ArchiveLink;
-	readonly tolerance: Tolerance;
-	/** Data of an encoded event of a stream; undefined if it has none. */
-	readonly dataOf: (event: Uint8Array) => Uint8Array | undefined;
-	readonly peers: RelayPeers;
-	readonly clock: Clock;
-	readonly random: Random;
-	readonly onEvent: (event: RelayInstanceEvent) => void;
-};
-
 export type RelayInstance = RelayInstanceReport & {
 	readonly relay: Relay;
 	readonly limits: () => CallerLimits | undefined;
@@ -260,16 +222,8 @@
 			options.onEvent({kind: 'versions', versions: event});
 		},
 	});
-	const rateLimits = createRateLimits({
-		self: membership.self, members: membership.members, peers, fleet, clock, onEvent: options.onEvent,
-	});
-	const loads = createLoadReports({
-		self: membership.self, others, peers, fleet, recordRateLimit: rateLimits.record, clock,
-		recordLeaving(endpoint, bornAt) {
-			if (fleet.recordLeaving(endpoint, bornAt, clock.now())) {
-				options.onEvent({kind: 'leaving-reported', endpoint});
-			}
-		},
+	const {rateLimits, loads} = createEndpointKnowledge({
+		self: membership.self, members: membership.members, others, peers, fleet, clock, onEvent: options.onEvent,
 	});
 	const conversations = createConversations({
 		dataCentre,
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -23,10 +23,11 @@
 import {type RatePermits} from './rate-permits.js';
 import {type RelayFleet} from './relay-fleet.js';
 import {createRelayAttempts} from './relay-attempts.js';
+import {createRelayReservations} from './relay-reservations.js';
 import {createRelayJob, type RelayJob, type RelayJobOptions} from './relay-job.js';
 import {type RelayTurns} from './relay-turn.js';
 import {type StreamOrigins} from './stream-origins.js';
-import {type GrantedReservation, type TokenBudgets} from './token-budgets.js';
+import {type TokenBudgets} from './token-budgets.js';
 import {type RequestAllotments} from './request-allotments.js';
 import {createWorkspaceGate, type Entry} from './workspace-gate.js';
 
@@ -79,6 +80,7 @@
 	const {fleet, clock, quarantine} = options;
 	const endpointChoice = createEndpointChoice(options);
 	const attempts = createRelayAttempts(options);
+	const reserve = createRelayReservations({budgets: options.budgets, fleet, refuse});
 	const gate = createWorkspaceGate(options);
 	let active = 0;
 	let endsAt = Infinity;
@@ -191,34 +193,6 @@
 		});
 	}
 
-	/** Reserves the tokens of a model call; returns undefined if the request was refused. */
-	async function reserve(job: RelayJob): Promise<GrantedReservation['settle'] | undefined> {
-		const {program, maximumAnswerTokens: maxAnswerTokens, attempt: id} = job.request;
-		if (program?.budget === undefined || !job.route.isStream) {
-			return () => undefined;
-		}
-
-		const reservation = await options.budgets.reserve({
-			program: program.id, attempt: id, budget: program.budget, most: maxAnswerTokens, retention: job.route.retention,
-		});
-		switch (reservation.kind) {
-			case 'granted': {
-				fleet.recordPromptLocations(job.request.prompt, reservation.places);
-				return reservation.settle;
-			}
-
-			case 'exhausted': {
-				refuse(job, {kind: 'budget-exhausted'});
-				return undefined;
-			}
-
-			case 'unknown': {
-				refuse(job, {kind: 'not-run', retryAfter: reservation.retryAfter});
-				return undefined;
-			}
-		}
-	}
-
 	function refuseAtOnce(request: RelayRequest, caller: Caller, refusal: Refusal): void {
 		options.onEvent({
 			kind: 'refused', request, workspace: undefined, refusal, attempts: 0, elapsed: as<Milliseconds>(0),
