--- a/src/machines/turn-store/segment-log.ts
+++ b/src/machines/turn-store/segment-log.ts
@@ -24,6 +24,8 @@
 	readonly append: (records: readonly FrameRecord[]) => Promise<Result<Placement, DiskFailure>>;
 	/** Makes the next batch begin a new segment. */
 	readonly seal: () => void;
+	/** Whether a segment was begun since the start; its first record says what was missing then. */
+	readonly hasBegun: () => boolean;
 	/** Drops the segments whose records have all expired. */
 	readonly dropExpired: () => Promise<void>;
 	readonly segments: () => readonly Segment[];
@@ -56,6 +58,7 @@
 	let removable: readonly Segment[] = [];
 	let current: Segment | undefined;
 	let isDropping = false;
+	let hasBegun = false;
 
 	function fail(operation: DiskOperation, failure: DiskFailure): void {
 		options.onEvent({kind: 'disk-failed', operation, failure});
@@ -74,6 +77,7 @@
 				number, name, file: created, length: 0, bytes: 0, expiresAt: clock.now(), turns: [],
 			};
 			segments.push(current);
+			hasBegun = true;
 			options.onEvent({kind: 'segment-opened', segment: name});
 			return current;
 		});
@@ -179,6 +183,7 @@
 		seal() {
 			current = undefined;
 		},
+		hasBegun: () => hasBegun,
 		dropExpired,
 		segments: () => segments,
 		bytes: () => [...segments, ...removable].reduce((sum, segment) => sum + segment.bytes, 0),
--- a/src/machines/turn-store/turn-store.ts
+++ b/src/machines/turn-store/turn-store.ts
@@ -255,7 +255,7 @@
 		}
 
 		// Until then, a further start has to see in the segments what this one has seen.
-		if (turns.isComplete() && usedTokens.isComplete()) {
+		if (turns.isComplete() && (usedTokens.isComplete() || log.hasBegun())) {
 			await log.dropExpired();
 		}
 	}
