--- a/src/machines/allotment-bucket.ts
+++ b/src/machines/allotment-bucket.ts
@@ -9,16 +9,16 @@
 
 export type BucketLimit = {readonly rate: RequestsPerSecond; readonly capacity: number};
 
-/** Whether a request belongs to a program that has begun, or is the first of its program. */
-export type ProgramStanding = 'begun' | 'first';
-
 export type AllotmentBucket = {
 	/** Number of permits now; negative while taken permits may not yet be used. */
 	readonly level: (limit: BucketLimit, now: Milliseconds) => number;
-	/** Takes a permit. Returns the time after which it may be used; undefined, with nothing taken, if that is longer than `patience`. */
-	readonly take: (limit: BucketLimit, patience: number, now: Milliseconds, standing?: ProgramStanding) => Milliseconds | undefined;
-	/** Time until there is a permit that nobody waits for. */
-	readonly wait: (limit: BucketLimit, now: Milliseconds, standing?: ProgramStanding) => Milliseconds;
+	/**
+	Takes a permit, if `reserve` others are left for requests that go before. Returns the time after which it may be used;
+	undefined, with nothing taken, if that is longer than `patience`.
+	*/
+	readonly take: (limit: BucketLimit, patience: number, now: Milliseconds, reserve?: number) => Milliseconds | undefined;
+	/** Time until there is a permit that nobody waits for, beside `reserve` others. */
+	readonly wait: (limit: BucketLimit, now: Milliseconds, reserve?: number) => Milliseconds;
 	/** Returns permits that were not used. */
 	readonly giveBack: (count: number) => void;
 	/** Lowers the level to a maximum. */
@@ -30,18 +30,15 @@
 	return {rate, capacity: Math.max(1, burst)};
 }
 
-/** Share of the bucket that is left for begun programs while the allotment is short, and its maximum in seconds of the rate. */
+/** Share of the bucket that is left for begun programs, and its maximum in seconds of the rate. */
 const reservedShare = 0.7;
 const maximumReservedSeconds = 1;
 
-/** Time for which the allotment counts as short after a request of a begun program found no permit. */
-const shortageMs = 3000;
-
 /**
-Permits that the first request of a program leaves in the bucket while the allotment is short. A program is worth something
-only as a whole, so what goes beyond an allotment should turn new programs away rather than break off begun ones.
+Permits that the first request of a program leaves in the bucket. A program is worth something only as a whole, so what goes
+beyond an allotment should turn new programs away rather than break off begun ones.
 */
-function reserveForBegun({rate, capacity}: BucketLimit): number {
+export function reserveForBegun({rate, capacity}: BucketLimit): number {
 	return Math.min((capacity - 1) * reservedShare, rate * maximumReservedSeconds);
 }
 
@@ -50,7 +47,6 @@
 	let level = initialLevel;
 	let refilledAt = createdAt;
 	let current: BucketLimit | undefined;
-	let shortAt = -Infinity;
 
 	function refill(limit: BucketLimit, now: Milliseconds): void {
 		const previous = current ?? limit;
@@ -59,18 +55,6 @@
 		current = limit;
 	}
 
-	function reserveFor(limit: BucketLimit, standing: ProgramStanding, now: Milliseconds): number {
-		switch (standing) {
-			case 'begun': {
-				return 0;
-			}
-
-			case 'first': {
-				return now - shortAt < shortageMs ? reserveForBegun(limit) : 0;
-			}
-		}
-	}
-
 	function wait({rate}: BucketLimit, reserve: number): Milliseconds {
 		const needed = 1 + reserve;
 		return as<Milliseconds>(level >= needed ? 0 : Math.ceil((needed - level) * 1000 / rate));
@@ -81,13 +65,9 @@
 			refill(limit, now);
 			return level;
 		},
-		take(limit, patience, now, standing = 'begun') {
+		take(limit, patience, now, reserve = 0) {
 			refill(limit, now);
-			const delay = wait(limit, reserveFor(limit, standing, now));
-			if (delay > 0 && standing === 'begun') {
-				shortAt = now;
-			}
-
+			const delay = wait(limit, reserve);
 			if (delay > patience) {
 				return undefined;
 			}
@@ -95,9 +75,9 @@
 			level--;
 			return delay;
 		},
-		wait(limit, now, standing = 'begun') {
+		wait(limit, now, reserve = 0) {
 			refill(limit, now);
-			return wait(limit, reserveFor(limit, standing, now));
+			return wait(limit, reserve);
 		},
 		giveBack(count) {
 			level = Math.min(current?.capacity ?? level, level + count);
