--- a/src/machines/allotment-bucket.ts
+++ b/src/machines/allotment-bucket.ts
@@ -12,13 +12,10 @@
 export type AllotmentBucket = {
 	/** Number of permits now; negative while taken permits may not yet be used. */
 	readonly level: (limit: BucketLimit, now: Milliseconds) => number;
-	/**
-	Takes a permit, if `reserve` others are left for requests that go before. Returns the time after which it may be used;
-	undefined, with nothing taken, if that is longer than `patience`.
-	*/
-	readonly take: (limit: BucketLimit, patience: number, now: Milliseconds, reserve?: number) => Milliseconds | undefined;
-	/** Time until there is a permit that nobody waits for, beside `reserve` others. */
-	readonly wait: (limit: BucketLimit, now: Milliseconds, reserve?: number) => Milliseconds;
+	/** Takes a permit. Returns the time after which it may be used; undefined, with nothing taken, if that is longer than `patience`. */
+	readonly take: (limit: BucketLimit, patience: number, now: Milliseconds) => Milliseconds | undefined;
+	/** Time until there is a permit that nobody waits for. */
+	readonly wait: (limit: BucketLimit, now: Milliseconds) => Milliseconds;
 	/** Returns permits that were not used. */
 	readonly giveBack: (count: number) => void;
 	/** Lowers the level to a maximum. */
@@ -30,18 +27,6 @@
 	return {rate, capacity: Math.max(1, burst)};
 }
 
-/** Share of the bucket that is left for begun programs, and its maximum in seconds of the rate. */
-const reservedShare = 0.7;
-const maximumReservedSeconds = 1;
-
-/**
-Permits that the first request of a program leaves in the bucket. A program is worth something only as a whole, so what goes
-beyond an allotment should turn new programs away rather than break off begun ones.
-*/
-export function reserveForBegun({rate, capacity}: BucketLimit): number {
-	return Math.min((capacity - 1) * reservedShare, rate * maximumReservedSeconds);
-}
-
 /** Creates a bucket with a level at a time; the limit of its first use bounds it. */
 export function createAllotmentBucket(initialLevel: number, createdAt: Milliseconds): AllotmentBucket {
 	let level = initialLevel;
@@ -55,9 +40,8 @@
 		current = limit;
 	}
 
-	function wait({rate}: BucketLimit, reserve: number): Milliseconds {
-		const needed = 1 + reserve;
-		return as<Milliseconds>(level >= needed ? 0 : Math.ceil((needed - level) * 1000 / rate));
+	function wait({rate}: BucketLimit): Milliseconds {
+		return as<Milliseconds>(level >= 1 ? 0 : Math.ceil((1 - level) * 1000 / rate));
 	}
 
 	return {
@@ -65,9 +49,9 @@
 			refill(limit, now);
 			return level;
 		},
-		take(limit, patience, now, reserve = 0) {
+		take(limit, patience, now) {
 			refill(limit, now);
-			const delay = wait(limit, reserve);
+			const delay = wait(limit);
 			if (delay > patience) {
 				return undefined;
 			}
@@ -75,9 +59,9 @@
 			level--;
 			return delay;
 		},
-		wait(limit, now, reserve = 0) {
+		wait(limit, now) {
 			refill(limit, now);
-			return wait(limit, reserve);
+			return wait(limit);
 		},
 		giveBack(count) {
 			level = Math.min(current?.capacity ?? level, level + count);
--- a/src/machines/request-allotments.ts
+++ b/src/machines/request-allotments.ts
@@ -10,8 +10,6 @@
 	readonly workspace: WorkspaceName;
 	readonly allotment: LimitedAllotment;
 	readonly generation: ConfigurationGeneration;
-	/** Whether it is the first request of a program; begun ones go before. */
-	readonly isFirst: boolean;
 	/** Maximum time for which the request waits for the permit. */
 	readonly patience: Milliseconds;
 };
--- a/src/machines/workspace-gate.ts
+++ b/src/machines/workspace-gate.ts
@@ -72,7 +72,6 @@
 			workspace: name,
 			allotment,
 			generation: table.configuration.generation,
-			isFirst: route.keepsTurns && request.previousTurn === undefined && request.lastEvent === undefined,
 			patience: as<Milliseconds>(Math.min(route.latencyGoal * placementTimeoutFraction, request.timeLeft ?? route.timeout)),
 		}, signal);
 		switch (outcome.kind) {
--- a/src/zones/allotments/coordinator.ts
+++ b/src/zones/allotments/coordinator.ts
@@ -5,7 +5,7 @@
 import {type Clock} from '../../contracts/clock.js';
 import {as, type InstanceId, type Milliseconds} from '../../contracts/id.js';
 import {type WorkspaceName} from '../../contracts/workspace.js';
-import {bucketLimitOf, reserveForBegun} from '../../machines/allotment-bucket.js';
+import {bucketLimitOf} from '../../machines/allotment-bucket.js';
 import {type Member} from '../membership.js';
 import {createUnresponsivePeers} from '../unresponsive-peers.js';
 import {type AllotmentEvent} from './allotment-event.js';
@@ -46,7 +46,7 @@
 	/** The last answer to each asker, with the number of the ask. */
 	const answers = new Map<string, {readonly number: number; readonly reply: Promise<AllotmentReply>}>();
 
-	function grant({workspace, patience, isFirst, returned, known}: PermitAsk, lease: HeldLease | undefined): AllotmentReply {
+	function grant({workspace, patience, returned, known}: PermitAsk, lease: HeldLease | undefined): AllotmentReply {
 		const {allotment} = options.newest(workspace, known);
 		const now = clock.now();
 		if (allotment.kind === 'unlimited' || !lease) {
@@ -61,13 +61,8 @@
 			bucket.giveBack(returned.count);
 		}
 
-		const reserve = reserveForBegun(limit);
 		return {
-			kind: 'decided',
-			tenure,
-			delays: patience.map((time, index) => bucket.take(limit, Math.min(time, validUntil - now), now, isFirst?.[index] ? reserve : 0) ?? 'none'),
-			wait: bucket.wait(limit, now),
-			firstWait: bucket.wait(limit, now, reserve),
+			kind: 'decided', tenure, delays: patience.map(time => bucket.take(limit, Math.min(time, validUntil - now), now) ?? 'none'), wait: bucket.wait(limit, now),
 		};
 	}
 
--- a/src/zones/allotments/messages.ts
+++ b/src/zones/allotments/messages.ts
@@ -24,8 +24,6 @@
 	readonly number: number;
 	/** For each request that needs a permit, the time for which it waits. */
 	readonly patience: readonly number[];
-	/** Whether each of these requests is the first of its program; absent if none is. */
-	readonly isFirst?: readonly boolean[] | undefined;
 	/** Permits that were not used, and the tenure that granted them. */
 	readonly returned?: {readonly tenure: TenureId; readonly count: number} | undefined;
 };
@@ -55,11 +53,8 @@
 export type InstanceAddress = {readonly id: InstanceId; readonly address: Address};
 
 export type AllotmentReply
-	/**
-	For each request, the time after which it may be sent; `wait` is the time until there is a permit that nobody waits for, and
-	`firstWait` the same for the first request of a program, if it differs.
-	*/
-	= | {readonly kind: 'decided'; readonly tenure: TenureId | undefined; readonly delays: ReadonlyArray<Milliseconds | 'none'>; readonly wait: Milliseconds; readonly firstWait?: Milliseconds | undefined}
+	/** For each request, the time after which it may be sent; `wait` is the time until there is a permit that nobody waits for. */
+	= | {readonly kind: 'decided'; readonly tenure: TenureId | undefined; readonly delays: ReadonlyArray<Milliseconds | 'none'>; readonly wait: Milliseconds}
 	/** No coordinator is known to the instance; one may be after `wait`. */
 		| {readonly kind: 'no-coordinator'; readonly wait: Milliseconds}
 		| {readonly kind: 'voted'; readonly vote: Vote}
--- a/src/zones/allotments/permit-client.ts
+++ b/src/zones/allotments/permit-client.ts
@@ -52,8 +52,6 @@
 
 type Waiting = {
 	readonly deadline: Milliseconds;
-	/** Whether it is the first request of its program. */
-	readonly isFirst: boolean;
 	/** Whether it is known when the request gets a permit. */
 	isDecided: boolean;
 	readonly isSettled: () => boolean;
@@ -65,9 +63,8 @@
 	known: KnownAllotment;
 	readonly waiting: Set<Waiting>;
 	isServing: boolean;
-	/** Time before which there is no permit, and before which there is none for the first request of a program. */
+	/** Time before which there is no permit. */
 	usedUpUntil: number;
-	usedUpForFirstUntil: number;
 	/** Time before which no coordinator is looked for. */
 	noCoordinatorUntil: number;
 	returned: {readonly tenure: TenureId; readonly count: number} | undefined;
@@ -98,7 +95,7 @@
 
 	function queueOf(workspace: WorkspaceName, known: KnownAllotment): Queue {
 		const queue: Queue = queues.get(workspace) ?? {
-			workspace, known, waiting: new Set(), isServing: false, usedUpUntil: 0, usedUpForFirstUntil: 0, noCoordinatorUntil: 0, returned: undefined,
+			workspace, known, waiting: new Set(), isServing: false, usedUpUntil: 0, noCoordinatorUntil: 0, returned: undefined,
 		};
 		queue.known = known;
 		queues.set(workspace, queue);
@@ -120,7 +117,6 @@
 			asker: {id: self().id, startedAt: options.startedAt},
 			number: ++lastNumber,
 			patience: patienceOf(batch),
-			...(batch.some(request => request.isFirst) && {isFirst: batch.map(request => request.isFirst)}),
 			...(returned && {returned}),
 		};
 	}
@@ -173,13 +169,10 @@
 	}
 
 	function apply(queue: Queue, batch: readonly Waiting[], decided: Decided): void {
-		const {wait, firstWait = wait} = decided;
+		const {wait} = decided;
 		for (const request of applyGrants(queue, batch, decided)) {
-			request.settle({kind: 'used-up', wait: request.isFirst ? firstWait : wait});
-			queue.usedUpForFirstUntil = Math.max(queue.usedUpForFirstUntil, clock.now() + firstWait);
-			if (!request.isFirst) {
-				queue.usedUpUntil = Math.max(queue.usedUpUntil, clock.now() + wait);
-			}
+			request.settle({kind: 'used-up', wait});
+			queue.usedUpUntil = Math.max(queue.usedUpUntil, clock.now() + wait);
 		}
 	}
 
@@ -285,23 +278,21 @@
 	}
 
 	return {
-		async acquire({workspace, allotment, generation, patience, isFirst}, signal) {
+		async acquire({workspace, allotment, generation, patience}, signal) {
 			if (signal.aborted) {
 				return {kind: 'cancelled'};
 			}
 
 			const queue = queueOf(workspace, {generation, allotment});
 			const deadline = as<Milliseconds>(clock.now() + patience);
-			const usedUpUntil = isFirst ? queue.usedUpForFirstUntil : queue.usedUpUntil;
-			if (usedUpUntil > deadline) {
-				return {kind: 'used-up', wait: as<Milliseconds>(usedUpUntil - clock.now())};
+			if (queue.usedUpUntil > deadline) {
+				return {kind: 'used-up', wait: as<Milliseconds>(queue.usedUpUntil - clock.now())};
 			}
 
 			const outcome = createDeferred<AllotmentOutcome>();
 			const settled = new AbortController();
 			const request: Waiting = {
 				deadline,
-				isFirst,
 				isDecided: false,
 				isSettled: () => settled.signal.aborted,
 				settle(result) {
