--- a/src/zones/allotments/coordinator.ts
+++ b/src/zones/allotments/coordinator.ts
@@ -46,7 +46,7 @@
 	/** The last answer to each asker, with the number of the ask. */
 	const answers = new Map<string, {readonly number: number; readonly reply: Promise<AllotmentReply>}>();
 
-	function grant({workspace, patience, isFirst, returned, known}: PermitAsk, lease: HeldLease | undefined): AllotmentReply {
+	function grant({workspace, patience, returned, known}: PermitAsk, lease: HeldLease | undefined): AllotmentReply {
 		const {allotment} = options.newest(workspace, known);
 		const now = clock.now();
 		if (allotment.kind === 'unlimited' || !lease) {
@@ -62,11 +62,7 @@
 		}
 
 		return {
-			kind: 'decided',
-			tenure,
-			delays: patience.map((time, index) => bucket.take(limit, Math.min(time, validUntil - now), now, isFirst?.[index] ? 'first' : 'begun') ?? 'none'),
-			wait: bucket.wait(limit, now),
-			firstWait: bucket.wait(limit, now, 'first'),
+			kind: 'decided', tenure, delays: patience.map(time => bucket.take(limit, Math.min(time, validUntil - now), now) ?? 'none'), wait: bucket.wait(limit, now),
 		};
 	}
 
