--- a/src/machines/client-limits.ts
+++ b/src/machines/client-limits.ts
@@ -22,8 +22,12 @@
 const requestDescriptorShare = 0.3;
 const peerShare = 0.1;
 
-/** Part of the connections that may have an incomplete head: more than the 511 that Node.js accepts at once, on the smallest machines. */
-const headShare = 0.75;
+/** Part of the connections that may have an incomplete head, which takes up to 48 KB. */
+const headShare = 0.5;
+
+/** Node.js accepts 511 connections at once, so callers that connect together meet no smaller limit; but a part is left to others. */
+const leastHeads = 512;
+const largestHeadShare = 0.75;
 
 /** Callers that send requests ahead of the responses send a few. */
 const pipelinedRequests = 64;
@@ -46,7 +50,9 @@
 	return as<Bytes>(memory === undefined ? maximumRequestBytes : Math.min(maximumRequestBytes, Math.max(0, (memory - processBytes) * requestShare)));
 }
 
-const headsOf = (connections: number) => Math.max(1, Math.floor(connections * headShare));
+function headsOf(connections: number): number {
+	return Math.max(1, Math.floor(Math.max(connections * headShare, Math.min(leastHeads, connections * largestHeadShare))));
+}
 
 /** Limits of the listener for callers. */
 export function callerLimits(machine: MachineResources, settings?: ClientLimitSettings): ClientLimits {
--- a/tests/hostile-clients.test.ts
+++ b/tests/hostile-clients.test.ts
@@ -6,6 +6,7 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {createServer} from 'node:http';
+import {Readable} from 'node:stream';
 import {test, type TestContext} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {request} from 'undici';
@@ -161,6 +162,16 @@
 	return outcome;
 }
 
+/** Answer to a single request with the largest body, in chunks or with its length. */
+async function sendLargest(entry: EntryProcess, framing: {readonly chunkBytes?: number}): Promise<string> {
+	const chunk = 'a'.repeat(framing.chunkBytes ?? maxBodyBytes);
+	const body = framing.chunkBytes === undefined ? chunk : Readable.from(Array.from({length: maxBodyBytes / chunk.length}, () => chunk));
+	const {statusCode, body: answer} = await request(`http://${entry.address}/work/largest`, {
+		method: 'POST', headers: {host, 'attempt-id': 'ef', 'deadline-ms': '8000'}, body,
+	});
+	return `${statusCode} ${await answer.text()}`;
+}
+
 const isAlive = (entry: EntryProcess) => (entry.child().exitCode ?? entry.child().signalCode) === null;
 const inMib = (bytes: number) => Math.round(bytes / 1024 / 1024);
 
@@ -205,3 +216,22 @@
 		assert.ok(descriptors < machine.descriptors - spareDescriptors, `${descriptors} descriptors`);
 	});
 }
+
+// Guards against limits that a client within those of the configuration meets.
+test('in calm conditions single requests with the largest body are served on the smallest machine', async context => {
+	const cluster = await startEntryProcesses(['a-1'], manifest, smallestMachine);
+	context.after(async () => {
+		await cluster.stop();
+	});
+	const [entry] = cluster.entries;
+	assert.ok(entry);
+	cluster.store.put('servers', 'app-1', {
+		Service: 'app', Address: await startEndpoint(context), Zone: 'a', Version: 'v1', Slots: 500, State: 'ready', ColdLeftMs: 0, Sequence: 1,
+	});
+	await cluster.ready();
+	for (const framing of [{}, {chunkBytes: 65_536}, {chunkBytes: 16}]) {
+		assert.equal(await sendLargest(entry, framing), `200 ${maxBodyBytes}`);
+	}
+
+	assert.ok(entry.peakMemory() < smallestMachine.memoryMb * 1024 * 1024, `${inMib(entry.peakMemory())} MiB`);
+});
