Log and export how instances learn configurations

Cause: a fetch of tables or a watch that hangs left no trace, so the hypotheses on configurations that are not learned in time could not be told apart. Change: each fetch has a line with its purpose, its wait and its duration; a peer's newer generation has one; the line of an applied configuration says how long ago it was announced. Gauges tell how long the current fetch and the current request of a watch have taken. No decision changes.

--- a/src/links/relay-log.ts
+++ b/src/links/relay-log.ts
@@ -7,6 +7,7 @@
 import {type RelayEvent} from '../machines/relay-event.js';
 import {type SharedTablesEvent} from '../zones/shared-tables.js';
 import {type RateLimit} from '../contracts/rate-limit.js';
+import {type TablesFetch} from '../zones/table-peers.js';
 import {type VersionHistoryEvent} from '../zones/version-history.js';
 import {type RelayResult} from '../contracts/relay-attempt.js';
 import {type RelayRequest} from '../contracts/relay-request.js';
@@ -106,15 +107,31 @@
 	}
 }
 
+function fetchFields({
+	peer, reason, waited, took,
+}: TablesFetch) {
+	return {
+		peer, purpose: reason, waitedMs: Math.round(waited), tookMs: Math.round(took),
+	};
+}
+
 function logTables(log: Log, event: SharedTablesEvent): void {
 	switch (event.kind) {
 		case 'configuration': {
 			log.info({
 				event: 'configuration', generation: event.generation, previous: event.previous, source: event.source,
+				...(event.sinceAnnounced !== undefined && {sinceAnnouncedMs: Math.round(event.sinceAnnounced)}),
 			}, `configuration ${event.generation} applied`);
 			return;
 		}
 
+		case 'configuration-announced': {
+			log.info({
+				event: 'configuration-announced', generation: event.generation, current: event.current, peer: event.peer,
+			}, `${event.peer} has configuration ${event.generation}, which is newer than ${event.current}`);
+			return;
+		}
+
 		case 'configuration-refused': {
 			log.warn({event: 'configuration-refused', reason: event.failure.message}, 'configuration is invalid and was refused');
 			return;
@@ -156,8 +173,13 @@
 			return;
 		}
 
+		case 'snapshot-fetched': {
+			log.info({event: 'snapshot', ...fetchFields(event.fetch)}, `snapshot fetched from ${event.fetch.peer}`);
+			return;
+		}
+
 		case 'snapshot-failed': {
-			log.warn({event: 'snapshot-failed', peer: event.failure.peer, reason: event.failure.message}, `fetching a snapshot from ${event.failure.peer} failed`);
+			log.warn({event: 'snapshot-failed', ...fetchFields(event.fetch), reason: event.failure.message}, `fetching a snapshot from ${event.fetch.peer} failed`);
 		}
 	}
 }
--- a/src/machines/relay-instance-report.ts
+++ b/src/machines/relay-instance-report.ts
@@ -16,7 +16,7 @@
 	readonly id: InstanceId;
 	readonly isLeaving: () => boolean;
 	readonly isWarm: () => boolean;
-	readonly tables: Pick<SharedTables, 'digest' | 'age'>;
+	readonly tables: Pick<SharedTables, 'digest' | 'age' | 'waits'>;
 	readonly relay: Pick<Relay, 'active'>;
 	readonly fleet: Pick<RelayFleet, 'endpoints'>;
 	readonly membership: Pick<Membership, 'members'>;
@@ -49,6 +49,8 @@
 			storeCalls: store.calls(),
 			generation: tables.digest().generation,
 			tablesAgeMs: Math.round(tables.age()),
+			tablesFetchMs: Math.round(tables.waits().fetch),
+			storeWatchMs: Math.round(tables.waits().watch),
 			...conversations.gauges(),
 		}),
 		dump: () => ({
--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -22,7 +22,7 @@
 import {createStoreProbe, type StoreProbeEvent} from './store-probe.js';
 import {createWatchSupervisor} from './watch-supervisor.js';
 import {createStoreWatch, type StoreWatchEvent} from './store-watch.js';
-import {createTablePeers} from './table-peers.js';
+import {createTablePeers, type TablesFetch} from './table-peers.js';
 
 /** Time within which a broadcast change arrives, in ms; after that it counts as missed. */
 const propagationMs = 60;
@@ -46,7 +46,13 @@
 
 export type SharedTablesEvent
 	= | SharedDirectoryEvent
-		| {readonly kind: 'configuration'; readonly generation: ConfigurationGeneration; readonly previous: ConfigurationGeneration | undefined; readonly source: string}
+		/** `sinceAnnounced` is the time since a peer first announced the generation; undefined if none did. */
+		| {
+			readonly kind: 'configuration'; readonly generation: ConfigurationGeneration; readonly previous: ConfigurationGeneration | undefined;
+			readonly source: string; readonly sinceAnnounced: Milliseconds | undefined;
+		}
+		/** A peer has a configuration that is newer than any that this instance has heard of. */
+		| {readonly kind: 'configuration-announced'; readonly generation: ConfigurationGeneration; readonly current: ConfigurationGeneration; readonly peer: Address}
 		| {readonly kind: 'configuration-refused'; readonly failure: Failure}
 		| {readonly kind: 'store'; readonly change: 'lost' | 'back'; readonly reason: string}
 		/**
@@ -54,7 +60,8 @@
 		the digest of a neighbour last proved its tables complete.
 		*/
 		| {readonly kind: 'watching'; readonly isWatching: boolean; readonly isWatcher: boolean; readonly sinceSync: Milliseconds}
-		| {readonly kind: 'snapshot-failed'; readonly failure: Failure};
+		| {readonly kind: 'snapshot-fetched'; readonly fetch: TablesFetch}
+		| {readonly kind: 'snapshot-failed'; readonly failure: Failure; readonly fetch: TablesFetch};
 
 export type SharedTablesOptions = {
 	readonly address: Address;
@@ -85,6 +92,8 @@
 	readonly tables: () => RelayTables;
 	/** Time since this instance last knew everything that the store had acknowledged. */
 	readonly age: () => Milliseconds;
+	/** Time for which the current fetch of tables, and the longest current request of a watch, have waited for an answer. */
+	readonly waits: () => {readonly fetch: Milliseconds; readonly watch: Milliseconds};
 	readonly run: (signal: AbortSignal) => Promise<void>;
 };
 
@@ -97,16 +106,17 @@
 		others: options.neighbours,
 		firstChange: options.firstChange,
 		clock,
-		onTables(tables, source, askedAt) {
+		onTables(tables, fetch, askedAt) {
 			fetchedAt = clock.now();
-			applySnapshot(tables, source);
-			if (options.neighbours().includes(source)) {
-				receiveHeartbeat(source, tables.digest, askedAt);
+			options.onEvent({kind: 'snapshot-fetched', fetch});
+			applySnapshot(tables, fetch.peer);
+			if (options.neighbours().includes(fetch.peer)) {
+				receiveHeartbeat(fetch.peer, tables.digest, askedAt);
 			}
 		},
-		onFailure(failure) {
+		onFailure(failure, fetch) {
 			fetchedAt = clock.now();
-			options.onEvent({kind: 'snapshot-failed', failure});
+			options.onEvent({kind: 'snapshot-failed', failure, fetch});
 		},
 	});
 	const directory = createSharedDirectory({
@@ -121,6 +131,7 @@
 	});
 	const probe = createStoreProbe({store: options.store, clock, onEvent: onProbeEvent});
 	let configuration: RelayConfiguration | undefined;
+	let announced: {readonly generation: ConfigurationGeneration; readonly at: Milliseconds} | undefined;
 	let peerSyncedAt = clock.now();
 	let fetchedAt = as<Milliseconds>(-refetchIntervalMs);
 
@@ -162,10 +173,20 @@
 		options.onConfiguration(next);
 		options.onEvent({
 			kind: 'configuration', generation: next.generation, previous, source,
+			sinceAnnounced: announced?.generation === next.generation ? as<Milliseconds>(clock.now() - announced.at) : undefined,
 		});
 		return true;
 	}
 
+	function recordAnnouncement(peer: Address, next: ConfigurationGeneration): void {
+		if (next > Math.max(generation(), announced?.generation ?? 0)) {
+			announced = {generation: next, at: clock.now()};
+			options.onEvent({
+				kind: 'configuration-announced', generation: next, current: generation(), peer,
+			});
+		}
+	}
+
 	function onProbeEvent(event: StoreProbeEvent): void {
 		switch (event.kind) {
 			case 'confirmed': {
@@ -244,28 +265,30 @@
 			peerSyncedAt = as<Milliseconds>(Math.max(peerSyncedAt, at - other.storeAge));
 			directory.recordContact(peerSyncedAt);
 		} else {
-			peers.fetch(peer, () => !isComplete(), () => as<Milliseconds>(propagationMs));
+			peers.fetch(peer, 'contact', () => !isComplete(), () => as<Milliseconds>(propagationMs));
 		}
 	}
 
 	function receiveDigest({address, dataCentre}: Member, other: RelayDigest): void {
 		const isNeighbour = dataCentre === options.dataCentre;
-		peers.fetch(address, () => other.generation > generation(), () => as<Milliseconds>(isNeighbour ? 0 : otherDataCentrePropagationMs));
+		recordAnnouncement(address, other.generation);
+		peers.fetch(address, 'configuration', () => other.generation > generation(), () => as<Milliseconds>(isNeighbour ? 0 : otherDataCentrePropagationMs));
 		if (isNeighbour && other.storeAge !== undefined) {
 			receiveHeartbeat(address, other, clock.now());
 		} else {
 			// While no neighbour is in contact with the store, another data centre may have newer changes.
 			const delay = () => as<Milliseconds>(Math.max(0, fetchedAt + refetchIntervalMs - clock.now()));
-			peers.fetch(address, () => supervisor.isStale() && other.endpointRevision > directory.revision(), delay);
+			peers.fetch(address, 'endpoints', () => supervisor.isStale() && other.endpointRevision > directory.revision(), delay);
 		}
 	}
 
 	const watch = (kind: string, onEvent: (event: StoreWatchEvent) => void) => createStoreWatch({
 		store: options.store, objects: kind, wait: as<Milliseconds>(watchWaitMs), clock, random: options.random, onEvent,
 	});
+	const watches = [watch(objects.configurationKind, onConfigurationEvent), watch(objects.endpointKind, directory.onStoreEvent)];
 	const supervisor = createWatchSupervisor({
 		probe,
-		watches: [watch(objects.configurationKind, onConfigurationEvent), watch(objects.endpointKind, directory.onStoreEvent)],
+		watches,
 		isComplete: () => configuration !== undefined && directory.isListed(),
 		isWatcher: options.isWatcher,
 		peerSyncedAt: () => peerSyncedAt,
@@ -291,6 +314,7 @@
 			configuration, entries: directory.entries(), listedAt: directory.listedAt(), digest: digest(),
 		}),
 		age: () => as<Milliseconds>(clock.now() - Math.max(peerSyncedAt, supervisor.storeSyncedAt() ?? peerSyncedAt)),
+		waits: () => ({fetch: peers.fetchAge(), watch: as<Milliseconds>(Math.max(...watches.map(({requestAge}) => requestAge())))}),
 		async run(signal) {
 			await Promise.all([supervisor.run(signal), directory.run(signal)]);
 		},
--- a/src/zones/store-watch.ts
+++ b/src/zones/store-watch.ts
@@ -19,6 +19,8 @@
 export type StoreWatch = {
 	/** Whether the reported objects are complete: they have been listed, and no request has failed since. */
 	readonly isFollowing: () => boolean;
+	/** Time for which the current request has waited for its answer; zero if there is none. */
+	readonly requestAge: () => Milliseconds;
 	/** Lists the objects and follows their changes until the signal aborts. */
 	readonly run: (signal: AbortSignal) => Promise<void>;
 };
@@ -38,6 +40,14 @@
 	const {store, objects, clock} = options;
 	let failures = 0;
 	let isFollowing = false;
+	let requestedAt: Milliseconds | undefined;
+
+	async function request<Value>(send: () => Promise<Value>): Promise<Value> {
+		requestedAt = clock.now();
+		const answer = await send();
+		requestedAt = undefined;
+		return answer;
+	}
 
 	async function backOff(failure: Failure, signal: AbortSignal): Promise<void> {
 		isFollowing = false;
@@ -49,7 +59,7 @@
 
 	/** Lists the objects. Returns the revision to watch from, or undefined after a failure. */
 	async function list(signal: AbortSignal): Promise<ObjectVersion | undefined> {
-		const result = await store.list(objects);
+		const result = await request(async () => store.list(objects));
 		if (signal.aborted) {
 			return undefined;
 		}
@@ -67,7 +77,7 @@
 
 	/** Waits for changes. Returns the revision to continue from, or undefined when the objects have to be listed again. */
 	async function follow(since: ObjectVersion, signal: AbortSignal): Promise<ObjectVersion | undefined> {
-		const result = await store.watch(objects, since, options.wait, signal);
+		const result = await request(async () => store.watch(objects, since, options.wait, signal));
 		if (signal.aborted) {
 			return undefined;
 		}
@@ -93,6 +103,7 @@
 
 	return {
 		isFollowing: () => isFollowing,
+		requestAge: () => as<Milliseconds>(requestedAt === undefined ? 0 : clock.now() - requestedAt),
 		async run(signal) {
 			let revision: ObjectVersion | undefined;
 			isFollowing = false;
--- a/src/zones/table-peers.ts
+++ b/src/zones/table-peers.ts
@@ -20,6 +20,25 @@
 const broadcastTimeoutMs = 200;
 const broadcastAttempts = 4;
 
+/** What made an instance fetch the tables of a peer. */
+export type FetchReason
+	/** The peer has a newer configuration. */
+	= | 'configuration'
+	/** A change of the peer was missed. */
+		| 'changes'
+	/** The peer is in contact with the store, and its tables differ. */
+		| 'contact'
+	/** The peer has read a newer list of endpoints while no neighbour is in contact with the store. */
+		| 'endpoints';
+
+export type TablesFetch = {
+	readonly peer: Address;
+	readonly reason: FetchReason;
+	/** Time for which other fetches, and the delay of this one, held it back. */
+	readonly waited: Milliseconds;
+	readonly took: Milliseconds;
+};
+
 export type TablePeersOptions = {
 	readonly address: Address;
 	readonly peers: Pick<RelayPeers, 'request' | 'post' | 'tables'>;
@@ -29,8 +48,8 @@
 	readonly firstChange: ChangeNumber;
 	readonly clock: Clock;
 	/** `askedAt` is when the peer was asked: the tables are no older. */
-	readonly onTables: (tables: RelayTables, source: Address, askedAt: Milliseconds) => void;
-	readonly onFailure: (failure: Failure) => void;
+	readonly onTables: (tables: RelayTables, fetch: TablesFetch, askedAt: Milliseconds) => void;
+	readonly onFailure: (failure: Failure, fetch: TablesFetch) => void;
 };
 
 export type TablePeers = {
@@ -52,7 +71,9 @@
 	Fetches the tables of a peer after a delay, if they are still needed then. Fetches run one at a time, and at most
 	one waits.
 	*/
-	readonly fetch: (peer: Address, isNeeded: () => boolean, delay: () => Milliseconds) => void;
+	readonly fetch: (peer: Address, reason: FetchReason, isNeeded: () => boolean, delay: () => Milliseconds) => void;
+	/** Time for which the current fetch has waited for its peer; zero if there is none. */
+	readonly fetchAge: () => Milliseconds;
 };
 
 /** Creates the state of an instance that has sent and received no changes. */
@@ -61,6 +82,7 @@
 	const fetches = new PQueue({concurrency: 1});
 	const received = new Map<Address, ChangeNumber>();
 	let change = options.firstChange;
+	let fetchStartedAt: Milliseconds | undefined;
 
 	function broadcast(message: RelayMessage): void {
 		for (const address of options.others()) {
@@ -74,24 +96,32 @@
 		}
 	}
 
-	async function fetchNow(peer: Address): Promise<void> {
+	async function fetchNow(peer: Address, reason: FetchReason, waited: Milliseconds): Promise<void> {
 		const askedAt = clock.now();
+		fetchStartedAt = askedAt;
 		const result = await peers.tables(peer);
+		fetchStartedAt = undefined;
+		const ended = {
+			peer, reason, waited, took: as<Milliseconds>(clock.now() - askedAt),
+		};
 		result.match(tables => {
 			received.set(peer, tables.digest.change);
-			options.onTables(tables, peer, askedAt);
-		}, options.onFailure);
+			options.onTables(tables, ended, askedAt);
+		}, failure => {
+			options.onFailure(failure, ended);
+		});
 	}
 
-	function fetch(peer: Address, isNeeded: () => boolean, delay: () => Milliseconds): void {
+	function fetch(peer: Address, reason: FetchReason, isNeeded: () => boolean, delay: () => Milliseconds): void {
 		if (!isNeeded() || fetches.size > 0) {
 			return;
 		}
 
+		const requestedAt = clock.now();
 		void fetches.add(async () => {
 			await clock.sleep(delay());
 			if (isNeeded()) {
-				await fetchNow(peer);
+				await fetchNow(peer, reason, as<Milliseconds>(clock.now() - requestedAt));
 			}
 		});
 	}
@@ -124,8 +154,9 @@
 				return;
 			}
 
-			fetch(from, () => (received.get(from) ?? -1) < next, () => as<Milliseconds>(0));
+			fetch(from, 'changes', () => (received.get(from) ?? -1) < next, () => as<Milliseconds>(0));
 		},
 		fetch,
+		fetchAge: () => as<Milliseconds>(fetchStartedAt === undefined ? 0 : clock.now() - fetchStartedAt),
 	};
 }
