--- a/tests/shared-tables.test.ts
+++ b/tests/shared-tables.test.ts
@@ -3,6 +3,7 @@
 */
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {knownRed} from './fixtures/known-red.js';
 import {createTablesCluster, type TablesCluster} from './fixtures/tables-cluster.js';
 
 const ids = ['a1', 'a2', 'a3', 'a4', 'b1', 'b2', 'b3', 'b4', 'c1', 'c2', 'c3', 'c4'];
@@ -93,6 +94,26 @@
 	}
 });
 
+const endlessFetches = 'an instance that the store turns away learns a configuration while fetches from the watcher do not end';
+
+test(endlessFetches, knownRed(endlessFetches), async () => {
+	for (const seed of [1, 2, 3]) {
+		const cluster = await createTablesCluster(ids, seed);
+		const [watcher] = watchersOf(cluster);
+		const outsider = cluster.nodes.find(({id}) => id !== watcher && id.startsWith(watcher?.slice(0, 1) ?? ''));
+		assert.ok(watcher !== undefined && outsider);
+		cluster.storeAccess.set(outsider.id, 'refusing');
+		cluster.withheldTables.add(watcher);
+		for (const generation of [2, 3]) {
+			cluster.configure(generation);
+			await cluster.clock.advance(propagationBoundMs);
+			assert.equal(outsider.generation(), generation, `seed ${seed}`);
+		}
+
+		cluster.stop();
+	}
+});
+
 test('an instance that missed a change of the list catches up on it with the next change', async () => {
 	const cluster = await createTablesCluster(ids, 3);
 	const watchers = watchersOf(cluster);
