Keep the time limits of requests alive until they end

Callers saw a route served 4.3 s after a newer configuration had dropped it. Cause: requests to peers and the store were limited by AbortSignal.any([signal, AbortSignal.timeout(ms)]). On Node.js 20 the combined signal holds its sources weakly; a major garbage collection takes the timeout away, and a request on a connection that has stopped responding never ends. Class of fault: a bound that exists only as long as something else happens to refer to it. The client of archives had such a timer already. That this is what the reporters saw is suspected, not shown.

--- a/src/links/engine.ts
+++ b/src/links/engine.ts
@@ -15,6 +15,7 @@
 import {type Endpoint} from '../contracts/pool.js';
 import {maximumBodyBytes, readBoundedText} from './bounded-body.js';
 import {isNotSent, isTimeout, readJson} from './http.js';
+import {withinTimeLimit} from './time-limit.js';
 
 const controlTimeoutMs = 1000;
 
@@ -112,11 +113,6 @@
 	return isTimeout(error) ? 'deadline-exceeded' : 'endpoint-failed';
 }
 
-/** Returns a signal that aborts with the call's signal or at the timeout of the attempt. */
-export function attemptSignal(options: DispatchOptions): AbortSignal {
-	return AbortSignal.any([options.signal, AbortSignal.timeout(options.timeout)]);
-}
-
 /** Creates the engine link over a connection agent. */
 export function createEngineLink(agent: Agent): EngineLink {
 	async function collect(response: Dispatcher.ResponseData, options: DispatchOptions): Promise<{tokens: string[]; end: Finish | undefined}> {
@@ -182,14 +178,15 @@
 	}
 
 	async function send(endpoint: Endpoint, attempt: Attempt, options: DispatchOptions): Promise<AttemptResult> {
-		if (attempt.request.kind !== 'model') {
+		const {request} = attempt;
+		if (request.kind !== 'model') {
 			throw new TypeError('The engine link accepts only model requests');
 		}
 
 		const isContinued = attempt.prefix.length > 0;
 		const messages = isContinued ? [...attempt.prompt, {role: 'assistant', content: attempt.prefix.join('')}] : attempt.prompt;
 		try {
-			const response = await agent.request({
+			return await withinTimeLimit(options.timeout, options.signal, async signal => readStream(await agent.request({
 				origin: `http://${endpoint.address}`,
 				path: '/v1/chat/completions',
 				method: 'POST',
@@ -202,16 +199,15 @@
 				body: JSON.stringify({
 					model: attempt.route,
 					messages,
-					max_tokens: attempt.request.limit - attempt.prefix.length,
+					max_tokens: request.limit - attempt.prefix.length,
 					stream: true,
 					stream_options: {include_usage: true},
 					...(isContinued && {continue_final_message: true}),
 				}),
 				headersTimeout: options.timeout,
 				bodyTimeout: options.timeout,
-				signal: attemptSignal(options),
-			});
-			return await readStream(response, endpoint, attempt, options);
+				signal,
+			}), endpoint, attempt, options));
 		} catch (error) {
 			await cancelIfAborted(endpoint, attempt.id, options);
 			return transportErrorResult(error, endpoint, options);
@@ -220,15 +216,14 @@
 
 	async function resume(endpoint: Endpoint, attempt: AttemptId, options: DispatchOptions): Promise<AttemptResult> {
 		try {
-			const response = await agent.request({
+			return await withinTimeLimit(options.timeout, options.signal, async signal => readStream(await agent.request({
 				origin: `http://${endpoint.address}`,
 				path: `/v1/streams/${attempt}`,
 				method: 'GET',
 				headersTimeout: options.timeout,
 				bodyTimeout: options.timeout,
-				signal: attemptSignal(options),
-			});
-			return await readStream(response, endpoint, {id: attempt, prefix: []}, options);
+				signal,
+			}), endpoint, {id: attempt, prefix: []}, options));
 		} catch (error) {
 			return transportErrorResult(error, endpoint, options);
 		}
--- a/src/links/peer.ts
+++ b/src/links/peer.ts
@@ -14,7 +14,7 @@
 import {type CallEvent} from '../contracts/call.js';
 import {type Configuration} from '../contracts/configuration.js';
 import {describeError, type Failure, failure} from '../contracts/failure.js';
-import {type Address, type Milliseconds} from '../contracts/id.js';
+import {as, type Address, type Milliseconds} from '../contracts/id.js';
 import {type Instance} from '../machines/instance.js';
 import {type Member} from '../zones/membership.js';
 import {
@@ -22,9 +22,10 @@
 	type StreamRequest,
 } from '../zones/peers.js';
 import {isNotSent} from './http.js';
+import {withinTimeLimit} from './time-limit.js';
 
-const gossipTimeoutMs = 1000;
-const programTimeoutMs = 6000;
+const gossipTimeout = as<Milliseconds>(1000);
+const programTimeout = as<Milliseconds>(6000);
 const connectTimeoutMs = 1000;
 const keepAliveMs = 30_000;
 
@@ -150,9 +151,9 @@
 		});
 	}
 
-	async function attempt<Value>(peer: Member, timeoutMs: number, run: (signal: AbortSignal) => Promise<Value>): Promise<Result<Value, Failure>> {
+	async function attempt<Value>(peer: Member, timeout: Milliseconds, run: (signal: AbortSignal) => Promise<Value>): Promise<Result<Value, Failure>> {
 		try {
-			return ok(await run(AbortSignal.any([options.signal, AbortSignal.timeout(timeoutMs)])));
+			return ok(await withinTimeLimit(timeout, options.signal, run));
 		} catch (error) {
 			return err(unreachable(peer, error));
 		}
@@ -202,11 +203,11 @@
 	}
 
 	return {
-		gossip: async (peer, message) => attempt(peer, gossipTimeoutMs, async signal => clientFor(peer).gossip.mutate(message, {signal})),
-		members: async peer => attempt(peer, gossipTimeoutMs, async signal => clientFor(peer).members.query(undefined, {signal})),
-		configuration: async peer => attempt(peer, programTimeoutMs, async signal => clientFor(peer).configuration.query(undefined, {signal})),
+		gossip: async (peer, message) => attempt(peer, gossipTimeout, async signal => clientFor(peer).gossip.mutate(message, {signal})),
+		members: async peer => attempt(peer, gossipTimeout, async signal => clientFor(peer).members.query(undefined, {signal})),
+		configuration: async peer => attempt(peer, programTimeout, async signal => clientFor(peer).configuration.query(undefined, {signal})),
 		async program(peer, request) {
-			const reply = await attempt(peer, programTimeoutMs, async signal => clientFor(peer).program.mutate(request, {signal}));
+			const reply = await attempt(peer, programTimeout, async signal => clientFor(peer).program.mutate(request, {signal}));
 			return reply.match<ProgramReply>(value => value, reason => ({kind: 'failed', failure: reason}));
 		},
 		async shard(peer, request, timeout: Milliseconds) {
--- a/src/links/platform.ts
+++ b/src/links/platform.ts
@@ -11,6 +11,7 @@
 } from '../contracts/id.js';
 import {type ListedInstance, type Platform, type UpdateResult} from '../contracts/platform.js';
 import {isNotSent, readJson} from './http.js';
+import {withinTimeLimit} from './time-limit.js';
 
 const defaultTimeoutMs = 2000;
 const connections = 16;
@@ -111,8 +112,7 @@
 		remove: async (name, expected) => change('DELETE', name, expected),
 		async watch(prefix, since, wait, signal) {
 			const query = new URLSearchParams({prefix, since: String(since), wait: String(wait)});
-			const timeout = wait + requestTimeoutMs;
-			return get(`/v1/watch?${query.toString()}`, revisionBody, {signal: AbortSignal.any([signal, AbortSignal.timeout(timeout)])});
+			return withinTimeLimit(as<Milliseconds>(wait + requestTimeoutMs), signal, async limit => get(`/v1/watch?${query.toString()}`, revisionBody, {signal: limit}));
 		},
 		async instances() {
 			const body = await get('/v1/instances', listingBody);
--- a/src/links/snapshots.ts
+++ b/src/links/snapshots.ts
@@ -14,10 +14,11 @@
 import {type TokenAccount} from '../contracts/token-account.js';
 import {type ClientProblem} from '../machines/client-problem.js';
 import {type Greeting, type RelayPeers, type RelayTables} from '../zones/relay-peers.js';
+import {withinTimeLimit} from './time-limit.js';
 import {createGuardedServer, type EarlyRefusal, type GuardedServer} from './guarded-server.js';
 
 /** A snapshot of a few hundred kilobytes takes some dozens of milliseconds. */
-const requestTimeoutMs = 800;
+const requestTimeout = as<Milliseconds>(800);
 
 /** Time after which a response that its peer has not read is given up; longer than the peer waits for it. */
 const responseTimeMs = 2000;
@@ -101,7 +102,7 @@
 	async function query<Value>(address: Address, run: (client: TRPCClient<Router>, limit: AbortSignal) => Promise<Value>): Promise<Result<Value, Failure>> {
 		const client = createTRPCClient<Router>({links: [httpLink({url: `http://${address}`, fetch: fetchWithUndici})]});
 		try {
-			return ok(await run(client, AbortSignal.any([signal, AbortSignal.timeout(requestTimeoutMs)])));
+			return ok(await withinTimeLimit(requestTimeout, signal, async limit => run(client, limit)));
 		} catch (error) {
 			return err(failure('peer-unreachable', `${address} did not answer: ${describeError(error)}`, {step: 'configure', peer: address}));
 		}
--- a/xo.config.js
+++ b/xo.config.js
@@ -12,6 +12,10 @@
 	{selector: 'ClassDeclaration', message: 'Use a factory function that closes over its state.'},
 	{selector: 'ClassExpression', message: 'Use a factory function that closes over its state.'},
 	{selector: 'ImportDeclaration[source.value=/worker_threads|cluster$/]', message: 'One loop on one thread.'},
+	{
+		selector: 'CallExpression[callee.object.name="AbortSignal"][callee.property.name="any"] CallExpression[callee.object.name="AbortSignal"][callee.property.name="timeout"]',
+		message: 'The time-out may be collected before it aborts; use withinTimeLimit.',
+	},
 ];
 
 export default [
