Let no peer hold back the fetch of a configuration from another

Callers saw a route served 4.3 s after a newer configuration had dropped it, at an instance that the store turned away. Cause: all fetches of tables shared one queue with room for one that waits. A fetch from a peer that does not respond, or one that waits for its delay, held back the fetch that a newer configuration asks for; one that never ends held it back for good. Class of fault: head-of-line blocking. Change: the schedule of fetches is a module of its own.

--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -22,6 +22,7 @@
 import {createStoreProbe, type StoreProbeEvent} from './store-probe.js';
 import {createWatchSupervisor} from './watch-supervisor.js';
 import {createStoreWatch, type StoreWatchEvent} from './store-watch.js';
+import {type FetchReason} from './table-fetches.js';
 import {createTablePeers, type TablesFetch} from './table-peers.js';
 
 /** Time within which a broadcast change arrives, in ms; after that it counts as missed. */
@@ -251,6 +252,13 @@
 		directory.mergeSnapshot(tables, source);
 	}
 
+	function fetchAfter(peer: Address, reason: FetchReason, isNeeded: () => boolean, delayMs: number): void {
+		const notBefore = as<Milliseconds>(clock.now() + delayMs);
+		peers.fetch({
+			peer, reason, isNeeded, notBefore: () => notBefore,
+		});
+	}
+
 	/**
 	Handles the heartbeat of a neighbour that the store answers: if all its changes have arrived here, both have the
 	same tables.
@@ -265,20 +273,24 @@
 			peerSyncedAt = as<Milliseconds>(Math.max(peerSyncedAt, at - other.storeAge));
 			directory.recordContact(peerSyncedAt);
 		} else {
-			peers.fetch(peer, 'contact', () => !isComplete(), () => as<Milliseconds>(propagationMs));
+			fetchAfter(peer, 'contact', () => !isComplete(), propagationMs);
 		}
 	}
 
 	function receiveDigest({address, dataCentre}: Member, other: RelayDigest): void {
 		const isNeighbour = dataCentre === options.dataCentre;
 		recordAnnouncement(address, other.generation);
-		peers.fetch(address, 'configuration', () => other.generation > generation(), () => as<Milliseconds>(isNeighbour ? 0 : otherDataCentrePropagationMs));
+		fetchAfter(address, 'configuration', () => other.generation > generation(), isNeighbour ? 0 : otherDataCentrePropagationMs);
 		if (isNeighbour && other.storeAge !== undefined) {
 			receiveHeartbeat(address, other, clock.now());
 		} else {
 			// While no neighbour is in contact with the store, another data centre may have newer changes.
-			const delay = () => as<Milliseconds>(Math.max(0, fetchedAt + refetchIntervalMs - clock.now()));
-			peers.fetch(address, 'endpoints', () => supervisor.isStale() && other.endpointRevision > directory.revision(), delay);
+			peers.fetch({
+				peer: address,
+				reason: 'endpoints',
+				isNeeded: () => supervisor.isStale() && other.endpointRevision > directory.revision(),
+				notBefore: () => as<Milliseconds>(fetchedAt + refetchIntervalMs),
+			});
 		}
 	}
 
--- a/src/zones/table-peers.ts
+++ b/src/zones/table-peers.ts
@@ -2,13 +2,13 @@
 Keeps the tables of instances in sync. An instance numbers the changes that it broadcasts; a receiver that gets a
 number without its predecessor has missed a change, and fetches the complete tables.
 */
-import PQueue from 'p-queue';
 import {type Clock} from '../contracts/clock.js';
-import {type Failure} from '../contracts/failure.js';
+import {type Failure, failure} from '../contracts/failure.js';
 import {
 	as, type Address, type ChangeNumber, type Milliseconds,
 } from '../contracts/id.js';
 import {type DirectoryEntry} from './endpoint-directory.js';
+import {createTableFetches, type FetchReason, type FetchRequest} from './table-fetches.js';
 import {
 	type EndpointChanges, type RelayMessage, type RelayPeers, type RelayTables,
 } from './relay-peers.js';
@@ -20,17 +20,6 @@
 const broadcastTimeoutMs = 200;
 const broadcastAttempts = 4;
 
-/** What made an instance fetch the tables of a peer. */
-export type FetchReason
-	/** The peer has a newer configuration. */
-	= | 'configuration'
-	/** A change of the peer was missed. */
-		| 'changes'
-	/** The peer is in contact with the store, and its tables differ. */
-		| 'contact'
-	/** The peer has read a newer list of endpoints while no neighbour is in contact with the store. */
-		| 'endpoints';
-
 export type TablesFetch = {
 	readonly peer: Address;
 	readonly reason: FetchReason;
@@ -67,22 +56,26 @@
 	readonly numberEntries: (entries: readonly DirectoryEntry[]) => void;
 	/** Records changes received from a peer, and fetches its tables when an earlier change was missed. */
 	readonly receiveChanges: (changes: EndpointChanges) => void;
-	/**
-	Fetches the tables of a peer after a delay, if they are still needed then. Fetches run one at a time, and at most
-	one waits.
-	*/
-	readonly fetch: (peer: Address, reason: FetchReason, isNeeded: () => boolean, delay: () => Milliseconds) => void;
-	/** Time for which the current fetch has waited for its peer; zero if there is none. */
+	/** Fetches the tables of a peer if they are still needed when its turn comes. */
+	readonly fetch: (request: FetchRequest) => void;
+	/** Time for which the longest current fetch has waited for its peer; zero if there is none. */
 	readonly fetchAge: () => Milliseconds;
 };
 
 /** Creates the state of an instance that has sent and received no changes. */
 export function createTablePeers(options: TablePeersOptions): TablePeers {
 	const {clock, peers} = options;
-	const fetches = new PQueue({concurrency: 1});
 	const received = new Map<Address, ChangeNumber>();
 	let change = options.firstChange;
-	let fetchStartedAt: Milliseconds | undefined;
+	const fetches = createTableFetches({
+		clock,
+		run: runFetch,
+		onUnanswered({peer, reason}, took) {
+			options.onFailure(failure('peer-unreachable', `${peer} did not send its tables`, {step: 'configure', peer}), {
+				peer, reason, waited: as<Milliseconds>(0), took,
+			});
+		},
+	});
 
 	function broadcast(message: RelayMessage): void {
 		for (const address of options.others()) {
@@ -96,33 +89,17 @@
 		}
 	}
 
-	async function fetchNow(peer: Address, reason: FetchReason, waited: Milliseconds): Promise<void> {
+	async function runFetch({peer, reason}: FetchRequest, waited: Milliseconds): Promise<void> {
 		const askedAt = clock.now();
-		fetchStartedAt = askedAt;
 		const result = await peers.tables(peer);
-		fetchStartedAt = undefined;
 		const ended = {
 			peer, reason, waited, took: as<Milliseconds>(clock.now() - askedAt),
 		};
 		result.match(tables => {
 			received.set(peer, tables.digest.change);
 			options.onTables(tables, ended, askedAt);
-		}, failure => {
-			options.onFailure(failure, ended);
-		});
-	}
-
-	function fetch(peer: Address, reason: FetchReason, isNeeded: () => boolean, delay: () => Milliseconds): void {
-		if (!isNeeded() || fetches.size > 0) {
-			return;
-		}
-
-		const requestedAt = clock.now();
-		void fetches.add(async () => {
-			await clock.sleep(delay());
-			if (isNeeded()) {
-				await fetchNow(peer, reason, as<Milliseconds>(clock.now() - requestedAt));
-			}
+		}, problem => {
+			options.onFailure(problem, ended);
 		});
 	}
 
@@ -154,9 +131,12 @@
 				return;
 			}
 
-			fetch(from, 'changes', () => (received.get(from) ?? -1) < next, () => as<Milliseconds>(0));
+			const requestedAt = clock.now();
+			fetches.request({
+				peer: from, reason: 'changes', isNeeded: () => (received.get(from) ?? -1) < next, notBefore: () => requestedAt,
+			});
 		},
-		fetch,
-		fetchAge: () => as<Milliseconds>(fetchStartedAt === undefined ? 0 : clock.now() - fetchStartedAt),
+		fetch: fetches.request,
+		fetchAge: fetches.longest,
 	};
 }
--- a/tests/tables-exploration.test.ts
+++ b/tests/tables-exploration.test.ts
@@ -29,9 +29,9 @@
 const stepMs = 100;
 const historyCount = Number(process.env.HICKORYFORK_SCHEDULES ?? 12);
 
-type Fault = 'store-silent' | 'store-refusing' | 'isolated' | 'fully-isolated' | 'killed' | 'history-lost' | 'outage';
+type Fault = 'store-silent' | 'store-refusing' | 'isolated' | 'fully-isolated' | 'killed' | 'history-lost' | 'outage' | 'tables-withheld';
 
-const faults: readonly Fault[] = ['store-silent', 'store-refusing', 'isolated', 'fully-isolated', 'killed', 'history-lost', 'outage'];
+const faults: readonly Fault[] = ['store-silent', 'store-refusing', 'isolated', 'fully-isolated', 'killed', 'history-lost', 'outage', 'tables-withheld'];
 
 /** A change that has to take effect within the bound after `at`. */
 type Change
@@ -157,6 +157,18 @@
 	return (history.knownBeforeExpiry.get(runOf(node)) ?? []).filter(id => history.living.has(id) && !usable.includes(id)).map(id => `${node.id} at ${history.cluster.clock.now()} ms dropped ${id}`);
 }
 
+/** Instances do not respond to fetches of their tables; fetches of that time never end. */
+async function withholdTables({cluster}: History, targets: readonly string[], ms: number): Promise<void> {
+	for (const id of targets) {
+		cluster.withheldTables.add(id);
+	}
+
+	await cluster.clock.sleep(as<Milliseconds>(ms));
+	for (const id of targets) {
+		cluster.withheldTables.delete(id);
+	}
+}
+
 async function injectFault(history: History, fault: Fault): Promise<void> {
 	const targets = randomIds(history);
 	const ms = 1000 + (history.fraction() * 6000);
@@ -193,6 +205,11 @@
 
 		case 'outage': {
 			await outage(history);
+			return;
+		}
+
+		case 'tables-withheld': {
+			await withholdTables(history, targets, ms);
 		}
 	}
 }
