Ask other instances for newer tables while the store and the neighbours are silent

Callers saw a route served 4.3 s after a newer configuration had dropped it, at an instance that the store turned away. Cause: an instance without the store that has no neighbour in contact with it heard of newer configurations only by gossip, which probes another data centre every few rounds, and then waited 400 ms more for its own watcher. Nothing bounded that time. Change: a stale instance asks one peer every 250 ms for its digest, one that replies and that the store answers if possible, and fetches at once.

--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -21,6 +21,7 @@
 import {createAllotments} from '../zones/allotments/allotments.js';
 import {createSharedBudgets} from '../zones/shared-budgets.js';
 import {type BudgetEvent} from '../zones/budget-event.js';
+import {createContactSearch} from '../zones/contact-search.js';
 import {createMembership, type Member} from '../zones/membership.js';
 import {createGossipProtocol} from '../zones/gossip-protocol.js';
 import {
@@ -112,11 +113,24 @@
 			options.onEvent({kind: 'tables', tables: event});
 		},
 	});
+	const isStoreReachableFrom = (member: InstanceId) => (member === id ? tables.digest() : digests.get(member))?.isStoreReachable ?? true;
 	const watcherElection = createWatcherElection({
-		self: membership.self,
-		members: membership.members,
-		isStoreReachableFrom: member => (member === id ? tables.digest() : digests.get(member))?.isStoreReachable ?? true,
+		self: membership.self, members: membership.members, isStoreReachableFrom, clock,
+	});
+	const contactSearch = createContactSearch({
+		isNeeded: tables.isStale,
+		others,
+		isStoreReachableFrom,
+		async ask(member) {
+			const reply = await peers.request(member.address, {kind: 'digest'}, {timeout: as<Milliseconds>(gossipTimeoutMs), attempts: 1});
+			if (reply?.kind === 'digest') {
+				receiveDigest(member, reply.digest);
+			}
+
+			return reply !== undefined;
+		},
 		clock,
+		random,
 	});
 	function onBudgetEvent(event: BudgetEvent): void {
 		options.onEvent({kind: 'budget', budget: event});
@@ -319,7 +333,7 @@
 		homes: () => ledger.accounts().map(account => withStoreSlotOnly(account)),
 		async run(signal) {
 			await Promise.all([
-				tables.run(signal), gossipProtocol.run(signal), warmUp.run(signal), budgets.run(signal), loads.run(signal), origins.run(signal), conversations.run(signal),
+				tables.run(signal), contactSearch.run(signal), gossipProtocol.run(signal), warmUp.run(signal), budgets.run(signal), loads.run(signal), origins.run(signal), conversations.run(signal),
 			]);
 		},
 		async leave() {
--- a/src/machines/relay-messages.ts
+++ b/src/machines/relay-messages.ts
@@ -18,7 +18,7 @@
 	readonly id: InstanceId;
 	readonly membership: Pick<Membership, 'members'>;
 	readonly gossipProtocol: Pick<GossipProtocol, 'receive'>;
-	readonly tables: Pick<SharedTables, 'receiveChanges'>;
+	readonly tables: Pick<SharedTables, 'receiveChanges' | 'digest'>;
 	readonly budgets: Pick<SharedBudgets, 'answer'>;
 	readonly loads: Pick<LoadReports, 'receive'>;
 	readonly rateLimits: Pick<RateLimits, 'answer'>;
@@ -52,6 +52,10 @@
 				return done;
 			}
 
+			case 'digest': {
+				return {kind: 'digest', digest: tables.digest()};
+			}
+
 			case 'endpoints': {
 				tables.receiveChanges(message.changes);
 				return done;
--- a/src/zones/relay-peers.ts
+++ b/src/zones/relay-peers.ts
@@ -64,6 +64,8 @@
 		| {readonly kind: 'permit'; readonly permit: PermitRequest; readonly isCoordinatorUnreachable: boolean}
 	/** Asks which archives exist. */
 		| {readonly kind: 'archives'}
+	/** Asks for the digest of the receiver's tables. */
+		| {readonly kind: 'digest'}
 	/** Concerns the allotments of workspaces. */
 		| {readonly kind: 'allotment'; readonly allotment: AllotmentMessage}
 		| {readonly kind: 'loads'; readonly from: LoadSource; readonly loads: readonly EndpointLoad[]};
@@ -81,6 +83,7 @@
 export type RelayReply
 	= | {readonly kind: 'done'}
 		| {readonly kind: 'gossip'; readonly gossip: GossipMessage}
+		| {readonly kind: 'digest'; readonly digest: RelayDigest}
 		| {readonly kind: 'recorded'; readonly isWritten: boolean}
 		| {readonly kind: 'permit'; readonly outcome: PermitOutcome}
 		| {readonly kind: 'origin'; readonly origin: StreamOrigin | undefined}
--- a/src/zones/shared-budgets.ts
+++ b/src/zones/shared-budgets.ts
@@ -169,6 +169,7 @@
 				case 'archives':
 				case 'endpoints':
 				case 'announce':
+				case 'digest':
 				case 'permit':
 				case 'origin':
 				case 'find-origin':
--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -2,7 +2,8 @@
 The tables that all instances share: the configuration and the directory of endpoints. One instance of each data
 centre, the watcher, watches the store, broadcasts each change to the others there, and sends them heartbeats while
 the store answers it. An instance that misses a change fetches the tables from a peer; one that gets no heartbeat
-watches the store itself. So the staleness of an instance's tables is bounded, whichever other instances fail.
+watches the store itself, and one that the store does not answer either asks other instances what they have. So the
+staleness of an instance's tables is bounded, whichever other instances fail.
 */
 import {type Result} from 'neverthrow';
 import {type Clock, type Random} from '../contracts/clock.js';
@@ -93,6 +94,8 @@
 	readonly tables: () => RelayTables;
 	/** Time since this instance last knew everything that the store had acknowledged. */
 	readonly age: () => Milliseconds;
+	/** Whether neither the store nor a neighbour keeps these tables up to date. */
+	readonly isStale: () => boolean;
 	/** Time for which the current fetch of tables, and the longest current request of a watch, have waited for an answer. */
 	readonly waits: () => {readonly fetch: Milliseconds; readonly watch: Milliseconds};
 	readonly run: (signal: AbortSignal) => Promise<void>;
@@ -280,7 +283,9 @@
 	function receiveDigest({address, dataCentre}: Member, other: RelayDigest): void {
 		const isNeighbour = dataCentre === options.dataCentre;
 		recordAnnouncement(address, other.generation);
-		fetchAfter(address, 'configuration', () => other.generation > generation(), isNeighbour ? 0 : otherDataCentrePropagationMs);
+		// A watcher that is in contact with the store is about to broadcast what another data centre already has.
+		const delayMs = isNeighbour || supervisor.isStale() ? 0 : otherDataCentrePropagationMs;
+		fetchAfter(address, 'configuration', () => other.generation > generation(), delayMs);
 		if (isNeighbour && other.storeAge !== undefined) {
 			receiveHeartbeat(address, other, clock.now());
 		} else {
@@ -326,6 +331,7 @@
 			configuration, entries: directory.entries(), listedAt: directory.listedAt(), digest: digest(),
 		}),
 		age: () => as<Milliseconds>(clock.now() - Math.max(peerSyncedAt, supervisor.storeSyncedAt() ?? peerSyncedAt)),
+		isStale: supervisor.isStale,
 		waits: () => ({fetch: peers.fetchAge(), watch: as<Milliseconds>(Math.max(...watches.map(({requestAge}) => requestAge())))}),
 		async run(signal) {
 			await Promise.all([supervisor.run(signal), directory.run(signal)]);
--- a/tests/shared-tables.test.ts
+++ b/tests/shared-tables.test.ts
@@ -114,6 +114,22 @@
 	}
 });
 
+test('the last instance of a data centre learns a configuration in time while the store turns it away', async () => {
+	for (let seed = 1; seed <= 20; seed++) {
+		const cluster = await createTablesCluster(ids, seed);
+		for (const id of ['b1', 'b2', 'b3']) {
+			cluster.kill(id);
+		}
+
+		cluster.storeAccess.set('b4', 'refusing');
+		await cluster.clock.advance(3000 + (seed * 37));
+		cluster.configure(2);
+		await cluster.clock.advance(propagationBoundMs);
+		assert.equal(cluster.node('b4').generation(), 2, `seed ${seed}`);
+		cluster.stop();
+	}
+});
+
 test('an instance that missed a change of the list catches up on it with the next change', async () => {
 	const cluster = await createTablesCluster(ids, 3);
 	const watchers = watchersOf(cluster);
