Send requests through other instances while one reaches no endpoint

Cause: every failure was taken for one of the endpoint. Nothing concluded that the instance itself was cut off, and there was no other way to an endpoint. Class of fault: a local failure that is blamed on the other side. Change: endpoint-paths judges the instance's own path by connections to several endpoints when connections fail or all requests hang. While it is cut off, attempts go through tunnels at instances that say in their digest that they reach endpoints; the attempt itself, with its budget, turn and proof, stays where it is. Failures of the path no longer count as ends of endpoints or as crashes. Without a gateway a request that has not run is refused at once. One line and gauges tell what an instance believes.

--- a/src/contracts/relay-attempt.ts
+++ b/src/contracts/relay-attempt.ts
@@ -1,6 +1,7 @@
 /**
 Attempts of relayed requests: the result of sending a request to one endpoint, and what to do next.
 */
+import {type EndpointPath} from './endpoint-path.js';
 import {type Milliseconds} from './id.js';
 import {type ListedEndpoint, type Repetition} from './relay.js';
 import {type EndpointNotice} from './endpoint-notice.js';
@@ -12,8 +13,8 @@
 	= | {readonly kind: 'answered'; readonly head: AnswerHead; readonly body: Uint8Array}
 	/** The stream was completed; its head and its events were passed to `onHead` and `onEvent`. */
 		| {readonly kind: 'finished'; readonly isUnframed?: boolean}
-	/** The connection could not be established, so nothing was sent. */
-		| {readonly kind: 'unreachable'; readonly reason: string}
+	/** The connection could not be established, so nothing was sent. `isPathAtFault` tells that this does not concern the endpoint. */
+		| {readonly kind: 'unreachable'; readonly reason: string; readonly isPathAtFault?: boolean}
 	/** The endpoint reported that it did not run the request. */
 		| {readonly kind: 'rejected'; readonly status: number}
 	/** A different back end answered at this address; nothing ran. */
@@ -31,6 +32,7 @@
 export type RelayAttempt = {
 	readonly request: RelayRequest;
 	readonly endpoint: ListedEndpoint;
+	readonly path: EndpointPath;
 	readonly isStream: boolean;
 	/** The workspace that the endpoint is told the request belongs to; undefined if it is not told any. */
 	readonly workspace: WorkspaceName | undefined;
@@ -47,6 +49,8 @@
 	readonly onNotice: (notice: EndpointNotice) => void;
 	readonly onHead: (head: AnswerHead) => void;
 	readonly onEvent: (event: StreamEvent) => void;
+	/** Aborts if the path has stopped responding, which ends the attempt as silent. */
+	readonly pathLost?: AbortSignal | undefined;
 	readonly signal: AbortSignal;
 };
 
@@ -123,7 +127,10 @@
 			return progress.hasSentHead && !mayBeIncomplete ? {kind: 'deliver'} : stepAfterPossibleRun(progress);
 		}
 
-		case 'unreachable':
+		case 'unreachable': {
+			return {kind: result.isPathAtFault ? 'same' : 'elsewhere'};
+		}
+
 		case 'rejected':
 		case 'misdirected': {
 			return {kind: 'elsewhere'};
--- a/src/contracts/relay-digest.ts
+++ b/src/contracts/relay-digest.ts
@@ -17,4 +17,6 @@
 	readonly isStoreReachable: boolean;
 	/** Whether the instance has loaded the token usage of programs. */
 	readonly isWarm: boolean;
+	/** Whether the instance reaches endpoints, as far as it knows. */
+	readonly reachesEndpoints: boolean;
 };
--- a/src/links/bounded-socket.ts
+++ b/src/links/bounded-socket.ts
@@ -58,9 +58,12 @@
 	};
 }
 
-/** Prepares a connected socket for an endpoint, before undici gets it. */
-export function guardSocket(socket: Socket): void {
-	limitResponseSize(socket);
+/** Prepares a connected socket for an endpoint, before undici gets it or a tunnel passes it on. */
+export function guardSocket(socket: Socket, {limitsResponses = true} = {}): void {
+	if (limitsResponses) {
+		limitResponseSize(socket);
+	}
+
 	breakOffOnReset(socket);
 	failOnReset(socket);
 }
--- a/src/links/connections.ts
+++ b/src/links/connections.ts
@@ -5,9 +5,11 @@
 import {connect as connectSocket} from 'node:net';
 import {type buildConnector, Client, type Dispatcher} from 'undici';
 import {describeError} from '../contracts/failure.js';
+import {directPath, type EndpointPath} from '../contracts/endpoint-path.js';
 import {type Address, type Milliseconds, splitAddress} from '../contracts/id.js';
 import {type HeaderPairs, type AnswerHead} from '../contracts/relay-request.js';
 import {guardSocket} from './bounded-socket.js';
+import {openTunnel, isTunnelError} from './tunnels.js';
 
 /** Connections within a region are established in a few milliseconds. */
 const connectTimeoutMs = 300;
@@ -42,13 +44,13 @@
 export type ExchangeResult
 	= | {readonly kind: 'complete'}
 	/** No byte of the request was sent. */
-		| {readonly kind: 'not-sent'; readonly reason: string}
+		| {readonly kind: 'not-sent'; readonly reason: string; readonly isGatewayBlamed?: boolean}
 	/** The request may have been sent, and its response is incomplete or not acceptable. */
 		| {readonly kind: 'broken'; readonly reason: string};
 
 export type Connections = {
-	/** Sends a request and reads its response. Never rejects. */
-	readonly exchange: (address: Address, exchange: Exchange) => Promise<ExchangeResult>;
+	/** Sends a request over a path and reads its response. Never rejects. */
+	readonly exchange: (address: Address, exchange: Exchange, path?: EndpointPath) => Promise<ExchangeResult>;
 	/** Opens a connection and closes it at once. Resolves to whether it was established. */
 	readonly canConnect: (address: Address) => Promise<boolean>;
 };
@@ -74,6 +76,41 @@
 	});
 }
 
+/** Creates the connector of a path. */
+function connectorOf(address: Address, path: EndpointPath): typeof connectWithTimeout {
+	switch (path.kind) {
+		case 'direct': {
+			return connectWithTimeout;
+		}
+
+		case 'tunnel': {
+			return (_options, callback) => {
+				openTunnel(path.gateway, address, (error, socket) => {
+					if (socket) {
+						guardSocket(socket);
+						callback(null, socket);
+					} else {
+						callback(error ?? new Error('the tunnel was not opened'), null);
+					}
+				});
+			};
+		}
+	}
+}
+
+/** Key of the connections to an address over a path. */
+function poolKeyOf(address: Address, path: EndpointPath): string {
+	switch (path.kind) {
+		case 'direct': {
+			return address;
+		}
+
+		case 'tunnel': {
+			return `${path.gateway}>${address}`;
+		}
+	}
+}
+
 function toHeaderPairs(headers: Readonly<Record<string, string | string[] | undefined>>): HeaderPairs {
 	return Object.entries(headers).flatMap(([name, value]) => (Array.isArray(value) ? value : [value ?? '']).flatMap(text => [name, text]));
 }
@@ -90,12 +127,13 @@
 
 /** Creates an empty pool. Its connections close when the signal aborts. */
 export function createConnections(signal: AbortSignal): Connections {
-	const idle = new Map<Address, Connection[]>();
+	const idle = new Map<string, Connection[]>();
 
-	function open(address: Address): Connection {
+	function open(address: Address, path: EndpointPath): Connection {
+		const key = poolKeyOf(address, path);
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
-			connect: connectWithTimeout,
+			connect: connectorOf(address, path),
 			headersTimeout: 0,
 			bodyTimeout: 0,
 			keepAliveTimeout: defaultIdleTimeoutMs,
@@ -104,60 +142,61 @@
 		const connection: Connection = {client, idleSince: 0, responses: 0};
 		client.on('disconnect', () => {
 			// A connection that was just acquired is not idle; its client reconnects for the pending request.
-			if (idle.get(address)?.includes(connection)) {
-				discard(address, connection);
+			if (idle.get(key)?.includes(connection)) {
+				discard(key, connection);
 			}
 		});
 		return connection;
 	}
 
-	function discard(address: Address, connection: Connection): void {
-		const remaining = (idle.get(address) ?? []).filter(entry => entry !== connection);
+	function discard(key: string, connection: Connection): void {
+		const remaining = (idle.get(key) ?? []).filter(entry => entry !== connection);
 		if (remaining.length > 0) {
-			idle.set(address, remaining);
+			idle.set(key, remaining);
 		} else {
-			idle.delete(address);
+			idle.delete(key);
 		}
 
 		void connection.client.destroy();
 	}
 
-	function acquire(address: Address, maximumIdle: number): Connection {
-		const connection = idle.get(address)?.at(-1);
+	function acquire(address: Address, path: EndpointPath, maximumIdle: number): Connection {
+		const key = poolKeyOf(address, path);
+		const connection = idle.get(key)?.at(-1);
 		// The other connections have been idle for longer; they stay in the pool for repeatable requests, which allow a longer idle time.
 		if (!connection || performance.now() - connection.idleSince >= maximumIdle) {
-			return open(address);
+			return open(address, path);
 		}
 
 		if (connection.client.destroyed) {
-			discard(address, connection);
-			return acquire(address, maximumIdle);
+			discard(key, connection);
+			return acquire(address, path, maximumIdle);
 		}
 
-		idle.get(address)?.pop();
+		idle.get(key)?.pop();
 		return connection;
 	}
 
-	function returnToIdle(address: Address, connection: Connection): void {
+	function returnToIdle(key: string, connection: Connection): void {
 		if (connection.client.destroyed) {
 			return;
 		}
 
 		connection.idleSince = performance.now();
 		connection.responses++;
-		idle.set(address, [...(idle.get(address) ?? []), connection]);
+		idle.set(key, [...(idle.get(key) ?? []), connection]);
 	}
 
-	async function exchange(address: Address, parts: Exchange): Promise<ExchangeResult> {
+	async function exchange(address: Address, parts: Exchange, path = directPath): Promise<ExchangeResult> {
 		try {
-			return await exchangeOver(acquire(address, parts.maximumIdle), address, parts);
+			return await exchangeOver(acquire(address, path, parts.maximumIdle), {address, key: poolKeyOf(address, path)}, parts);
 		} catch (error) {
 			// Only an address that no connection can be opened to fails here.
 			return {kind: 'not-sent', reason: describeError(error)};
 		}
 	}
 
-	async function exchangeOver(connection: Connection, address: Address, parts: Exchange): Promise<ExchangeResult> {
+	async function exchangeOver(connection: Connection, {address, key}: {readonly address: Address; readonly key: string}, parts: Exchange): Promise<ExchangeResult> {
 		return new Promise(resolve => {
 			let isStarted = false;
 			let isEnded = false;
@@ -175,9 +214,9 @@
 				isEnded = true;
 				parts.signal.removeEventListener('abort', abortExchange);
 				if (isReusable && !isClosing) {
-					returnToIdle(address, connection);
+					returnToIdle(key, connection);
 				} else {
-					discard(address, connection);
+					discard(key, connection);
 				}
 
 				resolve(result);
@@ -214,7 +253,8 @@
 						return;
 					}
 
-					end({kind: isStarted ? 'broken' : 'not-sent', reason: describeError(error)}, false);
+					const reason = describeError(error);
+					end(isStarted ? {kind: 'broken', reason} : {kind: 'not-sent', reason, isGatewayBlamed: isTunnelError(error) && error.isGatewayBlamed}, false);
 				},
 			};
 			connection.client.dispatch({
--- a/src/links/guarded-server.ts
+++ b/src/links/guarded-server.ts
@@ -53,6 +53,8 @@
 	readonly serve: (request: IncomingMessage, response: ServerResponse, arrival: Arrival) => void;
 	/** Sends the response to a request that is not. */
 	readonly refuse: (response: ServerResponse, refusal: EarlyRefusal) => void;
+	/** Takes over the connection of a request for a tunnel; without it, such a connection is closed. */
+	readonly openTunnel?: (request: IncomingMessage, head: Uint8Array) => void;
 	readonly onProblem: (problem: ClientProblem) => void;
 };
 
@@ -306,6 +308,18 @@
 		admit(request, response, true);
 	});
 	server.on('clientError', answerMalformed);
+	const {openTunnel} = options;
+	if (openTunnel) {
+		server.on('connect', (request, socket, head) => {
+			const connection = connections.get(socket);
+			if (connection) {
+				enter(connection, 'running');
+			}
+
+			openTunnel(request, head);
+		});
+	}
+
 	return {
 		server,
 		gauges() {
--- a/src/links/relay-log.ts
+++ b/src/links/relay-log.ts
@@ -3,6 +3,7 @@
 event of the tables, the token budgets, the warm-up and the membership. docs/OPERATIONS.md shows how to
 trace a request through them.
 */
+import {type EndpointPathsEvent} from '../zones/endpoint-paths/endpoint-paths.js';
 import {type RelayInstanceEvent} from '../machines/relay-instance-event.js';
 import {type RelayEvent} from '../machines/relay-event.js';
 import {type SharedTablesEvent} from '../zones/shared-tables.js';
@@ -31,12 +32,13 @@
 	switch (event.kind) {
 		case 'attempted': {
 			const {
-				result, endpoint, version, resumeAfter, load, expected, rateLimit, generation, took,
+				result, endpoint, path, version, resumeAfter, load, expected, rateLimit, generation, took,
 			} = event.attempt;
 			log.info({
 				event: 'attempt', ...requestFields(event.request), endpoint, version, result: result.kind, load, expectedMs: expected, generation, tookMs: Math.round(took),
 				...(resumeAfter !== undefined && {resumeAfter, firstAttempt: event.request.firstAttempt}),
 				...(rateLimit.kind === 'limited' && {limit: rateLimit.rate}),
+				...(path.kind === 'tunnel' && {gateway: path.gateway}),
 				...(result.kind === 'answered' && {status: result.head.status}),
 				...(result.kind === 'rejected' && {status: result.status}),
 				...('reason' in result && {reason: result.reason}),
@@ -184,6 +186,19 @@
 	}
 }
 
+function logPath(log: Log, event: EndpointPathsEvent): void {
+	switch (event.kind) {
+		case 'cut-off': {
+			log.warn({event: 'cut-off', sampled: event.sampled, gateways: event.gateways}, `no connection to any of ${event.sampled} endpoints; requests go through ${event.gateways} gateways`);
+			return;
+		}
+
+		case 'restored': {
+			log.warn({event: 'restored', sampled: event.sampled}, `connections to all of ${event.sampled} endpoints; requests go to them directly again`);
+		}
+	}
+}
+
 function logVersions(log: Log, event: VersionHistoryEvent): void {
 	switch (event.kind) {
 		case 'versions-written': {
@@ -215,6 +230,30 @@
 	return relay.kind === 'served' || relay.kind === 'no-permit' || (relay.kind === 'attempted' && isComplete(relay.attempt.result));
 }
 
+/** Logs what other instances said, or did not say, about an endpoint. */
+function logPeerReport(log: Log, event: Extract<RelayInstanceEvent, {kind: 'leaving-reported' | 'rate-limit-reported' | 'permit-unanswered'}>): void {
+	switch (event.kind) {
+		case 'leaving-reported': {
+			log.info({event: 'leaving', endpoint: event.endpoint, source: 'peer'}, `a peer reported that ${event.endpoint} leaves`);
+			return;
+		}
+
+		case 'rate-limit-reported': {
+			const {endpoint, limit} = event;
+			log.info({
+				event: 'rate-limit', endpoint, ...(limit.kind === 'limited' && {limit: limit.rate}), source: 'peer',
+			}, `rate limit of ${endpoint} is now ${describeLimit(limit)}, as reported by a peer`);
+			return;
+		}
+
+		case 'permit-unanswered': {
+			log.warn({
+				event: 'permit-unanswered', endpoint: event.endpoint, coordinator: event.coordinator,
+			}, `${event.coordinator} did not answer a request for a permit for ${event.endpoint}`);
+		}
+	}
+}
+
 function writeEvent(log: Log, logClient: ClientLog, event: RelayInstanceEvent): void {
 	switch (event.kind) {
 		case 'relay': {
@@ -249,28 +288,20 @@
 			return;
 		}
 
-		case 'member': {
-			logMember(log, event.member);
+		case 'path': {
+			logPath(log, event.path);
 			return;
 		}
 
-		case 'leaving-reported': {
-			log.info({event: 'leaving', endpoint: event.endpoint, source: 'peer'}, `a peer reported that ${event.endpoint} leaves`);
-			return;
-		}
-
-		case 'rate-limit-reported': {
-			const {endpoint, limit} = event;
-			log.info({
-				event: 'rate-limit', endpoint, ...(limit.kind === 'limited' && {limit: limit.rate}), source: 'peer',
-			}, `rate limit of ${endpoint} is now ${describeLimit(limit)}, as reported by a peer`);
+		case 'member': {
+			logMember(log, event.member);
 			return;
 		}
 
+		case 'leaving-reported':
+		case 'rate-limit-reported':
 		case 'permit-unanswered': {
-			log.warn({
-				event: 'permit-unanswered', endpoint: event.endpoint, coordinator: event.coordinator,
-			}, `${event.coordinator} did not answer a request for a permit for ${event.endpoint}`);
+			logPeerReport(log, event);
 			return;
 		}
 
--- a/src/links/relay-metrics.ts
+++ b/src/links/relay-metrics.ts
@@ -47,6 +47,10 @@
 			return event.turns.kind;
 		}
 
+		case 'path': {
+			return event.path.kind;
+		}
+
 		case 'member': {
 			return event.member.status;
 		}
--- a/src/links/snapshots.ts
+++ b/src/links/snapshots.ts
@@ -15,6 +15,7 @@
 import {type ClientProblem} from '../machines/client-problem.js';
 import {type Greeting, type RelayPeers, type RelayTables} from '../zones/relay-peers.js';
 import {withinTimeLimit} from './time-limit.js';
+import {type TunnelServer} from './tunnels.js';
 import {createGuardedServer, type EarlyRefusal, type GuardedServer} from './guarded-server.js';
 
 /** A snapshot of a few hundred kilobytes takes some dozens of milliseconds. */
@@ -51,6 +52,7 @@
 	readonly port: number;
 	readonly source: SnapshotSource;
 	readonly limits: ClientLimits;
+	readonly tunnels: Pick<TunnelServer, 'open'>;
 	readonly onProblem: (problem: ClientProblem) => void;
 };
 
@@ -87,6 +89,7 @@
 			response.writeHead(statusOf(refusal), {'content-length': 0});
 			response.end();
 		},
+		openTunnel: options.tunnels.open,
 		onProblem: options.onProblem,
 	});
 	guarded.server.listen(options.port, options.host);
--- /dev/null
+++ b/src/links/tunnels.ts
@@ -0,0 +1,201 @@
+/**
+Tunnels through which an instance that reaches no endpoint uses the connections of one that does, the gateway: `CONNECT` requests of
+HTTP at the port for peers. A gateway passes on the bytes of both sides, and a reset as a reset, because the end of a connection
+may be the end of a response.
+*/
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage} from 'node:http';
+import {connect as connectSocket, type Socket} from 'node:net';
+import {z} from 'zod';
+import {type TunnelPolicy} from '../contracts/endpoint-path.js';
+import {as, type Address, splitAddress} from '../contracts/id.js';
+import {guardSocket} from './bounded-socket.js';
+
+/** Time for a connection from the gateway to the endpoint; within a region it takes a few milliseconds. */
+const endpointConnectTimeoutMs = 300;
+
+/** Time for a tunnel to be opened; the gateway may check its own path meanwhile. */
+const tunnelTimeoutMs = 1000;
+
+/** Tunnels that a gateway keeps open at once. */
+const maximumTunnels = 256;
+
+/** The response to a request for a tunnel is a status line only. */
+const maximumHeadBytes = 1024;
+
+const endOfHead = '\r\n\r\n';
+
+/** Statuses of the response to a request for a tunnel. */
+const status = {
+	opened: '200 Connection Established',
+	forbidden: '403 Forbidden',
+	endpointUnreachable: '502 Bad Gateway',
+	unavailable: '503 Service Unavailable',
+} as const;
+
+/** Error of a tunnel that was not opened. */
+export type TunnelError = Error & {readonly isGatewayBlamed: boolean};
+
+export function isTunnelError(error: unknown): error is TunnelError {
+	return error instanceof Error && 'isGatewayBlamed' in error;
+}
+
+function tunnelError(message: string, isGatewayBlamed: boolean): TunnelError {
+	return Object.assign(new Error(message), {isGatewayBlamed});
+}
+
+/** Connects to an address, without a limit on what it sends. */
+async function connectTo(address: Address): Promise<Socket> {
+	const {host, port} = splitAddress(address);
+	return new Promise((resolve, reject) => {
+		const socket = connectSocket({host, port, noDelay: true});
+		const timer = setTimeout(() => {
+			socket.destroy(new Error(`no connection within ${endpointConnectTimeoutMs} ms`));
+		}, endpointConnectTimeoutMs);
+		socket.once('error', error => {
+			clearTimeout(timer);
+			reject(error);
+		});
+		socket.once('connect', () => {
+			clearTimeout(timer);
+			resolve(socket);
+		});
+	});
+}
+
+/** Passes on the bytes of both sides until one of them ends. */
+function join(peer: Socket, endpoint: Socket): void {
+	peer.pipe(endpoint, {end: false});
+	endpoint.pipe(peer, {end: false});
+	// A peer does not close one direction only: when it ends, it has given the request up.
+	peer.once('end', () => {
+		peer.destroy();
+	});
+	peer.once('close', () => {
+		endpoint.destroy();
+	});
+	endpoint.once('end', () => {
+		peer.end();
+	});
+	endpoint.on('error', () => {
+		peer.resetAndDestroy();
+	});
+	endpoint.once('close', () => {
+		if (!endpoint.readableEnded) {
+			peer.resetAndDestroy();
+		}
+	});
+}
+
+export type TunnelServer = {
+	/** Handles a request for a tunnel. */
+	readonly open: (request: IncomingMessage, head: Uint8Array) => void;
+	readonly count: () => number;
+};
+
+/** Creates the tunnels of a gateway. */
+export function createTunnelServer(policy: TunnelPolicy): TunnelServer {
+	const open = new Set<Socket>();
+
+	function refuse(socket: Socket, reason: string): void {
+		socket.end(`HTTP/1.1 ${reason}${endOfHead}`);
+	}
+
+	async function connectThrough(peer: Socket, target: Address, head: Uint8Array): Promise<void> {
+		let endpoint: Socket;
+		try {
+			endpoint = await connectTo(target);
+		} catch {
+			// The reason is the same for every connection that fails; the peer logs the attempt.
+			refuse(peer, await policy.isCutOff() ? status.unavailable : status.endpointUnreachable);
+			return;
+		}
+
+		guardSocket(endpoint, {limitsResponses: false});
+		if (peer.destroyed) {
+			endpoint.destroy();
+			return;
+		}
+
+		peer.write(`HTTP/1.1 ${status.opened}${endOfHead}`);
+		endpoint.write(head);
+		join(peer, endpoint);
+	}
+
+	return {
+		open(request, head) {
+			const peer = request.socket;
+			// Errors are followed by the close of the socket, which ends the tunnel.
+			peer.on('error', () => undefined);
+			const target = as<Address>(request.url ?? '');
+			if (!policy.isPeer(peer.remoteAddress ?? '') || !policy.isEndpoint(target)) {
+				refuse(peer, status.forbidden);
+				return;
+			}
+
+			if (open.size >= maximumTunnels) {
+				refuse(peer, status.unavailable);
+				return;
+			}
+
+			open.add(peer);
+			peer.once('close', () => {
+				open.delete(peer);
+			});
+			peer.setNoDelay(true);
+			void connectThrough(peer, target, head);
+		},
+		count: () => open.size,
+	};
+}
+
+/** Reads one byte, or an empty array if none has arrived. */
+function readByte(socket: Socket): Uint8Array {
+	return z.instanceof(Uint8Array).nullable().parse(socket.read(1)) ?? new Uint8Array();
+}
+
+/** Opens a tunnel to an endpoint. Calls back once, with a socket on which only the endpoint's bytes follow. */
+export function openTunnel(gateway: Address, endpoint: Address, callback: (error: Error | undefined, socket: Socket | undefined) => void): void {
+	const {host, port} = splitAddress(gateway);
+	const socket = connectSocket({host, port, noDelay: true});
+	let received = '';
+	const finish = (error: Error | undefined) => {
+		clearTimeout(timer);
+		socket.removeAllListeners('error');
+		socket.off('close', onClose);
+		socket.off('readable', onReadable);
+		if (error) {
+			socket.on('error', () => undefined);
+			socket.destroy();
+			callback(error, undefined);
+		} else {
+			callback(undefined, socket);
+		}
+	};
+
+	const timer = setTimeout(() => {
+		finish(tunnelError(`the gateway ${gateway} did not open a tunnel within ${tunnelTimeoutMs} ms`, true));
+	}, tunnelTimeoutMs);
+	const onClose = () => {
+		finish(tunnelError(`the gateway ${gateway} closed the connection`, true));
+	};
+
+	const onReadable = () => {
+		// One byte at a time, so that nothing of the endpoint is taken.
+		for (let byte = readByte(socket); byte.length > 0; byte = readByte(socket)) {
+			received += Buffer.from(byte).toString('latin1');
+			if (received.endsWith(endOfHead) || received.length > maximumHeadBytes) {
+				const [, code = ''] = received.split(' ');
+				finish(code === '200' ? undefined : tunnelError(`the gateway ${gateway} answered ${code} for ${endpoint}`, code !== '502'));
+				return;
+			}
+		}
+	};
+
+	socket.once('error', error => {
+		finish(tunnelError(`the gateway ${gateway} cannot be reached: ${error.message}`, true));
+	});
+	socket.once('close', onClose);
+	socket.on('readable', onReadable);
+	socket.write(`CONNECT ${endpoint} HTTP/1.1\r\nHost: ${endpoint}${endOfHead}`);
+}
--- a/src/machines/relay-attempts.ts
+++ b/src/machines/relay-attempts.ts
@@ -3,13 +3,15 @@
 response tell about the endpoint.
 */
 import {type Clock} from '../contracts/clock.js';
+import {type EndpointPath} from '../contracts/endpoint-path.js';
 import {as, type EndpointId, type Milliseconds} from '../contracts/id.js';
 import {type EndpointNotice} from '../contracts/endpoint-notice.js';
-import {type RelayLink, type RelayResult} from '../contracts/relay-attempt.js';
+import {type RelayAttempt, type RelayLink, type RelayResult} from '../contracts/relay-attempt.js';
 import {type ListedEndpoint} from '../contracts/relay.js';
 import {type RelayRequest} from '../contracts/relay-request.js';
 import {type Choice} from './endpoint-choice.js';
 import {createCrashSuspects} from './crash-suspects.js';
+import {type EndpointPaths} from './endpoint-paths.js';
 import {type Quarantine} from './quarantine.js';
 import {type RelayEndpoint} from './relay-endpoint.js';
 import {type RelayEvent} from './relay-event.js';
@@ -23,6 +25,7 @@
 export type RelayAttemptsOptions = {
 	readonly fleet: RelayFleet;
 	readonly link: RelayLink;
+	readonly paths: EndpointPaths;
 	readonly quarantine: Quarantine;
 	readonly clock: Clock;
 	/** Called when an endpoint repeatedly breaks off responses. */
@@ -32,7 +35,7 @@
 
 export type RelayAttempts = {
 	/** Sends the request to an endpoint. */
-	readonly run: (job: RelayJob, choice: Extract<Choice, {kind: 'endpoint'}>) => Promise<RelayResult>;
+	readonly run: (job: RelayJob, choice: Extract<Choice, {kind: 'endpoint'}>, path: EndpointPath) => Promise<RelayResult>;
 	/** What the job of a request calls when its attempts reveal something about an endpoint. */
 	readonly observer: (request: RelayRequest) => Pick<RelayJobOptions, 'onNotice'>;
 	/** Records that an endpoint, or its incarnation, has ended; requests that it had when it broke off may have crashed it. */
@@ -62,7 +65,14 @@
 				break;
 			}
 
-			case 'unreachable':
+			case 'unreachable': {
+				if (!result.isPathAtFault) {
+					recordEnd(endpoint.id);
+				}
+
+				break;
+			}
+
 			case 'misdirected': {
 				recordEnd(endpoint.id);
 				break;
@@ -129,7 +139,14 @@
 				return;
 			}
 
-			case 'unreachable':
+			case 'unreachable': {
+				if (!result.isPathAtFault) {
+					endpoint.availability.recordUnreachable(now);
+				}
+
+				return;
+			}
+
 			case 'misdirected': {
 				endpoint.availability.recordUnreachable(now);
 				return;
@@ -156,7 +173,31 @@
 		}
 	}
 
-	async function run(job: RelayJob, {endpoint, expected}: Extract<Choice, {kind: 'endpoint'}>): Promise<RelayResult> {
+	/** Sends an attempt, and finds out whether it is the path that did not work. */
+	async function send(job: RelayJob, attempt: RelayAttempt): Promise<RelayResult> {
+		const {endpoint, path} = attempt;
+		const lost = new AbortController();
+		const tracked = options.paths.track(endpoint, path, () => {
+			lost.abort();
+		});
+		const result = await options.link.send({
+			...attempt,
+			// A request that must not run again waits for its response, which may arrive when the path works again.
+			pathLost: job.route.repetition === 'once' ? undefined : lost.signal,
+			onNotice(notice) {
+				tracked.recordHeard();
+				attempt.onNotice(notice);
+			},
+			onEvent(event) {
+				tracked.recordHeard();
+				attempt.onEvent(event);
+			},
+		});
+		tracked.end();
+		return result.kind === 'unreachable' ? {...result, isPathAtFault: await options.paths.isAtFault(path, result.isPathAtFault ?? false)} : result;
+	}
+
+	async function run(job: RelayJob, {endpoint, expected}: Extract<Choice, {kind: 'endpoint'}>, path: EndpointPath): Promise<RelayResult> {
 		const listed = endpoint.listed();
 		const startedAt = clock.now();
 		const load = endpoint.load(startedAt);
@@ -164,8 +205,8 @@
 		const release = endpoint.trackRequest();
 		endpoint.markCached(job.request.prompt);
 		endpoint.availability.recordSent(startedAt);
-		const linkAttempt = job.createAttempt(listed, expected);
-		const result = await options.link.send(linkAttempt);
+		const linkAttempt = job.createAttempt(listed, path, expected);
+		const result = await send(job, linkAttempt);
 		const took = as<Milliseconds>(clock.now() - startedAt);
 		release();
 		job.recordResult(listed, result);
@@ -173,7 +214,7 @@
 		updateEndpoint(endpoint, result, {unloadedMs: unloadedLatency(took, load), sentAt: startedAt});
 		options.onEvent({
 			kind: 'attempted', request: job.request, attempt: {
-				endpoint: listed.id, version: listed.version, resumeAfter: linkAttempt.resumeAfter, result, load, expected, rateLimit, generation: job.generation, took,
+				endpoint: listed.id, path, version: listed.version, resumeAfter: linkAttempt.resumeAfter, result, load, expected, rateLimit, generation: job.generation, took,
 			},
 		});
 		return result;
--- a/src/machines/relay-event.ts
+++ b/src/machines/relay-event.ts
@@ -1,6 +1,7 @@
 /**
 Events of a relayed request, for logs and metrics.
 */
+import {type EndpointPath} from '../contracts/endpoint-path.js';
 import {
 	type AttemptId, type ConfigurationGeneration, type EndpointId, type Milliseconds, type SoftwareVersion,
 } from '../contracts/id.js';
@@ -13,6 +14,7 @@
 /** The result of an attempt, and the data by which its endpoint was chosen. */
 export type AttemptOutcome = {
 	readonly endpoint: EndpointId;
+	readonly path: EndpointPath;
 	readonly version: SoftwareVersion;
 	/** Id of the event after which the attempt resumed the stream; undefined for a request from its start. */
 	readonly resumeAfter: number | undefined;
--- a/src/machines/relay-fleet.ts
+++ b/src/machines/relay-fleet.ts
@@ -26,6 +26,8 @@
 	is remembered while the list drops the endpoint for a moment.
 	*/
 	readonly recordLeaving: (id: EndpointId, bornAt: Milliseconds | undefined, now: Milliseconds) => boolean;
+	/** Forgets the failures of endpoints, which were those of the path to them. */
+	readonly forgetFailures: () => void;
 	readonly endpoint: (id: EndpointId) => RelayEndpoint | undefined;
 	readonly endpoints: () => readonly RelayEndpoint[];
 	/** Records which endpoints have computed the beginning of a prompt, as reported by another instance. */
@@ -107,6 +109,11 @@
 			left.set(id, {bornAt, until: as<Milliseconds>(now + leavingMemoryMs)});
 			return true;
 		},
+		forgetFailures() {
+			for (const {availability} of byId.values()) {
+				availability.reset();
+			}
+		},
 		endpoint: id => byId.get(id),
 		endpoints: () => [...byId.values()],
 		recordPromptLocations(prompt, places) {
--- a/src/machines/relay-instance-event.ts
+++ b/src/machines/relay-instance-event.ts
@@ -5,6 +5,7 @@
 import {type AllotmentEvent} from '../zones/allotments/allotment-event.js';
 import {type BudgetEvent} from '../zones/budget-event.js';
 import {type TurnEvent} from '../zones/conversations/turn-event.js';
+import {type EndpointPathsEvent} from '../zones/endpoint-paths/endpoint-paths.js';
 import {type Member} from '../zones/membership.js';
 import {type RateLimitEvent} from '../zones/rate-limits.js';
 import {type SharedTablesEvent} from '../zones/shared-tables.js';
@@ -20,6 +21,7 @@
 		| {readonly kind: 'warm-up'; readonly warmUp: WarmUpEvent}
 		| {readonly kind: 'versions'; readonly versions: VersionHistoryEvent}
 		| {readonly kind: 'turns'; readonly turns: TurnEvent}
+		| {readonly kind: 'path'; readonly path: EndpointPathsEvent}
 		| {readonly kind: 'member'; readonly member: Member}
 		| {readonly kind: 'paused'; readonly gap: Milliseconds}
 		/** A peer reported that an endpoint leaves. */
--- a/src/machines/relay-instance-report.ts
+++ b/src/machines/relay-instance-report.ts
@@ -7,6 +7,7 @@
 import {type TokenLedger} from '../contracts/token-ledger.js';
 import {type Allotments} from '../zones/allotments/allotments.js';
 import {type Conversations} from '../zones/conversations/conversations.js';
+import {type SharedEndpointPaths} from '../zones/endpoint-paths/endpoint-paths.js';
 import {type Membership} from '../zones/membership.js';
 import {type SharedTables} from '../zones/shared-tables.js';
 import {type RelayFleet} from './relay-fleet.js';
@@ -17,6 +18,7 @@
 	readonly isLeaving: () => boolean;
 	readonly isWarm: () => boolean;
 	readonly tables: Pick<SharedTables, 'digest' | 'age' | 'waits'>;
+	readonly paths: Pick<SharedEndpointPaths, 'isCutOff' | 'gateways'>;
 	readonly relay: Pick<Relay, 'active'>;
 	readonly fleet: Pick<RelayFleet, 'endpoints'>;
 	readonly membership: Pick<Membership, 'members'>;
@@ -36,7 +38,7 @@
 /** Creates the report of an instance. */
 export function createRelayInstanceReport(options: RelayInstanceReportOptions): RelayInstanceReport {
 	const {
-		tables, relay, fleet, membership, ledger, allotments, conversations, store, clock,
+		paths, tables, relay, fleet, membership, ledger, allotments, conversations, store, clock,
 	} = options;
 	return {
 		gauges: () => ({
@@ -51,6 +53,8 @@
 			tablesAgeMs: Math.round(tables.age()),
 			tablesFetchMs: Math.round(tables.waits().fetch),
 			storeWatchMs: Math.round(tables.waits().watch),
+			cutOffFromEndpoints: paths.isCutOff() ? 1 : 0,
+			gateways: paths.gateways(),
 			...conversations.gauges(),
 		}),
 		dump: () => ({
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -4,10 +4,11 @@
 */
 import {err, ok} from 'neverthrow';
 import {defaultAllotmentBounds} from '../contracts/allotment.js';
+import {directPath, type TunnelPolicy} from '../contracts/endpoint-path.js';
 import {failure} from '../contracts/failure.js';
 import {
 	as, type Address, type ChangeNumber, type ConfigurationGeneration, type CounterId, type Incarnation, type InstanceId,
-	type Milliseconds,
+	type Milliseconds, splitAddress,
 } from '../contracts/id.js';
 import {type CallerLimits} from '../contracts/relay.js';
 import {pathOf} from '../contracts/relay-request.js';
@@ -22,6 +23,7 @@
 import {createSharedBudgets} from '../zones/shared-budgets.js';
 import {type BudgetEvent} from '../zones/budget-event.js';
 import {createContactSearch} from '../zones/contact-search.js';
+import {createEndpointPaths} from '../zones/endpoint-paths/endpoint-paths.js';
 import {createMembership, type Member} from '../zones/membership.js';
 import {createGossipProtocol} from '../zones/gossip-protocol.js';
 import {
@@ -55,6 +57,8 @@
 	readonly isReady: () => boolean;
 	/** Whether the instance's data centre is cut off, so that callers are served better elsewhere. */
 	readonly isCutOff: () => boolean;
+	/** For whom, and to where, the instance opens tunnels. */
+	readonly tunnels: TunnelPolicy;
 	/** Handles a message from a peer. */
 	readonly answer: (message: RelayMessage) => Promise<RelayReply>;
 	readonly greeting: () => Greeting;
@@ -94,6 +98,7 @@
 		neighbours: () => others().filter(member => member.dataCentre === dataCentre).map(member => member.address),
 		isWatcher: () => watcherElection.isWatcher(),
 		isWarm: () => warmUp.isWarm(),
+		reachesEndpoints: () => !paths.isCutOff(),
 		clock,
 		random,
 		onConfiguration(configuration) {
@@ -117,20 +122,39 @@
 	const watcherElection = createWatcherElection({
 		self: membership.self, members: membership.members, isStoreReachableFrom, clock,
 	});
+	async function askForDigest(member: Member): Promise<RelayDigest | undefined> {
+		const reply = await peers.request(member.address, {kind: 'digest'}, {timeout: as<Milliseconds>(gossipTimeoutMs), attempts: 1});
+		if (reply?.kind !== 'digest') {
+			return undefined;
+		}
+
+		receiveDigest(member, reply.digest);
+		return reply.digest;
+	}
+
 	const contactSearch = createContactSearch({
 		isNeeded: tables.isStale,
 		others,
 		isStoreReachableFrom,
-		async ask(member) {
-			const reply = await peers.request(member.address, {kind: 'digest'}, {timeout: as<Milliseconds>(gossipTimeoutMs), attempts: 1});
-			if (reply?.kind === 'digest') {
-				receiveDigest(member, reply.digest);
+		ask: async member => await askForDigest(member) !== undefined,
+		clock,
+		random,
+	});
+	const paths = createEndpointPaths({
+		dataCentre,
+		others,
+		ask: askForDigest,
+		endpoints: () => fleet.endpoints().filter(endpoint => !endpoint.isLeaving()).map(endpoint => endpoint.listed()),
+		link: options.link,
+		clock,
+		random,
+		onEvent(event) {
+			if (event.kind === 'cut-off') {
+				fleet.forgetFailures();
 			}
 
-			return reply !== undefined;
+			options.onEvent({kind: 'path', path: event});
 		},
-		clock,
-		random,
 	});
 	function onBudgetEvent(event: BudgetEvent): void {
 		options.onEvent({kind: 'budget', budget: event});
@@ -272,6 +296,7 @@
 	});
 	const relay = createRelay({
 		fleet,
+		paths,
 		quarantine,
 		clock,
 		random,
@@ -293,7 +318,7 @@
 		},
 	});
 	const report = createRelayInstanceReport({
-		id, isLeaving, isWarm: warmUp.isWarm, tables, relay, fleet, membership, ledger, allotments, conversations, store, clock,
+		id, isLeaving, isWarm: warmUp.isWarm, paths, tables, relay, fleet, membership, ledger, allotments, conversations, store, clock,
 	});
 
 	function receiveDigest(peer: Member, digest: RelayDigest): void {
@@ -321,6 +346,11 @@
 		answer: createMessageHandler({
 			id, membership, gossipProtocol, tables, budgets, loads, rateLimits, origins, conversations, allotments, receiveDigest,
 		}),
+		tunnels: {
+			isPeer: host => others().some(member => splitAddress(member.address).host === host),
+			isEndpoint: target => fleet.endpoints().some(endpoint => endpoint.listed().address === target),
+			isCutOff: async () => paths.isAtFault(directPath, false),
+		},
 		limits: () => table?.configuration.limits,
 		hasWorkspaces: () => table?.configuration.workspaces !== undefined,
 		isCutOff: conversations.isCutOff,
@@ -332,9 +362,7 @@
 		tables: tables.tables,
 		homes: () => ledger.accounts().map(account => withStoreSlotOnly(account)),
 		async run(signal) {
-			await Promise.all([
-				tables.run(signal), contactSearch.run(signal), gossipProtocol.run(signal), warmUp.run(signal), budgets.run(signal), loads.run(signal), origins.run(signal), conversations.run(signal),
-			]);
+			await Promise.all([tables, contactSearch, paths, gossipProtocol, warmUp, budgets, loads, origins, conversations].map(async part => part.run(signal)));
 		},
 		async leave() {
 			const leaveCompleted = gossipProtocol.leave();
--- a/src/machines/relay-job.ts
+++ b/src/machines/relay-job.ts
@@ -3,6 +3,7 @@
 much of a stream the caller has received.
 */
 import {type Clock} from '../contracts/clock.js';
+import {type EndpointPath} from '../contracts/endpoint-path.js';
 import {
 	as, type AttemptId, type ConfigurationGeneration, type EndpointId, type Milliseconds, type PoolName, type SoftwareVersion,
 } from '../contracts/id.js';
@@ -64,7 +65,7 @@
 	/** Records the result of an attempt. */
 	readonly recordResult: (endpoint: ListedEndpoint, result: RelayResult) => void;
 	/** Creates an attempt; `expected` is the time after which an answer is expected to begin. */
-	readonly createAttempt: (endpoint: ListedEndpoint, expected?: Milliseconds) => RelayAttempt;
+	readonly createAttempt: (endpoint: ListedEndpoint, path: EndpointPath, expected?: Milliseconds) => RelayAttempt;
 	readonly attempts: () => number;
 	readonly progress: () => RelayProgress;
 	/** Whether the request may have arrived at an endpoint, which may have rejected it. */
@@ -171,7 +172,10 @@
 			}
 
 			case 'unreachable': {
-				markEnded(endpoint.id);
+				if (!result.isPathAtFault) {
+					markEnded(endpoint.id);
+				}
+
 				break;
 			}
 
@@ -224,9 +228,10 @@
 		elapsed: () => as<Milliseconds>(clock.now() - arrivedAt),
 		timeLeft: () => as<Milliseconds>(endsAt - clock.now()),
 		recordResult,
-		createAttempt: (endpoint, expected = as<Milliseconds>(0)) => ({
+		createAttempt: (endpoint, path, expected = as<Milliseconds>(0)) => ({
 			request: turn ? {...request, body: turn.body} : request,
 			endpoint,
+			path,
 			isStream: route.isStream,
 			workspace: options.workspace,
 			timeLeft: as<Milliseconds>(Math.max(1, endsAt - clock.now())),
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -5,11 +5,12 @@
 */
 import {createHash} from 'node:crypto';
 import {type Clock, type Random} from '../contracts/clock.js';
+import {type EndpointPath} from '../contracts/endpoint-path.js';
 import {
 	as, type DataCentreId, type EndpointId, type Milliseconds, type PoolName, type SoftwareVersion, type Tokens,
 } from '../contracts/id.js';
 import {nextRelayStep, type RelayLink, type RelayResult} from '../contracts/relay-attempt.js';
-import {type RelayRoute} from '../contracts/relay.js';
+import {type ListedEndpoint, type RelayRoute} from '../contracts/relay.js';
 import {
 	type Caller, pathOf, type Refusal, type RelayRequest,
 } from '../contracts/relay-request.js';
@@ -17,6 +18,7 @@
 import {
 	createEndpointChoice, noEndpoint, placementTimeoutFraction,
 } from './endpoint-choice.js';
+import {type EndpointPaths} from './endpoint-paths.js';
 import {type Quarantine} from './quarantine.js';
 import {type RelayEndpoint} from './relay-endpoint.js';
 import {type RelayEvent} from './relay-event.js';
@@ -40,6 +42,7 @@
 export type RelayOptions = {
 	readonly fleet: RelayFleet;
 	readonly link: RelayLink;
+	readonly paths: EndpointPaths;
 	readonly budgets: TokenBudgets;
 	readonly permits: RatePermits;
 	readonly allotments: RequestAllotments;
@@ -78,7 +81,13 @@
 /** Creates the relay of an instance. */
 export function createRelay(options: RelayOptions): Relay {
 	const {fleet, clock, quarantine} = options;
-	const endpointChoice = createEndpointChoice(options);
+	const endpointChoice = createEndpointChoice({
+		...options,
+		link: {
+			// An instance that reaches no endpoint cannot tell whether one has ended.
+			canConnect: async endpoint => options.paths.isCutOff() || options.link.canConnect(endpoint),
+		},
+	});
 	const attempts = createRelayAttempts(options);
 	const reserve = createRelayReservations({budgets: options.budgets, fleet, refuse});
 	const gate = createWorkspaceGate(options);
@@ -113,6 +122,17 @@
 		refuse(job, {kind: 'not-run', retryAfter: as<Milliseconds>(Math.max(minimumRetryAfterMs, wait))});
 	}
 
+	/** Path for the next attempt. A request that has not run is better served by another instance than by waiting for one. */
+	async function findPath(job: RelayJob, endpoint: ListedEndpoint): Promise<EndpointPath | undefined> {
+		let path = await options.paths.pathTo(endpoint);
+		while (!path && job.mayHaveRun() && job.timeLeft() > 0 && !job.signal.aborted) {
+			await clock.sleep(as<Milliseconds>(retryDelayMs), job.signal);
+			path = await options.paths.pathTo(endpoint);
+		}
+
+		return path;
+	}
+
 	/** Makes attempts until the request is answered or given up. Returns the endpoint that answered it, if any. */
 	async function run(job: RelayJob): Promise<EndpointId | undefined> {
 		let lastResult: RelayResult | undefined;
@@ -145,8 +165,15 @@
 				continue;
 			}
 
-			lastResult = await attempts.run(job, choice);
-			const {id} = choice.endpoint.listed();
+			const listed = choice.endpoint.listed();
+			const path = await findPath(job, listed);
+			if (!path) {
+				giveUp(job, lastResult);
+				return undefined;
+			}
+
+			lastResult = await attempts.run(job, choice, path);
+			const {id} = listed;
 			const step = nextRelayStep(lastResult, job.progress());
 			switch (step.kind) {
 				case 'deliver': {
--- /dev/null
+++ b/src/zones/endpoint-paths/reachability.ts
@@ -0,0 +1,86 @@
+/**
+Decides whether an instance is partitioned from all endpoints. A failure of one endpoint says nothing about the others, and all may
+be slow at once, so only connections to several of them that fail together show a partition.
+
+Load that it answers: the connections of one instance to endpoints hang, or are refused, while those of other instances work.
+*/
+import {type EndpointId, type Milliseconds, type PoolName} from '../../contracts/id.js';
+import {type ListedEndpoint} from '../../contracts/relay.js';
+
+/** Time without anything from any endpoint after which the requests in flight are suspected to hang, in ms. */
+const silenceMs = 400;
+
+/** The same if they are all at one endpoint, which may be slow. */
+const singleSilenceMs = 800;
+
+/** Endpoints to which connections are opened to judge the path, and how many of one pool come before those of others. */
+const sampleSize = 4;
+const samplePerPool = 2;
+
+type InFlight = {readonly endpoint: EndpointId; readonly sentAt: Milliseconds; readonly onLost: () => void};
+
+export type Reachability = {
+	/** Adds an attempt that was sent directly. Returns a function that removes it. */
+	readonly add: (attempt: InFlight) => () => void;
+	/** Records that an endpoint has sent something over a direct connection. */
+	readonly recordHeard: (now: Milliseconds) => void;
+	/** Whether attempts have waited for so long that the path should be checked. */
+	readonly isSuspicious: (now: Milliseconds) => boolean;
+	/** Records to how many endpoints of a sample a connection could be opened. Returns whether the conclusion has changed. */
+	readonly judge: (sample: {readonly size: number; readonly reached: number}, now: Milliseconds) => boolean;
+	readonly isCutOff: () => boolean;
+};
+
+/** Chooses endpoints to judge the path by from a shuffled list, so that the end of one pool is not taken for a partition. */
+export function sampleEndpoints(shuffled: readonly ListedEndpoint[]): readonly ListedEndpoint[] {
+	const counts = new Map<PoolName, number>();
+	const first: ListedEndpoint[] = [];
+	const further: ListedEndpoint[] = [];
+	for (const endpoint of shuffled) {
+		const count = (counts.get(endpoint.pool) ?? 0) + 1;
+		counts.set(endpoint.pool, count);
+		(count <= samplePerPool ? first : further).push(endpoint);
+	}
+
+	return [...first, ...further].slice(0, sampleSize);
+}
+
+/** Creates the state of an instance that is taken to reach endpoints. */
+export function createReachability(): Reachability {
+	const inFlight = new Set<InFlight>();
+	let heardAt = -Infinity;
+	let isCutOff = false;
+
+	function silenceOf({sentAt}: InFlight, now: Milliseconds): number {
+		return now - Math.max(sentAt, heardAt);
+	}
+
+	return {
+		add(attempt) {
+			inFlight.add(attempt);
+			return () => {
+				inFlight.delete(attempt);
+			};
+		},
+		recordHeard(now) {
+			heardAt = now;
+		},
+		isSuspicious(now) {
+			const silent = [...inFlight].filter(attempt => silenceOf(attempt, now) >= silenceMs);
+			return new Set(silent.map(({endpoint}) => endpoint)).size > 1 || silent.some(attempt => silenceOf(attempt, now) >= singleSilenceMs);
+		},
+		judge({size, reached}, now) {
+			const wasCutOff = isCutOff;
+			// A partition is over when all of the sample can be reached: of those in between, some endpoints are down.
+			isCutOff = wasCutOff ? reached < size : size > 1 && reached === 0;
+			if (isCutOff && !wasCutOff && now - heardAt >= silenceMs) {
+				for (const {onLost} of inFlight) {
+					onLost();
+				}
+			}
+
+			return isCutOff !== wasCutOff;
+		},
+		isCutOff: () => isCutOff,
+	};
+}
--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -80,6 +80,7 @@
 	/** Whether this instance watches the store for its data centre. */
 	readonly isWatcher: () => boolean;
 	readonly isWarm: () => boolean;
+	readonly reachesEndpoints: () => boolean;
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly onConfiguration: (configuration: RelayConfiguration) => void;
@@ -160,6 +161,7 @@
 			storeAge: storeAge(),
 			isStoreReachable: !probe.isLost(),
 			isWarm: options.isWarm(),
+			reachesEndpoints: options.reachesEndpoints(),
 		};
 	}
 
--- a/tests/snapshot-server.test.ts
+++ b/tests/snapshot-server.test.ts
@@ -17,6 +17,7 @@
 		host: '127.0.0.1',
 		port: 0,
 		limits: peerLimits({memory: undefined, descriptors: 256}),
+		tunnels: {open: () => assert.fail('no tunnel was expected')},
 		source: {
 			greeting: () => assert.fail('not asked for'),
 			tables: () => assert.fail('not asked for'),
--- a/tests/unframed-answers.test.ts
+++ b/tests/unframed-answers.test.ts
@@ -9,6 +9,7 @@
 import {
 	attemptWith, endpointAt, type Kind, optionsWith,
 } from './fixtures/attempts.js';
+import {startGateway} from './fixtures/gateway.js';
 import {startFrontEnd, startRawEndpoint} from './fixtures/raw-front-end.js';
 import {
 	attemptOf, requestBytes, routes, statusOf,
@@ -142,12 +143,19 @@
 	},
 ];
 
-const connections = [['a new', false], ['a kept', true]] as const;
+const connections = [
+	{name: 'a new connection', isKept: false, isTunnelled: false},
+	{name: 'a kept connection', isKept: true, isTunnelled: false},
+	{name: 'a tunnel', isKept: false, isTunnelled: true},
+	{name: 'a kept tunnel', isKept: true, isTunnelled: true},
+] as const;
+
+const gateway = startGateway();
 
 for (const [kind, route] of Object.entries(routes)) {
 	const whole = route.isStream ? event(1) + event(2) : 'whole';
 
-	for (const [connection, isKept] of connections) {
+	for (const {name: connection, isKept, isTunnelled} of connections) {
 		const startEndpoint = async (ending: Ending['end']) => startRawEndpoint((request, socket) => {
 			const attempt = attemptOf(request);
 			if (isKept && attempt === 't0') {
@@ -160,7 +168,8 @@
 		});
 
 		const sendTo = async (port: number, method?: string) => {
-			const front = await startFrontEnd(route, [port]);
+			const {paths} = await gateway;
+			const front = await startFrontEnd(route, [port], isTunnelled ? {paths} : {});
 			if (isKept) {
 				assert.equal(statusOf(await front.send(requestBytes('t0'))), 200);
 			}
@@ -169,7 +178,7 @@
 		};
 
 		for (const version of ['1.0', '1.1']) {
-			test(`a response over ${connection} connection in HTTP ${version} that is closed after its body is whole (${kind})`, async () => {
+			test(`a response over ${connection} in HTTP ${version} that is closed after its body is whole (${kind})`, async () => {
 				const endpoint = await startEndpoint((socket, attempt, body) => {
 					socket.end(head(attempt, version) + body);
 				});
@@ -181,7 +190,7 @@
 		}
 
 		for (const {name, end, isIndistinct} of broken) {
-			test(`a response over ${connection} connection ${name} never looks complete (${kind})`, async () => {
+			test(`a response over ${connection} ${name} never looks complete (${kind})`, async () => {
 				const endpoint = await startEndpoint(end);
 				const {text: response, isReset} = await sendTo(endpoint.port);
 				const isUnframed = !/^(?:content-length|transfer-encoding):/imv.test(response);
