Conclude that endpoints are reachable from the first connection that opens

Cause: after a connection to an endpoint had failed, its request waited for all connections of the check of the path, up to 300 ms if one of them hung. Change: one connection that opens shows that the instance is not cut off.

--- a/src/zones/endpoint-paths/endpoint-paths.ts
+++ b/src/zones/endpoint-paths/endpoint-paths.ts
@@ -11,8 +11,9 @@
 import {type RelayLink} from '../../contracts/relay-attempt.js';
 import {type ListedEndpoint} from '../../contracts/relay.js';
 import {type EndpointPaths} from '../../machines/endpoint-paths.js';
+import {anyOf} from '../any-of.js';
 import {createGateways, type GatewaysOptions} from './gateways.js';
-import {createReachability, sampleEndpoints} from './reachability.js';
+import {createReachability, type ReachedPart, sampleEndpoints} from './reachability.js';
 
 /** Interval at which the requests in flight are examined, in ms. */
 const examinationMs = 200;
@@ -46,6 +47,10 @@
 	readonly run: (signal: AbortSignal) => Promise<void>;
 };
 
+function partOf(reached: readonly boolean[]): ReachedPart {
+	return reached.includes(true) ? (reached.includes(false) ? 'some' : 'all') : 'none';
+}
+
 /** Creates the paths of an instance that is taken to reach endpoints. */
 export function createEndpointPaths(options: EndpointPathsOptions): SharedEndpointPaths {
 	const {clock, random} = options;
@@ -70,14 +75,19 @@
 	async function runCheck(): Promise<void> {
 		checkedAt = clock.now();
 		const endpoints = sample();
-		const reached = await Promise.all(endpoints.map(async endpoint => options.link.canConnect(endpoint)));
+		// A single endpoint that cannot be reached may be down.
+		if (endpoints.length < 2) {
+			return;
+		}
+
+		const connections = endpoints.map(async endpoint => options.link.canConnect(endpoint));
+		const reached = reachability.isCutOff() ? partOf(await Promise.all(connections)) : (await anyOf(connections) ? 'some' : 'none');
 		const now = clock.now();
-		const count = reached.filter(Boolean).length;
-		if (count > 0) {
+		if (reached !== 'none') {
 			reachedAt = now;
 		}
 
-		if (!reachability.judge({size: endpoints.length, reached: count}, now)) {
+		if (!reachability.judge(reached, now)) {
 			return;
 		}
 
--- a/src/zones/endpoint-paths/gateways.ts
+++ b/src/zones/endpoint-paths/gateways.ts
@@ -3,12 +3,12 @@
 endpoint has one of them, so that connections are used again and the load is spread.
 */
 import {type Clock, type Random} from '../../contracts/clock.js';
-import {createDeferred} from '../../contracts/deferred.js';
 import {
 	type Address, type DataCentreId, type EndpointId, type InstanceId, type Milliseconds,
 } from '../../contracts/id.js';
 import {type RelayDigest} from '../../contracts/relay-digest.js';
 import {ownerByRendezvous} from '../../contracts/rendezvous.js';
+import {anyOf} from '../any-of.js';
 import {type Member} from '../membership.js';
 import {createUnresponsivePeers} from '../unresponsive-peers.js';
 
@@ -86,13 +86,7 @@
 			const asked = [
 				...pick(others.filter(member => member.dataCentre === dataCentre)), ...pick(others.filter(member => member.dataCentre !== dataCentre)),
 			];
-			const found = createDeferred<void>();
-			const all = Promise.all(asked.map(async member => {
-				if (await ask(member)) {
-					found.resolve();
-				}
-			}));
-			await Promise.race([found.promise, all]);
+			await anyOf(asked.map(async member => ask(member)));
 		},
 		recordFailure(gateway) {
 			for (const [id, {member}] of known) {
--- a/src/zones/endpoint-paths/reachability.ts
+++ b/src/zones/endpoint-paths/reachability.ts
@@ -17,6 +17,8 @@
 const sampleSize = 4;
 const samplePerPool = 2;
 
+export type ReachedPart = 'none' | 'some' | 'all';
+
 type InFlight = {readonly endpoint: EndpointId; readonly sentAt: Milliseconds; readonly onLost: () => void};
 
 export type Reachability = {
@@ -26,8 +28,8 @@
 	readonly recordHeard: (now: Milliseconds) => void;
 	/** Whether attempts have waited for so long that the path should be checked. */
 	readonly isSuspicious: (now: Milliseconds) => boolean;
-	/** Records to how many endpoints of a sample a connection could be opened. Returns whether the conclusion has changed. */
-	readonly judge: (sample: {readonly size: number; readonly reached: number}, now: Milliseconds) => boolean;
+	/** Records to which endpoints of a sample of several a connection could be opened. Returns whether the conclusion has changed. */
+	readonly judge: (reached: ReachedPart, now: Milliseconds) => boolean;
 	readonly isCutOff: () => boolean;
 };
 
@@ -69,10 +71,10 @@
 			const silent = [...inFlight].filter(attempt => silenceOf(attempt, now) >= silenceMs);
 			return new Set(silent.map(({endpoint}) => endpoint)).size > 1 || silent.some(attempt => silenceOf(attempt, now) >= singleSilenceMs);
 		},
-		judge({size, reached}, now) {
+		judge(reached, now) {
 			const wasCutOff = isCutOff;
-			// A partition is over when all of the sample can be reached: of those in between, some endpoints are down.
-			isCutOff = wasCutOff ? reached < size : size > 1 && reached === 0;
+			// Some endpoints may be reached while a partition comes or goes.
+			isCutOff = wasCutOff ? reached !== 'all' : reached === 'none';
 			if (isCutOff && !wasCutOff && now - heardAt >= silenceMs) {
 				for (const {onLost} of inFlight) {
 					onLost();
--- a/tests/endpoint-paths.test.ts
+++ b/tests/endpoint-paths.test.ts
@@ -191,7 +191,7 @@
 		const shuffled = endpoints.map(endpoint => ({endpoint, order: random.fraction()})).toSorted((left, right) => left.order - right.order).map(({endpoint}) => endpoint);
 		const sample = sampleEndpoints(shuffled);
 		const reachability = createReachability();
-		reachability.judge({size: sample.length, reached: sample.filter(({pool}) => pool === as<PoolName>('up')).length}, at(0));
+		reachability.judge(sample.some(endpoint => endpoint.pool === as<PoolName>('up')) ? 'some' : 'none', at(0));
 		assert.equal(reachability.isCutOff(), false);
 	}
 });
@@ -209,6 +209,6 @@
 	const reachability = createReachability();
 	reachability.add({endpoint: as<EndpointId>('e1'), sentAt: at(0), onLost: () => assert.fail('the attempt was given up')});
 	reachability.recordHeard(at(900));
-	assert.equal(reachability.judge({size: 4, reached: 0}, at(1000)), true);
+	assert.equal(reachability.judge('none', at(1000)), true);
 	assert.equal(reachability.isCutOff(), true);
 });
