--- a/src/links/datagrams.ts
+++ b/src/links/datagrams.ts
@@ -12,6 +12,7 @@
 import {
 	type MessageOptions, type RelayMessage, type RelayReply,
 } from '../zones/relay-peers.js';
+import {type MessageKind, type ProcessLoad} from './process-load.js';
 
 /** Content of a datagram, encoded as JSON. */
 type Packet
@@ -31,9 +32,24 @@
 	readonly port: number;
 	readonly onMessage: (message: RelayMessage) => Promise<RelayReply>;
 	readonly onError: (reason: string) => void;
+	/** Is told of each datagram. */
+	readonly load?: Pick<ProcessLoad, 'recordReceived' | 'recordSent'> | undefined;
 	readonly signal: AbortSignal;
 };
 
+function kindOf(packet: Packet): MessageKind {
+	switch (packet.kind) {
+		case 'request':
+		case 'post': {
+			return packet.message.kind;
+		}
+
+		case 'reply': {
+			return `${packet.reply.kind}-reply`;
+		}
+	}
+}
+
 /** Opens the socket. Resolves once the port is bound; the socket closes when the signal aborts. */
 export async function openDatagrams(options: DatagramsOptions): Promise<Datagrams> {
 	const socket = createSocket('udp4');
@@ -46,7 +62,9 @@
 		}
 
 		const {host, port} = splitAddress(address);
-		socket.send(Buffer.from(JSON.stringify(packet)), port, host, error => {
+		const bytes = Buffer.from(JSON.stringify(packet));
+		options.load?.recordSent(kindOf(packet), bytes.length);
+		socket.send(bytes, port, host, error => {
 			if (error) {
 				options.onError(`sending a datagram to ${address} failed: ${describeError(error)}`);
 			}
@@ -88,12 +106,14 @@
 	}
 
 	socket.on('message', (bytes, from) => {
+		const startedAt = performance.now();
 		try {
 			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Peers run the same program.
 			const packet = JSON.parse(bytes.toString('utf8')) as Packet;
 			handlePacket(packet, as<Address>(`${from.address}:${from.port}`)).catch((error: unknown) => {
 				options.onError(`handling a datagram from ${from.address}:${from.port} failed: ${describeError(error)}`);
 			});
+			options.load?.recordReceived(kindOf(packet), bytes.length, performance.now() - startedAt);
 		} catch (error) {
 			options.onError(`datagram from ${from.address} is not valid JSON: ${describeError(error)}`);
 		}
--- a/src/links/relay-metrics.ts
+++ b/src/links/relay-metrics.ts
@@ -17,6 +17,7 @@
 
 export type RelayMetrics = {
 	readonly count: (event: RelayInstanceEvent) => void;
+	readonly registry: Registry;
 	/** Returns all metrics in the text format. */
 	readonly text: () => Promise<string>;
 };
@@ -151,6 +152,7 @@
 				countTurns(event.turns);
 			}
 		},
+		registry,
 		text: async () => registry.metrics(),
 	};
 }
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -16,7 +16,7 @@
 } from '../contracts/relay-request.js';
 import {choosePool, type RoutingTable} from '../contracts/routing-table.js';
 import {
-	createEndpointChoice, noEndpoint, placementTimeoutFraction,
+	type Choice, createEndpointChoice, noEndpoint, placementTimeoutFraction,
 } from './endpoint-choice.js';
 import {type EndpointPaths} from './endpoint-paths.js';
 import {type Quarantine} from './quarantine.js';
@@ -122,6 +122,20 @@
 		refuse(job, {kind: 'not-run', retryAfter: as<Milliseconds>(Math.max(minimumRetryAfterMs, wait))});
 	}
 
+	/** Ends a request that no endpoint may serve any more. */
+	function endUnplaced(job: RelayJob, choice: Extract<Choice, {kind: 'version-gone' | 'used-up'}>, lastResult: RelayResult | undefined): void {
+		switch (choice.kind) {
+			case 'version-gone': {
+				refuse(job, {kind: job.mayHaveRun() ? 'failed' : 'not-resumable'});
+				return;
+			}
+
+			case 'used-up': {
+				giveUp(job, lastResult);
+			}
+		}
+	}
+
 	/** Path for the next attempt. A request that has not run is better served by another instance than by waiting for one. */
 	async function findPath(job: RelayJob, endpoint: ListedEndpoint): Promise<EndpointPath | undefined> {
 		let path = await options.paths.pathTo(endpoint);
@@ -138,13 +152,8 @@
 		let lastResult: RelayResult | undefined;
 		for (;;) {
 			const choice = job.timeLeft() > 0 && !job.signal.aborted ? await endpointChoice.choose(job) : noEndpoint;
-			if (choice.kind === 'version-gone') {
-				refuse(job, {kind: job.mayHaveRun() ? 'failed' : 'not-resumable'});
-				return undefined;
-			}
-
-			if (choice.kind === 'used-up') {
-				giveUp(job, lastResult);
+			if (choice.kind === 'version-gone' || choice.kind === 'used-up') {
+				endUnplaced(job, choice, lastResult);
 				return undefined;
 			}
 
