Fetch tables one at a time unless a configuration is wanted

Cause: with three concurrent fetches, an instance whose fetches take long asked further peers, also for tables that it only compares. Change: only a newer configuration is fetched beside another fetch, and one at most.

--- a/src/zones/table-fetches.ts
+++ b/src/zones/table-fetches.ts
@@ -1,6 +1,7 @@
 /**
-Schedule of the fetches of tables from peers. Configurations come first. A peer that does not respond holds back no other:
-each peer has at most one fetch, which is given up in time, and another peer is asked beside a fetch that takes long.
+Schedule of the fetches of tables from peers, one at a time. Configurations come first, and one is fetched beside another fetch that
+takes long, so that a peer that does not respond holds back no other. Nothing else is: fetches also take long when
+instances have too little processor time, and then more of them at once would make it worse.
 
 Load that it answers: peers that stop responding while an instance that the store turns away depends on the others.
 */
@@ -15,7 +16,7 @@
 const limitMs = 1000;
 
 /** Maximum number of concurrent fetches. */
-const maximumConcurrency = 3;
+const maximumConcurrency = 2;
 
 /** What made an instance fetch the tables of a peer. */
 export type FetchReason
@@ -77,9 +78,13 @@
 	const startedAt = new Map<Address, Milliseconds>();
 	let wakesAt = Infinity;
 
-	function hasRoom(): boolean {
+	function hasRoomFor({reason}: FetchRequest): boolean {
+		if (startedAt.size === 0) {
+			return true;
+		}
+
 		const now = clock.now();
-		return startedAt.size < maximumConcurrency && [...startedAt.values()].every(at => now - at >= longMs);
+		return reason === 'configuration' && startedAt.size < maximumConcurrency && [...startedAt.values()].every(at => now - at >= longMs);
 	}
 
 	async function start(request: Waiting): Promise<void> {
@@ -103,7 +108,7 @@
 		for (const request of ready.toSorted((a, b) => urgencyOf(a.reason) - urgencyOf(b.reason) || a.requestedAt - b.requestedAt)) {
 			if (!request.isNeeded()) {
 				waiting.delete(request.peer);
-			} else if (hasRoom()) {
+			} else if (hasRoomFor(request)) {
 				waiting.delete(request.peer);
 				void start(request);
 			}
