--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -27,7 +27,7 @@
 import {createMembership, type Member} from '../zones/membership.js';
 import {createGossipProtocol} from '../zones/gossip-protocol.js';
 import {
-	type Greeting, type RelayMessage, type RelayReply, type RelayTables,
+	type Greeting, type RelayMessage, type RelayReply, type RelayTables, type TablesRequest,
 } from '../zones/relay-peers.js';
 import {createSharedOrigins} from '../zones/shared-origins.js';
 import {createSharedTables} from '../zones/shared-tables.js';
@@ -62,7 +62,7 @@
 	/** Handles a message from a peer. */
 	readonly answer: (message: RelayMessage) => Promise<RelayReply>;
 	readonly greeting: () => Greeting;
-	readonly tables: () => RelayTables;
+	readonly tables: (request: TablesRequest) => RelayTables;
 	/** Accounts of all programs, with their homes and recorded amounts but without the slots of instances. */
 	readonly homes: () => readonly TokenAccount[];
 	readonly run: (signal: AbortSignal) => Promise<void>;
--- a/src/zones/relay-peers.ts
+++ b/src/zones/relay-peers.ts
@@ -5,7 +5,8 @@
 import {type ListedArchive} from '../contracts/archive.js';
 import {type Failure} from '../contracts/failure.js';
 import {
-	type Address, type AttemptId, type ChangeNumber, type DataCentreId, type EndpointId, type Milliseconds, type ObjectVersion, type ProgramId, type Tokens,
+	type Address, type AttemptId, type ChangeNumber, type ConfigurationGeneration, type DataCentreId, type EndpointId, type Milliseconds, type ObjectVersion,
+	type ProgramId, type Tokens,
 } from '../contracts/id.js';
 import {type RateLimit} from '../contracts/rate-limit.js';
 import {type RelayConfiguration} from '../contracts/relay.js';
@@ -103,10 +104,18 @@
 	readonly digest: RelayDigest;
 };
 
-/** Snapshot of the shared tables of an instance. */
+/** What an instance wants of the shared tables of another. */
+export type TablesRequest = {
+	/** Generation that it has; only a newer configuration is sent. */
+	readonly generation: ConfigurationGeneration;
+	readonly withEntries: boolean;
+};
+
+/** Snapshot of the shared tables of an instance, as far as another wants them. */
 export type RelayTables = {
 	readonly configuration?: RelayConfiguration | undefined;
-	readonly entries: readonly DirectoryEntry[];
+	/** Entries of the directory; undefined if they are not wanted. */
+	readonly entries?: readonly DirectoryEntry[] | undefined;
 	/** Revision of the list that the instance read last: an older endpoint that is not among the entries has been removed. */
 	readonly listedAt: ObjectVersion;
 	/** Digest of the tables at the time of the snapshot. */
@@ -127,7 +136,7 @@
 	readonly post: (address: Address, message: RelayMessage) => void;
 	/** This method and those below fail with `peer-unreachable`. */
 	readonly greet: (address: Address) => Promise<Result<Greeting, Failure>>;
-	readonly tables: (address: Address) => Promise<Result<RelayTables, Failure>>;
+	readonly tables: (address: Address, request: TablesRequest) => Promise<Result<RelayTables, Failure>>;
 	/** Homes of programs, without what instances counted. */
 	readonly homes: (address: Address) => Promise<Result<readonly TokenAccount[], Failure>>;
 };
--- a/src/zones/shared-directory.ts
+++ b/src/zones/shared-directory.ts
@@ -54,7 +54,7 @@
 	/** Merges entries that are in effect at a peer. */
 	readonly merge: (entries: readonly DirectoryEntry[], source: string) => void;
 	/** Merges the snapshot of a peer: its entries, and the revision of the list that it read. */
-	readonly mergeSnapshot: (tables: Pick<RelayTables, 'entries' | 'listedAt' | 'digest'>, source: string) => void;
+	readonly mergeSnapshot: (entries: readonly DirectoryEntry[], tables: Pick<RelayTables, 'listedAt' | 'digest'>, source: string) => void;
 	/** Applies deferred removals when they are due, until the signal aborts. */
 	readonly run: (signal: AbortSignal) => Promise<void>;
 };
@@ -166,7 +166,7 @@
 		merge(entries, source) {
 			applyFromPeer(directory.merge(entries, clock.now()), source);
 		},
-		mergeSnapshot({entries, listedAt, digest}, source) {
+		mergeSnapshot(entries, {listedAt, digest}, source) {
 			applyFromPeer(directory.mergeSnapshot(entries, listedAt, clock.now()), source);
 			directory.advanceTo(digest.endpointRevision);
 			isListed ||= entries.length > 0;
--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -17,7 +17,7 @@
 import {type DirectoryEntry} from './endpoint-directory.js';
 import {type Member} from './membership.js';
 import {
-	type EndpointChanges, type RelayMessage, type RelayPeers, type RelayTables,
+	type EndpointChanges, type RelayMessage, type RelayPeers, type RelayTables, type TablesRequest,
 } from './relay-peers.js';
 import {createSharedDirectory, type SharedDirectoryEvent} from './shared-directory.js';
 import {createStoreProbe, type StoreProbeEvent} from './store-probe.js';
@@ -92,7 +92,7 @@
 	readonly digest: () => RelayDigest;
 	readonly receiveDigest: (peer: Member, digest: RelayDigest) => void;
 	readonly receiveChanges: (changes: EndpointChanges) => void;
-	readonly tables: () => RelayTables;
+	readonly tables: (request: TablesRequest) => RelayTables;
 	/** Time since this instance last knew everything that the store had acknowledged. */
 	readonly age: () => Milliseconds;
 	/** Whether neither the store nor a neighbour keeps these tables up to date. */
@@ -109,13 +109,14 @@
 		address: options.address,
 		peers: options.peers,
 		others: options.neighbours,
+		generation,
 		firstChange: options.firstChange,
 		clock,
 		onTables(tables, fetch, askedAt) {
 			fetchedAt = clock.now();
 			options.onEvent({kind: 'snapshot-fetched', fetch});
 			applySnapshot(tables, fetch.peer);
-			if (options.neighbours().includes(fetch.peer)) {
+			if (tables.entries && options.neighbours().includes(fetch.peer)) {
 				receiveHeartbeat(fetch.peer, tables.digest, askedAt);
 			}
 		},
@@ -254,7 +255,9 @@
 			adopt(tables.configuration, source);
 		}
 
-		directory.mergeSnapshot(tables, source);
+		if (tables.entries) {
+			directory.mergeSnapshot(tables.entries, tables, source);
+		}
 	}
 
 	function fetchAfter(peer: Address, reason: FetchReason, isNeeded: () => boolean, delayMs: number): void {
@@ -329,8 +332,11 @@
 			directory.merge(changes.entries, 'peer');
 			peers.receiveChanges(changes);
 		},
-		tables: () => ({
-			configuration, entries: directory.entries(), listedAt: directory.listedAt(), digest: digest(),
+		tables: request => ({
+			configuration: generation() > request.generation ? configuration : undefined,
+			entries: request.withEntries ? directory.entries() : undefined,
+			listedAt: directory.listedAt(),
+			digest: digest(),
 		}),
 		age: () => as<Milliseconds>(clock.now() - Math.max(peerSyncedAt, supervisor.storeSyncedAt() ?? peerSyncedAt)),
 		isStale: supervisor.isStale,
--- a/src/zones/table-peers.ts
+++ b/src/zones/table-peers.ts
@@ -5,7 +5,7 @@
 import {type Clock} from '../contracts/clock.js';
 import {type Failure, failure} from '../contracts/failure.js';
 import {
-	as, type Address, type ChangeNumber, type Milliseconds,
+	as, type Address, type ChangeNumber, type ConfigurationGeneration, type Milliseconds,
 } from '../contracts/id.js';
 import {type DirectoryEntry} from './endpoint-directory.js';
 import {createTableFetches, type FetchReason, type FetchRequest} from './table-fetches.js';
@@ -33,6 +33,8 @@
 	readonly peers: Pick<RelayPeers, 'request' | 'post' | 'tables'>;
 	/** Recipients of broadcasts. */
 	readonly others: () => readonly Address[];
+	/** Generation of the configuration that this instance has. */
+	readonly generation: () => ConfigurationGeneration;
 	/** Number before the first change, which no earlier incarnation of this instance has used. */
 	readonly firstChange: ChangeNumber;
 	readonly clock: Clock;
@@ -91,12 +93,16 @@
 
 	async function runFetch({peer, reason}: FetchRequest, waited: Milliseconds): Promise<void> {
 		const askedAt = clock.now();
-		const result = await peers.tables(peer);
+		// The entries are compared by their own numbers, and a configuration may be large.
+		const result = await peers.tables(peer, {generation: options.generation(), withEntries: reason !== 'configuration'});
 		const ended = {
 			peer, reason, waited, took: as<Milliseconds>(clock.now() - askedAt),
 		};
 		result.match(tables => {
-			received.set(peer, tables.digest.change);
+			if (tables.entries) {
+				received.set(peer, tables.digest.change);
+			}
+
 			options.onTables(tables, ended, askedAt);
 		}, problem => {
 			options.onFailure(problem, ended);
--- a/tests/snapshot-server.test.ts
+++ b/tests/snapshot-server.test.ts
@@ -3,12 +3,59 @@
 */
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import {connect} from 'node:net';
+import {connect, type Socket} from 'node:net';
 import {test} from 'node:test';
-import {as, type Address} from '../src/contracts/id.js';
+import {
+	as, type Address, type ChangeNumber, type ConfigurationGeneration, type ObjectVersion,
+} from '../src/contracts/id.js';
 import {createSnapshotClient, serveSnapshots} from '../src/links/snapshots.js';
 import {peerLimits} from '../src/machines/client-limits.js';
 import {type ClientProblem} from '../src/machines/client-problem.js';
+import {configurationWith, routeWith} from './fixtures/relay-harness.js';
+
+/** Size at which 23 peers get a configuration within a second over a link of 15 Mbit/s. */
+const maximumTransferBytes = 80_000;
+
+test('a configuration of many routes is small on the way, and is sent only to peers that lack it', async context => {
+	const configuration = configurationWith(Array.from({length: 1400}, (_, index) => routeWith({host: `host-${index}.example`})), 7);
+	const {server} = await serveSnapshots({
+		host: '127.0.0.1',
+		port: 0,
+		limits: peerLimits({memory: undefined, descriptors: 256}),
+		tunnels: {open: () => assert.fail('no tunnel was expected')},
+		source: {
+			greeting: () => assert.fail('not asked for'),
+			tables: ({generation, withEntries}) => ({
+				configuration: generation < configuration.generation ? configuration : undefined,
+				entries: withEntries ? [] : undefined,
+				listedAt: as<ObjectVersion>(1),
+				digest: {
+					generation: configuration.generation, endpointRevision: as<ObjectVersion>(1), change: as<ChangeNumber>(1), isStoreReachable: true, isWarm: true, reachesEndpoints: true,
+				},
+			}),
+			homes: () => [],
+		},
+		onProblem: () => assert.fail('no problem was expected'),
+	});
+	const sockets: Socket[] = [];
+	server.on('connection', socket => {
+		sockets.push(socket);
+	});
+	const closing = new AbortController();
+	context.after(() => {
+		closing.abort();
+		server.close();
+		server.closeAllConnections();
+	});
+	const bound = server.address() ?? undefined;
+	const address = as<Address>(`127.0.0.1:${typeof bound === 'object' ? bound.port : 0}`);
+	const client = createSnapshotClient(closing.signal);
+	const [lacking, having] = await Promise.all([6, 7].map(async generation => client.tables(address, {generation: as<ConfigurationGeneration>(generation), withEntries: false})));
+	assert.deepEqual(lacking?._unsafeUnwrap().configuration, configuration);
+	assert.equal(having?._unsafeUnwrap().configuration, undefined);
+	const sent = sockets.reduce((sum, socket) => sum + socket.bytesWritten, 0);
+	assert.ok(sent > 0 && sent < maximumTransferBytes, `${sent} bytes`);
+});
 
 test('peers get snapshots, while bodies and batches are refused', async context => {
 	const problems: ClientProblem[] = [];
--- a/tests/time-limits.test.ts
+++ b/tests/time-limits.test.ts
@@ -10,7 +10,7 @@
 import {runInNewContext} from 'node:vm';
 import {createStore} from '../platform/store.js';
 import {
-	as, type Address, type DataCentreId, type Incarnation, type InstanceId, type Milliseconds, type ObjectVersion,
+	as, type Address, type ConfigurationGeneration, type DataCentreId, type Incarnation, type InstanceId, type Milliseconds, type ObjectVersion,
 } from '../src/contracts/id.js';
 import {createPeers} from '../src/links/peer.js';
 import {createPlatform} from '../src/links/platform.js';
@@ -58,7 +58,7 @@
 
 const cases: readonly Case[] = [
 	{name: 'a greeting of a peer', send: async signal => createSnapshotClient(signal).greet(address)},
-	{name: 'the tables of a peer', send: async signal => createSnapshotClient(signal).tables(address)},
+	{name: 'the tables of a peer', send: async signal => createSnapshotClient(signal).tables(address, {generation: as<ConfigurationGeneration>(0), withEntries: true})},
 	{name: 'the homes of a peer', send: async signal => createSnapshotClient(signal).homes(address)},
 	{name: 'a probe of the store', send: async signal => createStore({address, signal}).probe(shortMs, signal)},
 	{name: 'a list of the store', send: async signal => createStore({address, signal}).list('endpoints')},
