Look for a connection once more before its time limit takes effect

Cause: after the event loop was held up, timers run before the loop finds that a connection was established meanwhile, so a process that is short of processor time took endpoints for unreachable, and, since the paths to endpoints are checked by such connections, itself for cut off. Change: the limit takes effect only after the loop has polled once more.

--- a/src/links/connections.ts
+++ b/src/links/connections.ts
@@ -2,17 +2,19 @@
 Pool of keep-alive HTTP connections to endpoints, each with one request at a time. A connection that delivered
 anything other than the expected response is closed.
 */
-import {connect as connectSocket} from 'node:net';
 import {type buildConnector, Client, type Dispatcher} from 'undici';
 import {describeError} from '../contracts/failure.js';
 import {directPath, type EndpointPath} from '../contracts/endpoint-path.js';
-import {type Address, type Milliseconds, splitAddress} from '../contracts/id.js';
+import {
+	as, type Address, type Milliseconds, splitAddress,
+} from '../contracts/id.js';
 import {type HeaderPairs, type AnswerHead} from '../contracts/relay-request.js';
 import {guardSocket} from './bounded-socket.js';
+import {connectWithin} from './timed-connect.js';
 import {openTunnel, isTunnelError} from './tunnels.js';
 
 /** Connections within a region are established in a few milliseconds. */
-const connectTimeoutMs = 300;
+const connectTimeout = as<Milliseconds>(300);
 
 /** How long an idle connection is kept if the server states no keep-alive timeout. */
 const defaultIdleTimeoutMs = 6000;
@@ -58,21 +60,14 @@
 type Connection = {readonly client: Client; idleSince: number; responses: number};
 
 function connectWithTimeout(options: {readonly hostname: string; readonly port: string}, callback: buildConnector.Callback): void {
-	const socket = connectSocket({host: options.hostname, port: Number(options.port), noDelay: true});
-	const timer = setTimeout(() => {
-		socket.destroy(new Error(`no connection within ${connectTimeoutMs} ms`));
-	}, connectTimeoutMs);
-	const fail = (error: Error) => {
-		clearTimeout(timer);
-		callback(error, null);
-	};
+	connectWithin(connectTimeout, {host: options.hostname, port: Number(options.port)}, result => {
+		if (result instanceof Error) {
+			callback(result, null);
+			return;
+		}
 
-	socket.once('error', fail);
-	socket.once('connect', () => {
-		clearTimeout(timer);
-		socket.off('error', fail);
-		guardSocket(socket);
-		callback(null, socket);
+		guardSocket(result);
+		callback(null, result);
 	});
 }
 
--- a/src/links/tunnels.ts
+++ b/src/links/tunnels.ts
@@ -8,11 +8,14 @@
 import {connect as connectSocket, type Socket} from 'node:net';
 import {z} from 'zod';
 import {type TunnelPolicy} from '../contracts/endpoint-path.js';
-import {as, type Address, splitAddress} from '../contracts/id.js';
+import {
+	as, type Address, type Milliseconds, splitAddress,
+} from '../contracts/id.js';
 import {guardSocket} from './bounded-socket.js';
+import {connectWithin} from './timed-connect.js';
 
 /** Time for a connection from the gateway to the endpoint; within a region it takes a few milliseconds. */
-const endpointConnectTimeoutMs = 300;
+const endpointConnectTimeout = as<Milliseconds>(300);
 
 /** Time for a tunnel to be opened; the gateway may check its own path meanwhile. */
 const tunnelTimeoutMs = 1000;
@@ -44,25 +47,6 @@
 	return Object.assign(new Error(message), {isGatewayBlamed});
 }
 
-/** Connects to an address, without a limit on what it sends. */
-async function connectTo(address: Address): Promise<Socket> {
-	const {host, port} = splitAddress(address);
-	return new Promise((resolve, reject) => {
-		const socket = connectSocket({host, port, noDelay: true});
-		const timer = setTimeout(() => {
-			socket.destroy(new Error(`no connection within ${endpointConnectTimeoutMs} ms`));
-		}, endpointConnectTimeoutMs);
-		socket.once('error', error => {
-			clearTimeout(timer);
-			reject(error);
-		});
-		socket.once('connect', () => {
-			clearTimeout(timer);
-			resolve(socket);
-		});
-	});
-}
-
 /** Passes on the bytes of both sides until one of them ends. */
 function join(peer: Socket, endpoint: Socket): void {
 	peer.pipe(endpoint, {end: false});
@@ -102,11 +86,11 @@
 	}
 
 	async function connectThrough(peer: Socket, target: Address, head: Uint8Array): Promise<void> {
-		let endpoint: Socket;
-		try {
-			endpoint = await connectTo(target);
-		} catch {
-			// The reason is the same for every connection that fails; the peer logs the attempt.
+		const endpoint = await new Promise<Socket | Error>(resolve => {
+			connectWithin(endpointConnectTimeout, splitAddress(target), resolve);
+		});
+		if (endpoint instanceof Error) {
+			// The peer logs the attempt.
 			refuse(peer, await policy.isCutOff() ? status.unavailable : status.endpointUnreachable);
 			return;
 		}
