Judge the path by endpoints of the own data centre too

Cause: the sample of endpoints could lie in other data centres only. Change: two of the four endpoints are of the own data centre where there are any, and pools alternate.

--- a/src/zones/endpoint-paths/endpoint-paths.ts
+++ b/src/zones/endpoint-paths/endpoint-paths.ts
@@ -63,7 +63,7 @@
 
 	function sample(): readonly ListedEndpoint[] {
 		const shuffled = options.endpoints().map(endpoint => ({endpoint, order: random.fraction()})).toSorted((left, right) => left.order - right.order);
-		return sampleEndpoints(shuffled.map(({endpoint}) => endpoint));
+		return sampleEndpoints(shuffled.map(({endpoint}) => endpoint), options.dataCentre);
 	}
 
 	async function search(): Promise<void> {
--- a/src/zones/endpoint-paths/reachability.ts
+++ b/src/zones/endpoint-paths/reachability.ts
@@ -4,7 +4,9 @@
 
 Load that it answers: the connections of one instance to endpoints hang, or are refused, while those of other instances work.
 */
-import {type EndpointId, type Milliseconds, type PoolName} from '../../contracts/id.js';
+import {
+	type DataCentreId, type EndpointId, type Milliseconds, type PoolName,
+} from '../../contracts/id.js';
 import {type ListedEndpoint} from '../../contracts/relay.js';
 
 /** Time without anything from any endpoint after which the requests in flight are suspected to hang, in ms. */
@@ -13,9 +15,8 @@
 /** The same if they are all at one endpoint, which may be slow. */
 const singleSilenceMs = 800;
 
-/** Endpoints to which connections are opened to judge the path, and how many of one pool come before those of others. */
-const sampleSize = 4;
-const samplePerPool = 2;
+/** Endpoints to which connections are opened to judge the path, in this data centre and elsewhere. */
+const samplePerPlace = 2;
 
 export type ReachedPart = 'none' | 'some' | 'all';
 
@@ -33,18 +34,27 @@
 	readonly isCutOff: () => boolean;
 };
 
-/** Chooses endpoints to judge the path by from a shuffled list, so that the end of one pool is not taken for a partition. */
-export function sampleEndpoints(shuffled: readonly ListedEndpoint[]): readonly ListedEndpoint[] {
+/** The endpoints in an order in which each pool comes once before any comes again. */
+function alternatePools(endpoints: readonly ListedEndpoint[]): readonly ListedEndpoint[] {
 	const counts = new Map<PoolName, number>();
-	const first: ListedEndpoint[] = [];
-	const further: ListedEndpoint[] = [];
-	for (const endpoint of shuffled) {
-		const count = (counts.get(endpoint.pool) ?? 0) + 1;
-		counts.set(endpoint.pool, count);
-		(count <= samplePerPool ? first : further).push(endpoint);
-	}
+	const turns = endpoints.map(endpoint => {
+		const turn = counts.get(endpoint.pool) ?? 0;
+		counts.set(endpoint.pool, turn + 1);
+		return {endpoint, turn};
+	});
+	return turns.toSorted((left, right) => left.turn - right.turn).map(({endpoint}) => endpoint);
+}
 
-	return [...first, ...further].slice(0, sampleSize);
+/**
+Chooses endpoints to judge the path by from a shuffled list, so that neither the end of one pool nor the partition of a whole data
+centre is taken for a partition of this instance.
+*/
+export function sampleEndpoints(shuffled: readonly ListedEndpoint[], dataCentre: DataCentreId): readonly ListedEndpoint[] {
+	const local = alternatePools(shuffled.filter(endpoint => endpoint.dataCentre === dataCentre));
+	const remote = alternatePools(shuffled.filter(endpoint => endpoint.dataCentre !== dataCentre));
+	const first = [...local.slice(0, samplePerPlace), ...remote.slice(0, samplePerPlace)];
+	const further = [...local, ...remote].filter(endpoint => !first.includes(endpoint));
+	return [...first, ...further].slice(0, 2 * samplePerPlace);
 }
 
 /** Creates the state of an instance that is taken to reach endpoints. */
--- a/tests/endpoint-paths.test.ts
+++ b/tests/endpoint-paths.test.ts
@@ -6,8 +6,9 @@
 import {Buffer} from 'node:buffer';
 import {test} from 'node:test';
 import {
-	as, type EndpointId, type Milliseconds, type PoolName,
+	as, type DataCentreId, type EndpointId, type Milliseconds, type PoolName,
 } from '../src/contracts/id.js';
+import {type ListedEndpoint} from '../src/contracts/relay.js';
 import {type RelayAttempt, type RelayLink, type RelayResult} from '../src/contracts/relay-attempt.js';
 import {createReachability, sampleEndpoints} from '../src/zones/endpoint-paths/reachability.js';
 import {createSeededRandom, type FakeClock} from './fixtures/fake-clock.js';
@@ -184,17 +185,39 @@
 
 const at = (ms: number) => as<Milliseconds>(ms);
 
-test('the failure of all endpoints of one pool is not taken for a partition', () => {
-	const random = createSeededRandom(1);
-	for (let round = 0; round < 50; round++) {
-		const endpoints = Array.from({length: 20}, (_, index) => endpointWith(`e${index}`, {pool: as<PoolName>(index < 18 ? 'down' : 'up')}));
-		const shuffled = endpoints.map(endpoint => ({endpoint, order: random.fraction()})).toSorted((left, right) => left.order - right.order).map(({endpoint}) => endpoint);
-		const sample = sampleEndpoints(shuffled);
-		const reachability = createReachability();
-		reachability.judge(sample.some(endpoint => endpoint.pool === as<PoolName>('up')) ? 'some' : 'none', at(0));
-		assert.equal(reachability.isCutOff(), false);
-	}
-});
+const home = as<DataCentreId>('home');
+const elsewhere = as<DataCentreId>('elsewhere');
+
+type Outage = {readonly name: string; readonly partsOf: (index: number) => Partial<ListedEndpoint>; readonly isReachable: (endpoint: ListedEndpoint) => boolean};
+
+const outages: readonly Outage[] = [
+	{
+		name: 'the failure of all endpoints of one pool',
+		partsOf: index => ({pool: as<PoolName>(index < 18 ? 'down' : 'up'), dataCentre: index % 2 === 0 ? home : elsewhere}),
+		isReachable: endpoint => endpoint.pool === as<PoolName>('up'),
+	},
+	{
+		name: 'the partition of the data centre from the others',
+		partsOf: index => ({dataCentre: index < 2 ? home : elsewhere}),
+		isReachable: endpoint => endpoint.dataCentre === home,
+	},
+	{
+		name: 'the failure of all endpoints of the data centre',
+		partsOf: index => ({dataCentre: index < 18 ? home : elsewhere}),
+		isReachable: endpoint => endpoint.dataCentre === elsewhere,
+	},
+];
+
+for (const {name, partsOf, isReachable} of outages) {
+	test(`${name} is not taken for a partition of the instance`, () => {
+		const random = createSeededRandom(1);
+		for (let round = 0; round < 50; round++) {
+			const endpoints = Array.from({length: 20}, (_, index) => endpointWith(`e${index}`, partsOf(index)));
+			const shuffled = endpoints.map(endpoint => ({endpoint, order: random.fraction()})).toSorted((left, right) => left.order - right.order).map(({endpoint}) => endpoint);
+			assert.ok(sampleEndpoints(shuffled, home).some(endpoint => isReachable(endpoint)));
+		}
+	});
+}
 
 test('one endpoint that is slow is no reason to check the path while others respond', () => {
 	const reachability = createReachability();
