--- a/src/links/process-load.ts
+++ b/src/links/process-load.ts
@@ -50,56 +50,78 @@
 
 type Totals = {received: number; sent: number; receivedBytes: number; sentBytes: number; handlingMs: number};
 
-function toMessageLoad(totals: Totals): MessageLoad {
+const nothing: Readonly<Totals> = {
+	received: 0, sent: 0, receivedBytes: 0, sentBytes: 0, handlingMs: 0,
+};
+
+function toMessageLoad(totals: Totals, earlier: Readonly<Totals>): MessageLoad {
 	return {
-		received: totals.received,
-		sent: totals.sent,
-		receivedKb: Math.round(totals.receivedBytes / bytesPerKb),
-		sentKb: Math.round(totals.sentBytes / bytesPerKb),
-		handlingMs: Math.round(totals.handlingMs),
+		received: totals.received - earlier.received,
+		sent: totals.sent - earlier.sent,
+		receivedKb: Math.round((totals.receivedBytes - earlier.receivedBytes) / bytesPerKb),
+		sentKb: Math.round((totals.sentBytes - earlier.sentBytes) / bytesPerKb),
+		handlingMs: Math.round(totals.handlingMs - earlier.handlingMs),
 	};
 }
 
 /** Starts to observe the process until the signal aborts. */
 export function observeProcessLoad({registry, onReport, signal}: ProcessLoadOptions): ProcessLoad {
-	const registers = [registry];
-	const labelNames = ['kind', 'direction'] as const;
-	const messageCount = new Counter({
-		name: 'hickoryfork_peer_messages_total', help: 'Datagrams to and from peers, by kind', labelNames, registers,
-	});
-	const messageBytes = new Counter({
-		name: 'hickoryfork_peer_message_bytes_total', help: 'Bytes of datagrams to and from peers, by kind', labelNames, registers,
-	});
-	const handlingSeconds = new Counter({
-		name: 'hickoryfork_peer_message_seconds_total', help: 'Time in which the event loop decoded and handled datagrams of peers, by kind', labelNames: ['kind'], registers,
-	});
 	const totals = new Map<MessageKind, Totals>();
+	const reported = new Map<MessageKind, Totals>();
 	let sampledAt = performance.now();
 	let reportedAt = sampledAt;
 	let usage = process.cpuUsage();
 	let longestDelay = 0;
 	let lastDelay = 0;
 
+	// The labels of a counter are costly, so they are filled in from the totals when metrics are read.
+	function exportTotals(name: string, help: string, valuesOf: (totals: Totals) => Readonly<Record<string, number>>): void {
+		const counter = new Counter({
+			name,
+			help,
+			labelNames: ['kind', 'direction'],
+			registers: [registry],
+			collect() {
+				counter.reset();
+				for (const [kind, load] of totals) {
+					for (const [direction, value] of Object.entries(valuesOf(load))) {
+						counter.inc({kind, direction}, value);
+					}
+				}
+			},
+		});
+	}
+
+	exportTotals('hickoryfork_peer_messages_total', 'Datagrams to and from peers, by kind', ({received, sent}) => ({in: received, out: sent}));
+	exportTotals('hickoryfork_peer_message_bytes_total', 'Bytes of datagrams to and from peers, by kind', ({receivedBytes, sentBytes}) => ({in: receivedBytes, out: sentBytes}));
+	exportTotals('hickoryfork_peer_message_seconds_total', 'Time in which the event loop decoded and handled datagrams of peers, by kind', ({handlingMs}) => ({in: handlingMs / 1000}));
+
 	function totalsOf(kind: MessageKind): Totals {
-		const known = totals.get(kind) ?? {
-			received: 0, sent: 0, receivedBytes: 0, sentBytes: 0, handlingMs: 0,
-		};
+		const known = totals.get(kind) ?? {...nothing};
 		totals.set(kind, known);
 		return known;
 	}
 
+	/** Returns the load of each kind since the last report. */
+	function takeMessages(): LoadReport['messages'] {
+		return Object.fromEntries([...totals].map(([kind, load]) => {
+			const earlier = reported.get(kind) ?? nothing;
+			reported.set(kind, {...load});
+			return [kind, toMessageLoad(load, earlier)];
+		}));
+	}
+
 	function report(now: number): void {
 		const {user, system} = process.cpuUsage(usage);
 		onReport({
 			loopDelayMs: Math.round(longestDelay),
 			processorMs: Math.round((user + system) / microsecondsPerMs),
 			periodMs: Math.round(now - reportedAt),
-			messages: Object.fromEntries([...totals].map(([kind, load]) => [kind, toMessageLoad(load)])),
+			messages: takeMessages(),
 		});
 		usage = process.cpuUsage();
 		reportedAt = now;
 		longestDelay = 0;
-		totals.clear();
 	}
 
 	const timer = setInterval(() => {
@@ -120,16 +142,11 @@
 			load.received++;
 			load.receivedBytes += bytes;
 			load.handlingMs += handlingMs;
-			messageCount.inc({kind, direction: 'in'});
-			messageBytes.inc({kind, direction: 'in'}, bytes);
-			handlingSeconds.inc({kind}, handlingMs / 1000);
 		},
 		recordSent(kind, bytes) {
 			const load = totalsOf(kind);
 			load.sent++;
 			load.sentBytes += bytes;
-			messageCount.inc({kind, direction: 'out'});
-			messageBytes.inc({kind, direction: 'out'}, bytes);
 		},
 		gauges: () => ({loopDelayMs: Math.round(lastDelay)}),
 	};
