--- a/src/links/tunnels.ts
+++ b/src/links/tunnels.ts
@@ -5,7 +5,7 @@
 */
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
-import {connect as connectSocket, type Socket} from 'node:net';
+import {type Socket} from 'node:net';
 import {z} from 'zod';
 import {type TunnelPolicy} from '../contracts/endpoint-path.js';
 import {
@@ -14,11 +14,11 @@
 import {guardSocket} from './bounded-socket.js';
 import {connectWithin} from './timed-connect.js';
 
-/** Time for a connection from the gateway to the endpoint; within a region it takes a few milliseconds. */
-const endpointConnectTimeout = as<Milliseconds>(300);
+/** Time for a connection to the gateway, and for that from the gateway to the endpoint; within a region each takes a few milliseconds. */
+const connectTimeout = as<Milliseconds>(300);
 
-/** Time for a tunnel to be opened; the gateway may check its own path meanwhile. */
-const tunnelTimeoutMs = 1000;
+/** Time for the gateway to open a tunnel, in ms; it may check its own path meanwhile. */
+const tunnelTimeoutMs = 700;
 
 /** Tunnels that a gateway keeps open at once. */
 const maximumTunnels = 256;
@@ -87,7 +87,7 @@
 
 	async function connectThrough(peer: Socket, target: Address, head: Uint8Array): Promise<void> {
 		const endpoint = await new Promise<Socket | Error>(resolve => {
-			connectWithin(endpointConnectTimeout, splitAddress(target), resolve);
+			connectWithin(connectTimeout, splitAddress(target), resolve);
 		});
 		if (endpoint instanceof Error) {
 			// The peer logs the attempt.
@@ -138,14 +138,14 @@
 	return z.instanceof(Uint8Array).nullable().parse(socket.read(1)) ?? new Uint8Array();
 }
 
-/** Opens a tunnel to an endpoint. Calls back once, with a socket on which only the endpoint's bytes follow. */
-export function openTunnel(gateway: Address, endpoint: Address, callback: (error: Error | undefined, socket: Socket | undefined) => void): void {
-	const {host, port} = splitAddress(gateway);
-	const socket = connectSocket({host, port, noDelay: true});
+type TunnelCallback = (error: Error | undefined, socket: Socket | undefined) => void;
+
+/** Asks for a tunnel over a connection to the gateway. */
+function requestTunnel(socket: Socket, {gateway, endpoint}: {readonly gateway: Address; readonly endpoint: Address}, callback: TunnelCallback): void {
 	let received = '';
 	const finish = (error: Error | undefined) => {
 		clearTimeout(timer);
-		socket.removeAllListeners('error');
+		socket.off('error', onError);
 		socket.off('close', onClose);
 		socket.off('readable', onReadable);
 		if (error) {
@@ -160,6 +160,10 @@
 	const timer = setTimeout(() => {
 		finish(tunnelError(`the gateway ${gateway} did not open a tunnel within ${tunnelTimeoutMs} ms`, true));
 	}, tunnelTimeoutMs);
+	const onError = (error: Error) => {
+		finish(tunnelError(`the connection to the gateway ${gateway} broke: ${error.message}`, true));
+	};
+
 	const onClose = () => {
 		finish(tunnelError(`the gateway ${gateway} closed the connection`, true));
 	};
@@ -176,10 +180,19 @@
 		}
 	};
 
-	socket.once('error', error => {
-		finish(tunnelError(`the gateway ${gateway} cannot be reached: ${error.message}`, true));
-	});
+	socket.once('error', onError);
 	socket.once('close', onClose);
 	socket.on('readable', onReadable);
 	socket.write(`CONNECT ${endpoint} HTTP/1.1\r\nHost: ${endpoint}${endOfHead}`);
 }
+
+/** Opens a tunnel to an endpoint. Calls back once, with a socket on which only the endpoint's bytes follow. */
+export function openTunnel(gateway: Address, endpoint: Address, callback: TunnelCallback): void {
+	connectWithin(connectTimeout, splitAddress(gateway), result => {
+		if (result instanceof Error) {
+			callback(tunnelError(`the gateway ${gateway} cannot be reached: ${result.message}`, true), undefined);
+		} else {
+			requestTunnel(result, {gateway, endpoint}, callback);
+		}
+	});
+}
