Hash in one call where instances rank members for a key

Cause: each change of a budget ranks the members of every data centre for its program, one hash object a member; on 16 real entries with 36 programs a second this took 5.2% of the entries' processor time (CPU profiles of all 16, own rig), and it grows with the number of members. Change: the one-shot hash of Node.js, with the same digest.

--- a/src/contracts/rendezvous.ts
+++ b/src/contracts/rendezvous.ts
@@ -2,14 +2,14 @@
 Rendezvous hashing: all instances that know the same items rank them identically for a key, and adding or
 removing an item only moves the keys that it owns.
 */
-import {createHash} from 'node:crypto';
+import {hash} from 'node:crypto';
 
 /** Number of bytes of the digest that are compared. */
 const weightBytes = 6;
 
 /** Weight of an item for a key; the item with the largest weight owns the key. */
 function rendezvousWeight(item: string, key: string): number {
-	return createHash('sha1').update(`${item}|${key}`).digest().readUIntBE(0, weightBytes);
+	return Number.parseInt(hash('sha1', `${item}|${key}`).slice(0, 2 * weightBytes), 16);
 }
 
 /** Items in the order in which they would own the key, the owner first. */
