Disconnect clients that are refused a tunnel

Cause: the connection of a refused CONNECT request was ended on one side only and counted as running, so that a client that stays kept it for good, and enough of them kept peers out.

--- a/src/links/guarded-server.ts
+++ b/src/links/guarded-server.ts
@@ -53,8 +53,8 @@
 	readonly serve: (request: IncomingMessage, response: ServerResponse, arrival: Arrival) => void;
 	/** Sends the response to a request that is not. */
 	readonly refuse: (response: ServerResponse, refusal: EarlyRefusal) => void;
-	/** Takes over the connection of a request for a tunnel; without it, such a connection is closed. */
-	readonly openTunnel?: (request: IncomingMessage, head: Uint8Array) => void;
+	/** Takes over the connection of a request for a tunnel, and returns whether it may be one; without it, such a connection is closed. */
+	readonly openTunnel?: (request: IncomingMessage, head: Uint8Array) => boolean;
 	readonly onProblem: (problem: ClientProblem) => void;
 };
 
@@ -311,12 +311,11 @@
 	const {openTunnel} = options;
 	if (openTunnel) {
 		server.on('connect', (request, socket, head) => {
+			const phase = openTunnel(request, head) ? 'running' : 'closing';
 			const connection = connections.get(socket);
 			if (connection) {
-				enter(connection, 'running');
+				enter(connection, phase);
 			}
-
-			openTunnel(request, head);
 		});
 	}
 
--- a/src/links/tunnels.ts
+++ b/src/links/tunnels.ts
@@ -12,6 +12,7 @@
 	as, type Address, type Milliseconds, splitAddress,
 } from '../contracts/id.js';
 import {guardSocket} from './bounded-socket.js';
+import {closeSoon} from './client-socket.js';
 import {connectWithin} from './timed-connect.js';
 
 /** Time for a connection to the gateway, and for that from the gateway to the endpoint; within a region each takes a few milliseconds. */
@@ -72,8 +73,8 @@
 }
 
 export type TunnelServer = {
-	/** Handles a request for a tunnel. */
-	readonly open: (request: IncomingMessage, head: Uint8Array) => void;
+	/** Handles a request for a tunnel. Returns whether its client may have one. */
+	readonly open: (request: IncomingMessage, head: Uint8Array) => boolean;
 	readonly count: () => number;
 };
 
@@ -82,7 +83,8 @@
 	const open = new Set<Socket>();
 
 	function refuse(socket: Socket, reason: string): void {
-		socket.end(`HTTP/1.1 ${reason}${endOfHead}`);
+		socket.write(`HTTP/1.1 ${reason}${endOfHead}`);
+		closeSoon(socket);
 	}
 
 	async function connectThrough(peer: Socket, target: Address, head: Uint8Array): Promise<void> {
@@ -114,12 +116,12 @@
 			const target = as<Address>(request.url ?? '');
 			if (!policy.isPeer(peer.remoteAddress ?? '') || !policy.isEndpoint(target)) {
 				refuse(peer, status.forbidden);
-				return;
+				return false;
 			}
 
 			if (open.size >= maximumTunnels) {
 				refuse(peer, status.unavailable);
-				return;
+				return false;
 			}
 
 			open.add(peer);
@@ -128,6 +130,7 @@
 			});
 			peer.setNoDelay(true);
 			void connectThrough(peer, target, head);
+			return true;
 		},
 		count: () => open.size,
 	};
--- a/tests/tunnels.test.ts
+++ b/tests/tunnels.test.ts
@@ -3,14 +3,22 @@
 */
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
-import {createServer} from 'node:net';
+import {connect, createServer} from 'node:net';
 import {test} from 'node:test';
+import {z} from 'zod';
 import {type TunnelPolicy} from '../src/contracts/endpoint-path.js';
-import {as, type Address, type Milliseconds} from '../src/contracts/id.js';
+import {
+	as, type Address, type Milliseconds, splitAddress,
+} from '../src/contracts/id.js';
 import {type ExchangeResult, createConnections} from '../src/links/connections.js';
+import {systemClock} from '../src/programs/runtime.js';
+import {withTimeout} from '../src/zones/with-timeout.js';
 import {startGateway, type TestGateway} from './fixtures/gateway.js';
 import {startRawEndpoint} from './fixtures/raw-front-end.js';
 
+/** Time within which a refused client is disconnected, with room to spare. */
+const patienceMs = 5000;
+
 const answer = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole';
 const addressOf = (port: number) => as<Address>(`127.0.0.1:${port}`);
 
@@ -104,6 +112,30 @@
 	});
 }
 
+test('a client that is refused a tunnel is disconnected, though it stays', async () => {
+	const {path} = await startGateway({isPeer: () => false});
+	assert.ok(path.kind === 'tunnel');
+	const {host, port} = splitAddress(path.gateway);
+	const socket = connect({host, port, allowHalfOpen: true});
+	socket.write('CONNECT 10.0.0.1:80 HTTP/1.1\r\nHost: 10.0.0.1\r\n\r\n');
+	const [response] = z.tuple([z.instanceof(Uint8Array)]).parse(await once(socket, 'data'));
+	assert.match(new TextDecoder().decode(response), /^HTTP\/1\.1 403 /v);
+	// Only a server that has closed its side resets a client that goes on.
+	socket.on('error', () => undefined);
+	const sending = setInterval(() => {
+		socket.write('more');
+	}, 100);
+	const closed = new Promise<true>(resolve => {
+		socket.once('close', () => {
+			resolve(true);
+		});
+	});
+	const isClosed = await withTimeout(systemClock, patienceMs, closed);
+	clearInterval(sending);
+	socket.destroy();
+	assert.equal(isClosed, true);
+});
+
 test('a gateway that cannot be reached is blamed, and nothing is sent', async () => {
 	const endpoint = await startRawEndpoint((_request, socket) => {
 		socket.write(answer);
