Split the connections of a guarded server from its requests

Change: guarded-connections has the connections, their order of requests and what becomes of malformed bytes. No behaviour changes.

--- a/src/links/guarded-server.ts
+++ b/src/links/guarded-server.ts
@@ -9,21 +9,18 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type Socket} from 'node:net';
-import {type Duplex} from 'node:stream';
 import {type ClientLimits} from '../contracts/client-limits.js';
-import {describeError} from '../contracts/failure.js';
 import {as, type Bytes, type Milliseconds} from '../contracts/id.js';
 import {type CallerLimits} from '../contracts/relay.js';
 import {type ClientProblem, problemOf} from '../machines/client-problem.js';
 import {createHeldRequests, type HeldRequest} from '../machines/held-requests.js';
-import {type ConnectionPhase, createOpenConnections} from '../machines/open-connections.js';
 import {
 	announcedLength, type BodyIntake, type IntakeEnd, startBodyIntake,
 } from './body-intake.js';
 import {
-	closeAfterResponse, closeSoon, continueReading, dropFurtherRequests, stopReading,
+	closeAfterResponse, continueReading, dropFurtherRequests, stopReading,
 } from './client-socket.js';
+import {createGuardedConnections, type GuardedConnection} from './guarded-connections.js';
 import {createReadTurns} from './read-turns.js';
 import {createBlockPool} from './request-buffer.js';
 import {memoryWithoutBody, requestOverheadBytes} from './request-memory.js';
@@ -64,77 +61,28 @@
 	readonly gauges: () => Readonly<Record<'connections' | 'incompleteHeads' | 'requests' | 'requestBytes', number>>;
 };
 
-type Connection = {
-	readonly socket: Socket;
-	/** Responses that are incomplete. */
-	readonly pending: Set<ServerResponse>;
-	/** Start requests that are complete, once others of the connection have ended. */
-	readonly waiting: Array<() => void>;
-	served: number;
-	/** Number of requests that have arrived. */
-	arrived: number;
-	/** Number of the request whose response is the last; later ones are dropped. Undefined while there is none. */
-	last: number | undefined;
-};
-
 /** What the server does for a request that has not ended. */
 type Work = {isRefused: boolean; intake: BodyIntake | undefined; holding: HeldRequest | undefined};
 
-const now = () => as<Milliseconds>(performance.now());
-
 /** Creates a server that does not listen yet. */
 export function createGuardedServer(options: GuardedServerOptions): GuardedServer {
 	const {limits, bounds, onProblem} = options;
-	const connections = new WeakMap<Duplex, Connection>();
-	const open = createOpenConnections<Connection>(limits);
+	const connections = createGuardedConnections({limits, onProblem});
+	const {enter} = connections;
 	const pool = createBlockPool();
 	const turns = createReadTurns();
 	// A single body always fits, which is in blocks and in one piece for a moment, beside a few small requests.
 	const requestBytes = () => as<Bytes>(Math.max(limits.requestBytes, (2 * bounds().bodyBytes) + leastRequestBytes));
 	const held = createHeldRequests({requests: limits.requests, bytes: requestBytes});
 
-	function enter(connection: Connection, phase: ConnectionPhase): void {
-		open.enter(connection, phase, now());
-	}
-
 	/** Time for the body of a request: as long as its client waits, and at least as long as a connection may be idle. */
 	function bodyTime(request: IncomingMessage): Milliseconds {
 		const {idleTimeout} = bounds();
 		return as<Milliseconds>(Math.max(idleTimeout, Math.min(limits.bodyTime, options.timeOf(request) ?? 0)));
 	}
 
-	/** Adds a request to its connection; `onEnd` is called when it has ended, with whether its response is complete. */
-	function begin(connection: Connection, response: ServerResponse, onEnd: (isComplete: boolean) => void): void {
-		connection.pending.add(response);
-		response.once('close', () => {
-			connection.pending.delete(response);
-			onEnd(response.writableFinished);
-			if (connection.pending.size === 0 && connection.last === undefined) {
-				enter(connection, 'idle');
-			}
-		});
-	}
-
-	/** Serves a request once few enough others of its connection are served. */
-	function serveInTurn(connection: Connection, response: ServerResponse, serve: () => void): void {
-		const start = () => {
-			connection.served++;
-			response.once('close', () => {
-				connection.served--;
-				connection.waiting.shift()?.();
-			});
-			serve();
-		};
-
-		if (connection.served < limits.servedPerConnection) {
-			start();
-		} else {
-			connection.waiting.push(start);
-		}
-	}
-
 	/** Handles a request whose head is complete. */
-	function arrive(connection: Connection, request: IncomingMessage, response: ServerResponse, isContinueExpected: boolean): void {
+	function arrive(connection: GuardedConnection, request: IncomingMessage, response: ServerResponse, isContinueExpected: boolean): void {
 		const {socket} = connection;
 		const limit = bounds().bodyBytes;
 		const announced = announcedLength(request);
@@ -160,7 +108,7 @@
 
 			work.holding?.complete();
 			enter(connection, 'running');
-			serveInTurn(connection, response, () => {
+			connections.serveInTurn(connection, response, () => {
 				options.serve(request, response, {body, gone: gone.signal});
 			});
 		};
@@ -191,7 +139,7 @@
 			}
 		};
 
-		begin(connection, response, isComplete => {
+		connections.begin(connection, response, isComplete => {
 			work.intake?.stop();
 			work.holding?.release();
 			if (!isComplete) {
@@ -242,7 +190,7 @@
 	}
 
 	function admit(request: IncomingMessage, response: ServerResponse, isContinueExpected: boolean): void {
-		const connection = connections.get(request.socket);
+		const connection = connections.of(request.socket);
 		if (!connection || connection.last !== undefined || connection.socket.destroyed) {
 			return;
 		}
@@ -257,62 +205,25 @@
 		connection.socket.destroy();
 	}
 
-	function connect(socket: Socket): void {
-		const connection: Connection = {
-			socket, pending: new Set(), waiting: [], served: 0, arrived: 0, last: undefined,
-		};
-		connections.set(socket, connection);
-		socket.once('close', () => {
-			open.close(connection);
-			connection.waiting.length = 0;
-			for (const response of connection.pending) {
-				// Node.js closes a response with its connection, except those that wait for an earlier one and have no socket yet.
-				if (!response.socket) {
-					response.emit('close');
-				}
-			}
-		});
-		for (const {connection: closed, phase, exceeded} of open.open(connection, now())) {
-			onProblem(exceeded === 'connections' ? {kind: exceeded, limit: limits.connections, phase} : {kind: exceeded, limit: limits.incompleteHeads});
-			closed.socket.destroy();
-		}
-	}
-
-	/** Answers bytes that are not a request, unless they would be taken for a part of a response. */
-	function answerMalformed(error: Error, socket: Duplex): void {
-		onProblem({kind: 'malformed', reason: describeError(error)});
-		const connection = connections.get(socket);
-		if (!connection || !socket.writable || connection.pending.size > 0) {
-			socket.destroy();
-			return;
-		}
-
-		const isHeaderOverflow = 'code' in error && error.code === 'HPE_HEADER_OVERFLOW';
-		connection.last = connection.arrived;
-		enter(connection, 'closing');
-		socket.write(`HTTP/1.1 ${isHeaderOverflow ? '431 Request Header Fields Too Large' : '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-		closeSoon(connection.socket);
-	}
-
 	const server = createServer({connectionsCheckingInterval: connectionCheckIntervalMs, noDelay: true});
 	server.prependListener('connection', () => {
 		const {headerBytes, headerTimeout, idleTimeout} = bounds();
 		// Node.js reads the header limit from the server for each new connection.
 		Object.assign(server, {maxHeaderSize: headerBytes, headersTimeout: headerTimeout, keepAliveTimeout: idleTimeout});
 	});
-	server.on('connection', connect);
+	server.on('connection', connections.add);
 	server.on('request', (request, response) => {
 		admit(request, response, false);
 	});
 	server.on('checkContinue', (request, response) => {
 		admit(request, response, true);
 	});
-	server.on('clientError', answerMalformed);
+	server.on('clientError', connections.answerMalformed);
 	const {openTunnel} = options;
 	if (openTunnel) {
 		server.on('connect', (request, socket, head) => {
 			const phase = openTunnel(request, head) ? 'running' : 'closing';
-			const connection = connections.get(socket);
+			const connection = connections.of(socket);
 			if (connection) {
 				enter(connection, phase);
 			}
@@ -322,7 +233,7 @@
 	return {
 		server,
 		gauges() {
-			const counts = open.counts();
+			const counts = connections.counts();
 			return {
 				connections: counts.head + counts.body + counts.running + counts.idle + counts.closing, incompleteHeads: counts.head, requests: held.count(), requestBytes: held.total(),
 			};
