Split the shared configuration from the shared tables

Change: shared-configuration, beside shared-directory, and shared-objects for what the adapter provides. No behaviour changes.

--- a/src/machines/relay-instance-options.ts
+++ b/src/machines/relay-instance-options.ts
@@ -12,7 +12,7 @@
 import {type Tolerance} from '../contracts/tolerance.js';
 import {type BudgetRecords} from '../zones/budget-records.js';
 import {type RelayPeers} from '../zones/relay-peers.js';
-import {type SharedObjects} from '../zones/shared-tables.js';
+import {type SharedObjects} from '../zones/shared-objects.js';
 import {type Monitoring} from './endpoint-availability.js';
 import {type RelayInstanceEvent} from './relay-instance-event.js';
 
--- a/src/zones/listed-versions.ts
+++ b/src/zones/listed-versions.ts
@@ -4,7 +4,7 @@
 */
 import {type PoolName, type SoftwareVersion} from '../contracts/id.js';
 import {type ObjectStore} from '../contracts/object-store.js';
-import {type SharedObjects} from './shared-tables.js';
+import {type SharedObjects} from './shared-objects.js';
 
 export type VersionsByPool = ReadonlyMap<PoolName, ReadonlySet<SoftwareVersion>>;
 
--- a/src/zones/shared-directory.ts
+++ b/src/zones/shared-directory.ts
@@ -17,13 +17,15 @@
 /** Interval at which deferred removals are checked, in ms. */
 const expiryIntervalMs = 200;
 
+/** A list or watch request failed; it is retried. */
+export type WatchFailure = {readonly kind: 'watch-failed'; readonly objects: string; readonly failure: Failure};
+
 export type SharedDirectoryEvent
 	= | {readonly kind: 'endpoint'; readonly id: EndpointId; readonly change: 'listed' | 'leaving' | 'removed'; readonly revision: ObjectVersion; readonly source: string}
 	/** The store no longer lists an endpoint, possibly only because of an outage; its removal is deferred. */
 		| {readonly kind: 'removal-doubted'; readonly id: EndpointId; readonly revision: ObjectVersion}
 		| {readonly kind: 'unreadable'; readonly id: EndpointId; readonly revision: ObjectVersion}
-	/** A list or watch request failed; it is retried. */
-		| {readonly kind: 'watch-failed'; readonly objects: string; readonly failure: Failure};
+		| WatchFailure;
 
 export type SharedDirectoryOptions = {
 	readonly peers: Pick<TablePeers, 'broadcastEntries' | 'numberEntries'>;
--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -5,20 +5,21 @@
 watches the store itself, and one that the store does not answer either asks other instances what they have. So the
 staleness of an instance's tables is bounded, whichever other instances fail.
 */
-import {type Result} from 'neverthrow';
 import {type Clock, type Random} from '../contracts/clock.js';
 import {type Failure} from '../contracts/failure.js';
 import {
-	as, type Address, type ChangeNumber, type ConfigurationGeneration, type DataCentreId, type Milliseconds,
+	as, type Address, type ChangeNumber, type DataCentreId, type Milliseconds,
 } from '../contracts/id.js';
-import {type VersionedObject, type ObjectStore} from '../contracts/object-store.js';
-import {type ListedEndpoint, type RelayConfiguration} from '../contracts/relay.js';
+import {type ObjectStore} from '../contracts/object-store.js';
+import {type RelayConfiguration} from '../contracts/relay.js';
 import {type RelayDigest} from '../contracts/relay-digest.js';
 import {type DirectoryEntry} from './endpoint-directory.js';
 import {type Member} from './membership.js';
 import {
 	type EndpointChanges, type RelayMessage, type RelayPeers, type RelayTables, type TablesRequest,
 } from './relay-peers.js';
+import {createSharedConfiguration, type SharedConfigurationEvent} from './shared-configuration.js';
+import {type SharedObjects} from './shared-objects.js';
 import {createSharedDirectory, type SharedDirectoryEvent} from './shared-directory.js';
 import {createStoreProbe, type StoreProbeEvent} from './store-probe.js';
 import {createWatchSupervisor} from './watch-supervisor.js';
@@ -38,24 +39,9 @@
 /** Maximum duration of one watch request, in ms: a connection that has stopped responding may delay a change by no more than this. */
 const watchWaitMs = 2000;
 
-/** Kinds of the store's objects and their decoding, provided by the adapter. */
-export type SharedObjects = {
-	readonly configurationKind: string;
-	readonly endpointKind: string;
-	readonly decodeConfiguration: (object: VersionedObject) => Result<RelayConfiguration, Failure> | undefined;
-	readonly decodeEndpoint: (object: VersionedObject) => ListedEndpoint | undefined;
-};
-
 export type SharedTablesEvent
 	= | SharedDirectoryEvent
-		/** `sinceAnnounced` is the time since a peer first announced the generation; undefined if none did. */
-		| {
-			readonly kind: 'configuration'; readonly generation: ConfigurationGeneration; readonly previous: ConfigurationGeneration | undefined;
-			readonly source: string; readonly sinceAnnounced: Milliseconds | undefined;
-		}
-		/** A peer has a configuration that is newer than any that this instance has heard of. */
-		| {readonly kind: 'configuration-announced'; readonly generation: ConfigurationGeneration; readonly current: ConfigurationGeneration; readonly peer: Address}
-		| {readonly kind: 'configuration-refused'; readonly failure: Failure}
+		| SharedConfigurationEvent
 		| {readonly kind: 'store'; readonly change: 'lost' | 'back'; readonly reason: string}
 		/**
 		This instance has begun to watch the store itself, or relies on broadcasts again; `sinceSync` is the time since
@@ -109,7 +95,7 @@
 		address: options.address,
 		peers: options.peers,
 		others: options.neighbours,
-		generation,
+		generation: () => configuration.generation(),
 		firstChange: options.firstChange,
 		clock,
 		onTables(tables, fetch, askedAt) {
@@ -135,9 +121,16 @@
 		onEntry: options.onEntry,
 		onEvent: options.onEvent,
 	});
+	const configuration = createSharedConfiguration({
+		objects,
+		clock,
+		onConfiguration: options.onConfiguration,
+		onUpdate() {
+			peers.broadcast(announcement());
+		},
+		onEvent: options.onEvent,
+	});
 	const probe = createStoreProbe({store: options.store, clock, onEvent: onProbeEvent});
-	let configuration: RelayConfiguration | undefined;
-	let announced: {readonly generation: ConfigurationGeneration; readonly at: Milliseconds} | undefined;
 	let peerSyncedAt = clock.now();
 	let fetchedAt = as<Milliseconds>(-refetchIntervalMs);
 
@@ -150,13 +143,9 @@
 		return syncedAt === undefined || directory.hasDeferredRemovals() ? undefined : as<Milliseconds>(clock.now() - syncedAt);
 	}
 
-	function generation(): ConfigurationGeneration {
-		return configuration?.generation ?? as<ConfigurationGeneration>(0);
-	}
-
 	function digest(): RelayDigest {
 		return {
-			generation: generation(),
+			generation: configuration.generation(),
 			endpointRevision: directory.revision(),
 			change: peers.change(),
 			storeAge: storeAge(),
@@ -170,30 +159,6 @@
 		return {kind: 'announce', from: options.address, digest: digest()};
 	}
 
-	function adopt(next: RelayConfiguration, source: string): boolean {
-		const previous = configuration?.generation;
-		if (previous !== undefined && next.generation <= previous) {
-			return false;
-		}
-
-		configuration = next;
-		options.onConfiguration(next);
-		options.onEvent({
-			kind: 'configuration', generation: next.generation, previous, source,
-			sinceAnnounced: announced?.generation === next.generation ? as<Milliseconds>(clock.now() - announced.at) : undefined,
-		});
-		return true;
-	}
-
-	function recordAnnouncement(peer: Address, next: ConfigurationGeneration): void {
-		if (next > Math.max(generation(), announced?.generation ?? 0)) {
-			announced = {generation: next, at: clock.now()};
-			options.onEvent({
-				kind: 'configuration-announced', generation: next, current: generation(), peer,
-			});
-		}
-	}
-
 	function onProbeEvent(event: StoreProbeEvent): void {
 		switch (event.kind) {
 			case 'confirmed': {
@@ -215,44 +180,9 @@
 		supervisor.check();
 	}
 
-	function applyConfiguration(object: VersionedObject): void {
-		objects.decodeConfiguration(object)?.match(next => {
-			const isUpdate = configuration !== undefined;
-			if (adopt(next, 'store') && isUpdate) {
-				peers.broadcast(announcement());
-			}
-		}, failure => {
-			options.onEvent({kind: 'configuration-refused', failure});
-		});
-	}
-
-	function onConfigurationEvent(event: StoreWatchEvent): void {
-		switch (event.kind) {
-			case 'listed': {
-				for (const object of event.list.objects) {
-					applyConfiguration(object);
-				}
-
-				break;
-			}
-
-			case 'changed': {
-				for (const change of event.changes.filter(({isDeleted}) => !isDeleted)) {
-					applyConfiguration(change.object);
-				}
-
-				break;
-			}
-
-			case 'lost': {
-				options.onEvent({kind: 'watch-failed', objects: objects.configurationKind, failure: event.failure});
-			}
-		}
-	}
-
 	function applySnapshot(tables: RelayTables, source: string): void {
 		if (tables.configuration) {
-			adopt(tables.configuration, source);
+			configuration.adopt(tables.configuration, source);
 		}
 
 		if (tables.entries) {
@@ -276,7 +206,7 @@
 			return;
 		}
 
-		const isComplete = () => peers.isSynchronized(peer, other.change) && other.generation <= generation();
+		const isComplete = () => peers.isSynchronized(peer, other.change) && other.generation <= configuration.generation();
 		if (isComplete()) {
 			peerSyncedAt = as<Milliseconds>(Math.max(peerSyncedAt, at - other.storeAge));
 			directory.recordContact(peerSyncedAt);
@@ -287,10 +217,10 @@
 
 	function receiveDigest({address, dataCentre}: Member, other: RelayDigest): void {
 		const isNeighbour = dataCentre === options.dataCentre;
-		recordAnnouncement(address, other.generation);
+		configuration.recordAnnouncement(address, other.generation);
 		// A watcher that is in contact with the store is about to broadcast what another data centre already has.
 		const delayMs = isNeighbour || supervisor.isStale() ? 0 : otherDataCentrePropagationMs;
-		fetchAfter(address, 'configuration', () => other.generation > generation(), delayMs);
+		fetchAfter(address, 'configuration', () => other.generation > configuration.generation(), delayMs);
 		if (isNeighbour && other.storeAge !== undefined) {
 			receiveHeartbeat(address, other, clock.now());
 		} else {
@@ -307,11 +237,11 @@
 	const watch = (kind: string, onEvent: (event: StoreWatchEvent) => void) => createStoreWatch({
 		store: options.store, objects: kind, wait: as<Milliseconds>(watchWaitMs), clock, random: options.random, onEvent,
 	});
-	const watches = [watch(objects.configurationKind, onConfigurationEvent), watch(objects.endpointKind, directory.onStoreEvent)];
+	const watches = [watch(objects.configurationKind, configuration.onStoreEvent), watch(objects.endpointKind, directory.onStoreEvent)];
 	const supervisor = createWatchSupervisor({
 		probe,
 		watches,
-		isComplete: () => configuration !== undefined && directory.isListed(),
+		isComplete: () => configuration.current() !== undefined && directory.isListed(),
 		isWatcher: options.isWatcher,
 		peerSyncedAt: () => peerSyncedAt,
 		clock,
@@ -333,7 +263,7 @@
 			peers.receiveChanges(changes);
 		},
 		tables: request => ({
-			configuration: generation() > request.generation ? configuration : undefined,
+			configuration: configuration.generation() > request.generation ? configuration.current() : undefined,
 			entries: request.withEntries ? directory.entries() : undefined,
 			listedAt: directory.listedAt(),
 			digest: digest(),
