Split the endings of requests from the relay

Change: relay-endings. No behaviour changes. Measured: 69 tests of the relay, paths, workspaces, kept turns and limits pass.

--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -12,17 +12,16 @@
 import {nextRelayStep, type RelayLink, type RelayResult} from '../contracts/relay-attempt.js';
 import {type ListedEndpoint, type RelayRoute} from '../contracts/relay.js';
 import {
-	type Caller, pathOf, type Refusal, type RelayRequest,
+	type Caller, pathOf, type RelayRequest,
 } from '../contracts/relay-request.js';
 import {choosePool, type RoutingTable} from '../contracts/routing-table.js';
-import {
-	type Choice, createEndpointChoice, noEndpoint, placementTimeoutFraction,
-} from './endpoint-choice.js';
+import {createEndpointChoice, noEndpoint} from './endpoint-choice.js';
 import {type EndpointPaths} from './endpoint-paths.js';
 import {type Quarantine} from './quarantine.js';
 import {type RelayEndpoint} from './relay-endpoint.js';
 import {type RelayEvent} from './relay-event.js';
 import {type RatePermits} from './rate-permits.js';
+import {createRelayEndings, minimumRetryAfterMs} from './relay-endings.js';
 import {type RelayFleet} from './relay-fleet.js';
 import {createRelayAttempts} from './relay-attempts.js';
 import {createRelayReservations} from './relay-reservations.js';
@@ -31,14 +30,11 @@
 import {type StreamOrigins} from './stream-origins.js';
 import {type TokenBudgets} from './token-budgets.js';
 import {type RequestAllotments} from './request-allotments.js';
-import {createWorkspaceGate, type Entry} from './workspace-gate.js';
+import {createWorkspaceGate} from './workspace-gate.js';
 
 /** Delay before the request is sent to the same endpoint again, or all endpoints become candidates again. */
 const retryDelayMs = 40;
 
-/** Minimum time after which a refused caller is asked to retry. */
-const minimumRetryAfterMs = 150;
-
 export type RelayOptions = {
 	readonly fleet: RelayFleet;
 	readonly link: RelayLink;
@@ -89,53 +85,13 @@
 		},
 	});
 	const attempts = createRelayAttempts(options);
+	const endings = createRelayEndings(options.onEvent);
+	const {refuse, giveUp} = endings;
 	const reserve = createRelayReservations({budgets: options.budgets, fleet, refuse});
 	const gate = createWorkspaceGate(options);
 	let active = 0;
 	let endsAt = Infinity;
 
-	function refuse(job: RelayJob, refusal: Refusal): void {
-		options.onEvent({
-			kind: 'refused', request: job.request, workspace: job.workspace, refusal, attempts: job.attempts(), elapsed: job.elapsed(),
-		});
-		if (job.hasSentHead()) {
-			job.caller.abort();
-		} else {
-			job.caller.refuse(refusal);
-		}
-	}
-
-	/** Ends a request for which no further attempt is possible; one that has not run may be after `wait`. */
-	function giveUp(job: RelayJob, result: RelayResult | undefined, wait = job.route.latencyGoal * placementTimeoutFraction): void {
-		if (result?.kind === 'cancelled' || job.signal.aborted) {
-			options.onEvent({
-				kind: 'cancelled', request: job.request, attempts: job.attempts(), elapsed: job.elapsed(),
-			});
-			return;
-		}
-
-		if (job.mayHaveRun()) {
-			refuse(job, {kind: result?.kind === 'expired' || job.timeLeft() <= 0 ? 'timeout' : 'failed'});
-			return;
-		}
-
-		refuse(job, {kind: 'not-run', retryAfter: as<Milliseconds>(Math.max(minimumRetryAfterMs, wait))});
-	}
-
-	/** Ends a request that no endpoint may serve any more. */
-	function endUnplaced(job: RelayJob, choice: Extract<Choice, {kind: 'version-gone' | 'used-up'}>, lastResult: RelayResult | undefined): void {
-		switch (choice.kind) {
-			case 'version-gone': {
-				refuse(job, {kind: job.mayHaveRun() ? 'failed' : 'not-resumable'});
-				return;
-			}
-
-			case 'used-up': {
-				giveUp(job, lastResult);
-			}
-		}
-	}
-
 	/** Path for the next attempt. A request that has not run is better served by another instance than by waiting for one. */
 	async function findPath(job: RelayJob, endpoint: ListedEndpoint): Promise<EndpointPath | undefined> {
 		let path = await options.paths.pathTo(endpoint);
@@ -153,7 +109,7 @@
 		for (;;) {
 			const choice = job.timeLeft() > 0 && !job.signal.aborted ? await endpointChoice.choose(job) : noEndpoint;
 			if (choice.kind === 'version-gone' || choice.kind === 'used-up') {
-				endUnplaced(job, choice, lastResult);
+				endings.endUnplaced(job, choice, lastResult);
 				return undefined;
 			}
 
@@ -186,7 +142,8 @@
 			const step = nextRelayStep(lastResult, job.progress());
 			switch (step.kind) {
 				case 'deliver': {
-					await deliver(job, lastResult);
+					attempts.recordAnswered(job.fingerprint);
+					await endings.deliver(job, lastResult);
 					return id;
 				}
 
@@ -212,46 +169,6 @@
 		}
 	}
 
-	async function deliver(job: RelayJob, result: RelayResult): Promise<void> {
-		attempts.recordAnswered(job.fingerprint);
-		const turn = job.turn();
-		if (result.kind === 'answered') {
-			job.caller.answer(result.head, result.body);
-		} else if (!turn || await turn.keep(job.timeLeft())) {
-			job.caller.finish();
-		} else {
-			refuse(job, {kind: 'failed'});
-			return;
-		}
-
-		options.onEvent({
-			kind: 'served', request: job.request, attempts: job.attempts(), elapsed: job.elapsed(),
-		});
-	}
-
-	function refuseAtOnce(request: RelayRequest, caller: Caller, refusal: Refusal): void {
-		options.onEvent({
-			kind: 'refused', request, workspace: undefined, refusal, attempts: 0, elapsed: as<Milliseconds>(0),
-		});
-		caller.refuse(refusal);
-	}
-
-	/** Ends a request that the gate has not let in. */
-	function turnAway(request: RelayRequest, caller: Caller, entry: Exclude<Entry, {kind: 'entered'}>, elapsed: Milliseconds): void {
-		const ending = {request, attempts: 0, elapsed};
-		switch (entry.kind) {
-			case 'refused': {
-				options.onEvent({...ending, ...entry});
-				caller.refuse(entry.refusal);
-				return;
-			}
-
-			case 'cancelled': {
-				options.onEvent({...ending, kind: 'cancelled'});
-			}
-		}
-	}
-
 	/** Where a request may be sent: a stream that its caller resumes, only to where it began. Undefined if that is not known. */
 	async function destinationOf(request: RelayRequest, route: RelayRoute): Promise<Destination | undefined> {
 		if (route.repetition === 'resumable' && request.lastEvent !== undefined) {
@@ -282,13 +199,13 @@
 		const table = options.table();
 		const route = table?.routeOf(request.host, pathOf(request));
 		if (!table || !route) {
-			refuseAtOnce(request, caller, {kind: table ? 'no-route' : 'not-ready'});
+			endings.refuseAtOnce(request, caller, {kind: table ? 'no-route' : 'not-ready'});
 			return;
 		}
 
 		const mayTake = Math.min(route.timeout, request.timeLeft ?? route.timeout);
 		if (clock.now() + mayTake > endsAt) {
-			refuseAtOnce(request, caller, {kind: 'not-run', retryAfter: as<Milliseconds>(minimumRetryAfterMs)});
+			endings.refuseAtOnce(request, caller, {kind: 'not-run', retryAfter: as<Milliseconds>(minimumRetryAfterMs)});
 			return;
 		}
 
@@ -296,7 +213,7 @@
 		const entry = await gate.enter(request, route, table, signal);
 		const waited = as<Milliseconds>(clock.now() - arrivedAt);
 		if (entry.kind !== 'entered') {
-			turnAway(request, caller, entry, waited);
+			endings.turnAway(request, caller, entry, waited);
 			return;
 		}
 
@@ -305,7 +222,7 @@
 		try {
 			const destination = await destinationOf(request, route);
 			if (!destination) {
-				refuseAtOnce(request, caller, {kind: 'not-resumable'});
+				endings.refuseAtOnce(request, caller, {kind: 'not-resumable'});
 				return;
 			}
 
