Split what an instance knows of others, and its paths, from the instance

Change: relay-cluster and relay-paths. No behaviour changes. Measured: 76 tests of tables, paths, rates, turns and processes pass.

--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -2,17 +2,14 @@
 An entry instance that relays requests: joins the cluster, shares tables and budgets with its peers, serves
 requests, reports whether it is ready, and leaves without interrupting a request.
 */
-import {err, ok} from 'neverthrow';
 import {defaultAllotmentBounds} from '../contracts/allotment.js';
-import {directPath, type TunnelPolicy} from '../contracts/endpoint-path.js';
-import {failure} from '../contracts/failure.js';
+import {type TunnelPolicy} from '../contracts/endpoint-path.js';
 import {
-	as, type Address, type ChangeNumber, type ConfigurationGeneration, type CounterId, type Incarnation, type InstanceId,
-	type Milliseconds, splitAddress,
+	as, type ChangeNumber, type ConfigurationGeneration, type CounterId, type Incarnation,
+	type Milliseconds,
 } from '../contracts/id.js';
 import {type CallerLimits} from '../contracts/relay.js';
 import {pathOf} from '../contracts/relay-request.js';
-import {type RelayDigest} from '../contracts/relay-digest.js';
 import {createRoutingTable, type RoutingTable} from '../contracts/routing-table.js';
 import {copiesFor} from '../contracts/tolerance.js';
 import {type TokenAccount, withStoreSlotOnly} from '../contracts/token-account.js';
@@ -22,16 +19,12 @@
 import {createAllotments} from '../zones/allotments/allotments.js';
 import {createSharedBudgets} from '../zones/shared-budgets.js';
 import {type BudgetEvent} from '../zones/budget-event.js';
-import {createContactSearch} from '../zones/contact-search.js';
-import {createEndpointPaths} from '../zones/endpoint-paths/endpoint-paths.js';
-import {createMembership, type Member} from '../zones/membership.js';
-import {createGossipProtocol} from '../zones/gossip-protocol.js';
+import {createMembership} from '../zones/membership.js';
 import {
 	type Greeting, type RelayMessage, type RelayReply, type RelayTables, type TablesRequest,
 } from '../zones/relay-peers.js';
 import {createSharedOrigins} from '../zones/shared-origins.js';
 import {createSharedTables} from '../zones/shared-tables.js';
-import {createWatcherElection} from '../zones/watcher-election.js';
 import {createWarmUp} from '../zones/warm-up.js';
 import {createEndpointKnowledge} from './endpoint-knowledge.js';
 import {createQuarantine} from './quarantine.js';
@@ -39,13 +32,11 @@
 import {type RelayInstanceOptions} from './relay-instance-options.js';
 import {createRelayInstanceReport, type RelayInstanceReport} from './relay-instance-report.js';
 import {createMessageHandler} from './relay-messages.js';
+import {createRelayCluster} from './relay-cluster.js';
 import {createRelayFleet} from './relay-fleet.js';
+import {createRelayPaths} from './relay-paths.js';
 import {createRelayTurns} from './relay-turn.js';
 
-/** Timeout of one attempt of a gossip probe, and the maximum number of attempts. */
-const gossipTimeoutMs = 250;
-const gossipAttempts = 2;
-
 export type RelayInstance = RelayInstanceReport & {
 	readonly relay: Relay;
 	readonly limits: () => CallerLimits | undefined;
@@ -82,11 +73,45 @@
 	const fleet = createRelayFleet(random, options.monitoring);
 	const quarantine = createQuarantine();
 	const ledger = createTokenLedger(as<CounterId>(`${id}@${incarnation}`), dataCentre);
-	const digests = new Map<InstanceId, RelayDigest>();
 	let table: RoutingTable | undefined;
 
 	const isLeaving = () => membership.self().status === 'leaving';
 	const others = () => membership.members().filter(member => member.id !== id && member.status !== 'dead');
+	const cluster = createRelayCluster({
+		id,
+		membership,
+		others,
+		seeds: options.seeds,
+		peers,
+		tables: () => tables,
+		generation: () => table?.configuration.generation ?? as<ConfigurationGeneration>(0),
+		clock,
+		random,
+		onMember(member) {
+			options.onEvent({kind: 'member', member});
+			budgets.rebalance();
+			allotments.observeMembers();
+		},
+		onPause(gap) {
+			options.onEvent({kind: 'paused', gap});
+		},
+		onCrash(crash) {
+			quarantine.record(crash, clock.now());
+		},
+	});
+	const {gossipProtocol} = cluster;
+	const {paths, tunnels} = createRelayPaths({
+		dataCentre,
+		others,
+		ask: cluster.askForDigest,
+		fleet,
+		link: options.link,
+		clock,
+		random,
+		onEvent(event) {
+			options.onEvent({kind: 'path', path: event});
+		},
+	});
 	const tables = createSharedTables({
 		address,
 		store,
@@ -96,7 +121,7 @@
 		firstChange: as<ChangeNumber>(incarnation),
 		dataCentre,
 		neighbours: () => others().filter(member => member.dataCentre === dataCentre).map(member => member.address),
-		isWatcher: () => watcherElection.isWatcher(),
+		isWatcher: cluster.isWatcher,
 		isWarm: () => warmUp.isWarm(),
 		reachesEndpoints: () => !paths.isCutOff(),
 		clock,
@@ -118,44 +143,6 @@
 			options.onEvent({kind: 'tables', tables: event});
 		},
 	});
-	const isStoreReachableFrom = (member: InstanceId) => (member === id ? tables.digest() : digests.get(member))?.isStoreReachable ?? true;
-	const watcherElection = createWatcherElection({
-		self: membership.self, members: membership.members, isStoreReachableFrom, clock,
-	});
-	async function askForDigest(member: Member): Promise<RelayDigest | undefined> {
-		const reply = await peers.request(member.address, {kind: 'digest'}, {timeout: as<Milliseconds>(gossipTimeoutMs), attempts: 1});
-		if (reply?.kind !== 'digest') {
-			return undefined;
-		}
-
-		receiveDigest(member, reply.digest);
-		return reply.digest;
-	}
-
-	const contactSearch = createContactSearch({
-		isNeeded: tables.isStale,
-		others,
-		isStoreReachableFrom,
-		ask: async member => await askForDigest(member) !== undefined,
-		clock,
-		random,
-	});
-	const paths = createEndpointPaths({
-		dataCentre,
-		others,
-		ask: askForDigest,
-		endpoints: () => fleet.endpoints().filter(endpoint => !endpoint.isLeaving()).map(endpoint => endpoint.listed()),
-		link: options.link,
-		clock,
-		random,
-		onEvent(event) {
-			if (event.kind === 'cut-off') {
-				fleet.forgetFailures();
-			}
-
-			options.onEvent({kind: 'path', path: event});
-		},
-	});
 	function onBudgetEvent(event: BudgetEvent): void {
 		options.onEvent({kind: 'budget', budget: event});
 	}
@@ -183,53 +170,16 @@
 		isWarm: () => warmUp.isWarm(),
 		onEvent: onBudgetEvent,
 	});
-	const gossipProtocol = createGossipProtocol({
-		membership,
-		clock,
-		seeds: options.seeds,
-		peers: {
-			async gossip(peer, gossip) {
-				const reply = await peers.request(peer.address, {kind: 'gossip', gossip}, {timeout: as<Milliseconds>(gossipTimeoutMs), attempts: gossipAttempts});
-				return reply?.kind === 'gossip'
-					? ok(reply.gossip)
-					: err(failure('peer-unreachable', `${peer.id} did not answer a probe within ${gossipAttempts} attempts of ${gossipTimeoutMs} ms`, {step: 'forward', peer: peer.id}));
-			},
-			members: async peer => greet(peer.address),
-		},
-		generation: () => table?.configuration.generation ?? as<ConfigurationGeneration>(0),
-		onMember(member) {
-			options.onEvent({kind: 'member', member});
-			budgets.rebalance();
-			allotments.observeMembers();
-		},
-		onPause(gap) {
-			options.onEvent({kind: 'paused', gap});
-		},
-		onEndpointUpdate() {
-			// The directory is the only source of endpoints.
-		},
-		onCrash(crash) {
-			quarantine.record(crash, clock.now());
-		},
-		nextPoolLatencies: () => [],
-		onPoolLatency() {
-			// Latencies are exchanged in the load reports.
-		},
-		relay: {digest: tables.digest, onDigest: receiveDigest},
-		onNewerConfiguration() {
-			// The digest already carries the generation.
-		},
-	});
 	const warmUp = createWarmUp({
 		isFirstStart: options.isFirstStart,
 		hasNoPeers: () => others().length === 0,
-		hasWarmPeer: () => others().some(member => digests.get(member.id)?.isWarm),
-		hasWarmNeighbour: () => others().some(member => member.dataCentre === dataCentre && digests.get(member.id)?.isWarm),
+		hasWarmPeer: () => others().some(member => cluster.isWarm(member.id)),
+		hasWarmNeighbour: () => others().some(member => member.dataCentre === dataCentre && cluster.isWarm(member.id)),
 		joinCluster: gossipProtocol.joinCluster,
 		contact: async addresses => gossipProtocol.contact([...options.seeds, ...addresses]),
 		async fetchHomes() {
 			gossipProtocol.gossipNow();
-			const warm = others().filter(member => digests.get(member.id)?.isWarm);
+			const warm = others().filter(member => cluster.isWarm(member.id));
 			const peer = warm.find(member => member.dataCentre === dataCentre) ?? warm[0];
 			const homes = peer && await peers.homes(peer.address);
 			if (!homes?.isOk()) {
@@ -252,7 +202,7 @@
 		peers,
 		store,
 		objects: options.objects,
-		isWatcher: () => watcherElection.isWatcher(),
+		isWatcher: cluster.isWatcher,
 		pools: () => table?.resumablePools() ?? [],
 		tablesAge: tables.age,
 		clock,
@@ -321,36 +271,12 @@
 		id, isLeaving, isWarm: warmUp.isWarm, paths, tables, relay, fleet, membership, ledger, allotments, conversations, store, clock,
 	});
 
-	function receiveDigest(peer: Member, digest: RelayDigest): void {
-		digests.set(peer.id, digest);
-		if (digest.storeAge !== undefined) {
-			watcherElection.recordHeartbeat(peer.id);
-		}
-
-		tables.receiveDigest(peer, digest);
-	}
-
-	/** Requests a peer's greeting, and applies the members, data centres and digest in it. */
-	async function greet(peer: Address) {
-		const result = await peers.greet(peer);
-		return result.map(greeting => {
-			gossipProtocol.mergeMembers([greeting.self]);
-			membership.handle({kind: 'known-data-centres', dataCentres: greeting.dataCentres, now: clock.now()});
-			receiveDigest(greeting.self, greeting.digest);
-			return greeting.members;
-		});
-	}
-
 	return {
 		relay,
 		answer: createMessageHandler({
-			id, membership, gossipProtocol, tables, budgets, loads, rateLimits, origins, conversations, allotments, receiveDigest,
+			id, membership, gossipProtocol, tables, budgets, loads, rateLimits, origins, conversations, allotments, receiveDigest: cluster.receiveDigest,
 		}),
-		tunnels: {
-			isPeer: host => others().some(member => splitAddress(member.address).host === host),
-			isEndpoint: target => fleet.endpoints().some(endpoint => endpoint.listed().address === target),
-			isCutOff: async () => paths.isAtFault(directPath, false),
-		},
+		tunnels,
 		limits: () => table?.configuration.limits,
 		hasWorkspaces: () => table?.configuration.workspaces !== undefined,
 		isCutOff: conversations.isCutOff,
@@ -362,7 +288,7 @@
 		tables: tables.tables,
 		homes: () => ledger.accounts().map(account => withStoreSlotOnly(account)),
 		async run(signal) {
-			await Promise.all([tables, contactSearch, paths, gossipProtocol, warmUp, budgets, loads, origins, conversations].map(async part => part.run(signal)));
+			await Promise.all([tables, cluster.contactSearch, paths, gossipProtocol, warmUp, budgets, loads, origins, conversations].map(async part => part.run(signal)));
 		},
 		async leave() {
 			const leaveCompleted = gossipProtocol.leave();
