Review case 9: grants in place of a home are lost with all memory

Cause: another data centre grants within the record of the home without a record of its own, and both grant that amount.

--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,8 +1,7 @@
 /**
-While the store is down, an engine starts again in place, under its id and address, with another software version, and soon crashes
-once more. Streams that began there go on at engines of the earlier version.
+The entries of a program's home zone are killed, and other zones grant in their place; then all entries are killed. The program returns.
 */
-import {send} from '../lib-2/client.mjs';
+import {eventsOf, send} from '../lib-2/client.mjs';
 import {hostOf, sleep, startDeployment} from '../lib-2/deployment.mjs';
 import {startEngine} from '../lib-2/engine.mjs';
 import {
@@ -11,35 +10,32 @@
 import {runCase} from '../lib-2/run.mjs';
 
 const zones = ['nord-it-a', 'nord-it-b', 'nord-it-c', 'nord-it-d'];
-const streamIntervalMs = 40;
-const streamCount = 150;
-const eventMs = 70;
-const mostOfTurn = 135;
-
-/** Time for which the store is down: as long as on the site's sheet at most. */
-const outageMs = 4500;
 
-/** Time until the engine stops, for which it is down, and for which it serves until it crashes. */
-const beforeMs = 500;
-const downMs = 1000;
-const upMs = 2500;
+/** Entries of each zone. */
+const sizes = [2, 4, 4, 4];
+const zonesOfEntries = zones.flatMap((zone, index) => Array.from({length: sizes[index]}, () => zone));
+const budget = 1080;
+const mostOfTurn = 135;
 
-/** Streams with events of two versions that the rule allows. */
-const allowed = 2;
+/** Turns of the program before, and lines of turns that its sub-agents run in parallel while the home zone is down and afterwards. */
+const turnsBefore = 3;
+const lines = 4;
+const roundsAfter = 3;
 
-const versionsOf = body => new Set([...body.matchAll(/^data: (?<version>v\d) /gmv)].map(match => match.groups.version));
+/** Time after which the program goes on through another zone, for which the home zone is down, and for which all entries are. */
+const goOnMs = 500;
+const zoneDownMs = 3500;
+const allDownMs = 1000;
 
 await runCase(import.meta.url, async ({note, isTroubled, atEnd}) => {
-	const {store, entries, ready, stop} = await startDeployment({zonesOfEntries: zones, manifest: manifestOf(1)});
+	const {store, entries, ready, stop} = await startDeployment({zonesOfEntries, manifest: manifestOf(1)});
 	atEnd(stop);
-	const engines = [];
 	for (const [index, zone] of zones.entries()) {
 		const engine = await startEngine({
-			host: hostOf(200 + index), store, id: `i-${index + 1}`, service, zone, stride, options: {eventMs}, onRun(run) {
+			host: hostOf(200 + index), store, id: `i-${index + 1}`, service, zone, stride, onRun(run) {
 				note(`engine ${run.engine} runs ${run.attempt}`);
 			},
 		});
-		engines.push(engine);
 		atEnd(engine.close);
 	}
 
@@ -47,48 +43,65 @@
 	await sleep(2000);
 	note('all entries are ready');
 
-	async function runStream(number) {
-		const attempt = `turn-${number}`;
-		const entry = entries[number % entries.length];
+	const homeEntries = entries.filter(entry => entry.zone === zones[0]);
+	const otherEntries = entries.filter(entry => entry.zone !== zones[0]);
+	const elsewhere = entries.filter(entry => entry.zone === zones[1]);
+	let tokens = 0;
+	let attempts = 0;
+	async function runTurn(session, entry) {
+		attempts++;
+		const attempt = `turn-${attempts}`;
+		note(`sent ${attempt} of session ${session} to ${entry.id}`);
 		const response = await send({
 			host: entry.host, port: entry.port, path: '/turns/next', body: 'prompt', headers: {
-				Host: host, 'Attempt-Id': attempt, 'Program-Id': `p-${number}`, 'Session-Id': 'aa', 'Program-Deadline-Ms': 60_000, 'Token-Budget': 1080,
-				'Token-Count': `1840,${mostOfTurn}`, 'Deadline-Ms': 5000, Model: 'm', 'Prompt-Prefix': `${(0xA0_00 + number).toString(16)}:1840`,
+				Host: host, 'Attempt-Id': attempt, 'Program-Id': 'p-3fa81c', 'Session-Id': session, 'Program-Deadline-Ms': 120_000, 'Token-Budget': budget,
+				'Token-Count': `1840,${mostOfTurn}`, 'Deadline-Ms': 5000, Model: 'm', 'Prompt-Prefix': `5c1e07a2:1600,${session}:240`,
 			},
 		});
-		const versions = [...versionsOf(response.body)];
-		note(`answered ${attempt}: status ${response.status}, complete ${response.isComplete}, events of ${versions.join(' and ')}`);
-		return {attempt, versions};
+		const received = eventsOf(response.body).length * stride;
+		tokens += received;
+		note(`answered ${attempt}: status ${response.status}, ${received} tokens; ${tokens} of ${budget} in all`);
+	}
+
+	const runLines = async () => Promise.all(Array.from({length: lines}, async (_, line) => runTurn(`b${line}`, elsewhere[line % elsewhere.length])));
+
+	function kill(killed) {
+		for (const entry of killed) {
+			entry.kill('SIGKILL');
+		}
+
+		note(`killed: ${killed.map(({id}) => id).join(', ')}`);
+	}
+
+	for (let turn = 0; turn < turnsBefore; turn++) {
+		await runTurn('aa', homeEntries[0]);
 	}
 
-	async function disturb() {
-		const [engine] = engines;
-		store.setDown(true);
-		note('the store is down');
-		await sleep(beforeMs);
-		engine.crash();
-		note(`${engine.id} has stopped`);
-		await sleep(downMs);
-		await engine.restart('v2');
-		note(`${engine.id} is back under its id, with version v2`);
-		await sleep(upMs);
-		engine.crash();
-		note(`${engine.id} has crashed`);
-		await sleep(outageMs - beforeMs - downMs - upMs);
-		store.setDown(false);
-		note('the store is back');
+	await sleep(500);
+	const zoneUp = sleep(zoneDownMs);
+	if (isTroubled) {
+		kill(homeEntries);
+	}
+
+	await sleep(goOnMs);
+	await runLines();
+	await zoneUp;
+	if (isTroubled) {
+		kill(otherEntries);
+		await sleep(allDownMs);
+		for (const entry of entries) {
+			entry.restart();
+		}
+
+		note('all entries start again');
+		await ready();
+		note('all entries are ready');
 	}
 
-	const disturbance = isTroubled ? sleep(2000).then(disturb) : undefined;
-	const streams = [];
-	for (let number = 1; number <= streamCount; number++) {
-		streams.push(runStream(number));
-		await sleep(streamIntervalMs);
+	for (let round = 0; round < roundsAfter; round++) {
+		await runLines();
 	}
 
-	await disturbance;
-	const answers = await Promise.all(streams);
-	const mixed = answers.filter(({versions}) => versions.length > 1);
-	note(`${mixed.length} of ${streams.length} streams have events of two versions: ${mixed.map(({attempt}) => attempt).join(', ')}`);
-	return mixed.length > allowed ? `${mixed.length} streams hold events of two software versions` : undefined;
+	note(`${tokens} tokens were handed out; the budget is ${budget} and the most of one turn ${mostOfTurn}`);
+	return tokens > budget + mostOfTurn ? `${tokens} tokens were handed out, more than ${budget} + ${mostOfTurn}` : undefined;
 });
