--- a/tests/shared-tables.test.ts
+++ b/tests/shared-tables.test.ts
@@ -205,3 +205,46 @@
 
 	cluster.stop();
 });
+
+const silentWatches = 'a change takes effect in time when the watches of the watchers get no response';
+
+test(silentWatches, knownRed(silentWatches), async () => {
+	for (let delay = 0; delay < 2000; delay += 250) {
+		const cluster = await createTablesCluster(ids, 8);
+		for (const id of watchersOf(cluster)) {
+			cluster.storeAccess.set(id, 'no-watches');
+		}
+
+		await cluster.clock.advance(delay);
+		cluster.configure(2);
+		cluster.putEndpoint('endpoint-1', {isLeaving: true});
+		await cluster.clock.advance(propagationBoundMs);
+		for (const node of cluster.nodes) {
+			assert.equal(node.generation(), 2, `generation at ${node.id}, ${delay} ms after the last response`);
+			assert.deepEqual(node.usableEndpoints(), ['endpoint-2', 'endpoint-3'], `endpoints at ${node.id}, ${delay} ms after the last response`);
+		}
+
+		cluster.stop();
+	}
+});
+
+const unresponsivePeers = 'an instance that the store turns away learns a configuration while most of its peers stand still';
+
+test(unresponsivePeers, knownRed(unresponsivePeers), async () => {
+	for (let seed = 1; seed <= 20; seed++) {
+		const cluster = await createTablesCluster(ids, seed);
+		for (const id of ids.filter(other => !['a3', 'b3'].includes(other))) {
+			cluster.pause(id);
+		}
+
+		cluster.storeAccess.set('a3', 'refusing');
+		for (const generation of [2, 3, 4]) {
+			await cluster.clock.advance(1500 + (seed * 37));
+			cluster.configure(generation);
+			await cluster.clock.advance(propagationBoundMs);
+			assert.equal(cluster.node('a3').generation(), generation, `seed ${seed}`);
+		}
+
+		cluster.stop();
+	}
+});
