--- a/src/links/relay-log.ts
+++ b/src/links/relay-log.ts
@@ -10,7 +10,7 @@
 import {logPath, logPeerReport} from './endpoint-log.js';
 import {type Log, logMember, logPause} from './log.js';
 import {logRelay} from './request-log.js';
-import {logTables} from './tables-log.js';
+import {logContactSearch, logTables} from './tables-log.js';
 import {isRoutineTurnEvent, logTurns} from './turn-log.js';
 
 /** Limit on the lines about successful requests and attempts, denied permits and grants from the slack; failures are always logged. */
@@ -113,6 +113,11 @@
 			return;
 		}
 
+		case 'contact-searched': {
+			logContactSearch(log, event.search);
+			return;
+		}
+
 		case 'paused': {
 			logPause(log, event.gap);
 		}
--- a/src/links/relay-metrics.ts
+++ b/src/links/relay-metrics.ts
@@ -69,6 +69,7 @@
 		case 'leaving-reported':
 		case 'rate-limit-reported':
 		case 'permit-unanswered':
+		case 'contact-searched':
 		case 'paused': {
 			return '';
 		}
--- a/src/links/tables-log.ts
+++ b/src/links/tables-log.ts
@@ -1,6 +1,7 @@
 /**
 Log lines of the tables that instances share: configurations, entries of endpoints, and how they were learned.
 */
+import {type EndedSearch} from '../zones/contact-search.js';
 import {type TablesFetch} from '../zones/table-peers.js';
 import {type SharedTablesEvent} from '../zones/shared-tables.js';
 import {type Log} from './log.js';
@@ -13,6 +14,13 @@
 	};
 }
 
+/** Logs a search for newer tables at other instances. */
+export function logContactSearch(log: Log, {asked, unanswered, took}: EndedSearch): void {
+	log.info({
+		event: 'contact-searched', asked, unanswered, tookMs: Math.round(took),
+	}, `asked other instances for newer tables for ${Math.round(took)} ms`);
+}
+
 /** Logs an event of the shared tables. */
 export function logTables(log: Log, event: SharedTablesEvent): void {
 	switch (event.kind) {
@@ -56,7 +64,9 @@
 		}
 
 		case 'watch-failed': {
-			log.warn({event: 'watch-failed', objects: event.objects, reason: event.failure.message}, `list or watch of "${event.objects}" in the store failed`);
+			log.warn({
+				event: 'watch-failed', objects: event.objects, reason: event.failure.message, tookMs: Math.round(event.took),
+			}, `list or watch of "${event.objects}" in the store failed`);
 			return;
 		}
 
--- a/src/machines/relay-cluster.ts
+++ b/src/machines/relay-cluster.ts
@@ -9,7 +9,7 @@
 	as, type Address, type ConfigurationGeneration, type InstanceId, type Milliseconds,
 } from '../contracts/id.js';
 import {type RelayDigest} from '../contracts/relay-digest.js';
-import {createContactSearch, type ContactSearch} from '../zones/contact-search.js';
+import {createContactSearch, type ContactSearch, type EndedSearch} from '../zones/contact-search.js';
 import {createGossipProtocol, type GossipProtocol} from '../zones/gossip-protocol.js';
 import {type Member, type Membership} from '../zones/membership.js';
 import {type RelayPeers} from '../zones/relay-peers.js';
@@ -36,6 +36,7 @@
 	readonly onMember: (member: Member) => void;
 	readonly onPause: (gap: Milliseconds) => void;
 	readonly onCrash: (crash: Crash) => void;
+	readonly onContactSearched: (search: EndedSearch) => void;
 };
 
 export type RelayCluster = {
@@ -127,6 +128,7 @@
 		ask: async member => await askForDigest(member) !== undefined,
 		clock,
 		random,
+		onEnd: options.onContactSearched,
 	});
 
 	return {
--- a/src/machines/relay-instance-event.ts
+++ b/src/machines/relay-instance-event.ts
@@ -6,6 +6,7 @@
 import {type BudgetEvent} from '../zones/budget-event.js';
 import {type TurnEvent} from '../zones/conversations/turn-event.js';
 import {type EndpointPathsEvent} from '../zones/endpoint-paths/endpoint-paths.js';
+import {type EndedSearch} from '../zones/contact-search.js';
 import {type Member} from '../zones/membership.js';
 import {type RateLimitEvent} from '../zones/rate-limits.js';
 import {type SharedTablesEvent} from '../zones/shared-tables.js';
@@ -23,6 +24,7 @@
 		| {readonly kind: 'turns'; readonly turns: TurnEvent}
 		| {readonly kind: 'path'; readonly path: EndpointPathsEvent}
 		| {readonly kind: 'member'; readonly member: Member}
+		| {readonly kind: 'contact-searched'; readonly search: EndedSearch}
 		| {readonly kind: 'paused'; readonly gap: Milliseconds}
 		/** A peer reported that an endpoint leaves. */
 		| {readonly kind: 'leaving-reported'; readonly endpoint: EndpointId}
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -98,6 +98,9 @@
 		onCrash(crash) {
 			quarantine.record(crash, clock.now());
 		},
+		onContactSearched(search) {
+			options.onEvent({kind: 'contact-searched', search});
+		},
 	});
 	const {gossipProtocol} = cluster;
 	const {paths, tunnels} = createRelayPaths({
--- a/src/zones/contact-search.ts
+++ b/src/zones/contact-search.ts
@@ -23,8 +23,13 @@
 	readonly ask: (member: Member) => Promise<boolean>;
 	readonly clock: Clock;
 	readonly random: Random;
+	/** Called when the search is no longer needed. */
+	readonly onEnd: (search: EndedSearch) => void;
 };
 
+/** Number of peers that were asked, how many of them did not reply, and how long the search took. */
+export type EndedSearch = {readonly asked: number; readonly unanswered: number; readonly took: Milliseconds};
+
 export type ContactSearch = {
 	/** Searches while it is needed, until the signal aborts. */
 	readonly run: (signal: AbortSignal) => Promise<void>;
@@ -34,6 +39,7 @@
 export function createContactSearch(options: ContactSearchOptions): ContactSearch {
 	const {clock, random} = options;
 	const unresponsive = createUnresponsivePeers<InstanceId>(clock);
+	let current: {asked: number; unanswered: number; readonly since: Milliseconds} | undefined;
 
 	/** A random member, if possible one that replies and that the store answers. */
 	function choose(): Member | undefined {
@@ -45,19 +51,41 @@
 	}
 
 	async function ask(member: Member): Promise<void> {
+		const search = current;
+		if (search) {
+			search.asked++;
+		}
+
 		if (!await options.ask(member)) {
 			unresponsive.add(member.id);
+			if (search) {
+				search.unanswered++;
+			}
+		}
+	}
+
+	function advance(): void {
+		if (!options.isNeeded()) {
+			if (current) {
+				const {asked, unanswered, since} = current;
+				options.onEnd({asked, unanswered, took: as<Milliseconds>(clock.now() - since)});
+			}
+
+			current = undefined;
+			return;
+		}
+
+		current ??= {asked: 0, unanswered: 0, since: clock.now()};
+		const member = choose();
+		if (member) {
+			void ask(member);
 		}
 	}
 
 	return {
 		async run(signal) {
 			while (!signal.aborted) {
-				const member = options.isNeeded() ? choose() : undefined;
-				if (member) {
-					void ask(member);
-				}
-
+				advance();
 				await clock.sleep(as<Milliseconds>(intervalMs), signal);
 			}
 		},
--- a/src/zones/shared-configuration.ts
+++ b/src/zones/shared-configuration.ts
@@ -107,7 +107,9 @@
 			}
 
 			case 'lost': {
-				options.onEvent({kind: 'watch-failed', objects: objects.configurationKind, failure: event.failure});
+				options.onEvent({
+					kind: 'watch-failed', objects: objects.configurationKind, failure: event.failure, took: event.took,
+				});
 			}
 		}
 	}
--- a/src/zones/shared-directory.ts
+++ b/src/zones/shared-directory.ts
@@ -18,7 +18,7 @@
 const expiryIntervalMs = 200;
 
 /** A list or watch request failed; it is retried. */
-export type WatchFailure = {readonly kind: 'watch-failed'; readonly objects: string; readonly failure: Failure};
+export type WatchFailure = {readonly kind: 'watch-failed'; readonly objects: string; readonly failure: Failure; readonly took: Milliseconds};
 
 export type SharedDirectoryEvent
 	= | {readonly kind: 'endpoint'; readonly id: EndpointId; readonly change: 'listed' | 'leaving' | 'removed'; readonly revision: ObjectVersion; readonly source: string}
@@ -161,7 +161,9 @@
 				}
 
 				case 'lost': {
-					options.onEvent({kind: 'watch-failed', objects: options.endpointKind, failure: event.failure});
+					options.onEvent({
+						kind: 'watch-failed', objects: options.endpointKind, failure: event.failure, took: event.took,
+					});
 				}
 			}
 		},
--- a/src/zones/store-watch.ts
+++ b/src/zones/store-watch.ts
@@ -14,7 +14,8 @@
 export type StoreWatchEvent
 	= | {readonly kind: 'listed'; readonly list: ObjectList}
 		| {readonly kind: 'changed'; readonly changes: readonly ObjectChange[]; readonly revision: ObjectVersion}
-		| {readonly kind: 'lost'; readonly failure: Failure};
+		/** A request failed after `took`. */
+		| {readonly kind: 'lost'; readonly failure: Failure; readonly took: Milliseconds};
 
 export type StoreWatch = {
 	/** Whether the reported objects are complete: they have been listed, and no request has failed since. */
@@ -41,17 +42,23 @@
 	let failures = 0;
 	let isFollowing = false;
 	let requestedAt: Milliseconds | undefined;
+	let lastTook = as<Milliseconds>(0);
+
+	function requestAge(): Milliseconds {
+		return as<Milliseconds>(requestedAt === undefined ? 0 : clock.now() - requestedAt);
+	}
 
 	async function request<Value>(send: () => Promise<Value>): Promise<Value> {
 		requestedAt = clock.now();
 		const answer = await send();
+		lastTook = requestAge();
 		requestedAt = undefined;
 		return answer;
 	}
 
 	async function backOff(failure: Failure, signal: AbortSignal): Promise<void> {
 		isFollowing = false;
-		options.onEvent({kind: 'lost', failure});
+		options.onEvent({kind: 'lost', failure, took: lastTook});
 		const delay = Math.min(initialBackoffMs * (2 ** failures), maximumBackoffMs);
 		failures++;
 		await clock.sleep(as<Milliseconds>(delay * (0.5 + (options.random.fraction() / 2))), signal);
@@ -103,7 +110,7 @@
 
 	return {
 		isFollowing: () => isFollowing,
-		requestAge: () => as<Milliseconds>(requestedAt === undefined ? 0 : clock.now() - requestedAt),
+		requestAge,
 		async run(signal) {
 			let revision: ObjectVersion | undefined;
 			isFollowing = false;
