Detect a silent watch early enough for the list that follows it

Cause: an instance that watches the store vouches for its neighbours' tables while its probe is answered. The probe has a connection of its own, so a watch on a connection that had fallen silent went unnoticed for up to 2.5 s: its data centre relied on tables that nothing kept up to date, and learned of a change by gossip from another one, by chance. Class: vouching for one channel by another.

Change: a watch waits 1 s at a time, so that it times out within 1.5 s, and the list that follows is read within the two seconds. The messages between instances and what is in the store stay as they are.

It costs a watcher one more call of the store a second.

--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -36,8 +36,11 @@
 /** Minimum interval between two fetches that a peer's newer list triggers, in ms. */
 const refetchIntervalMs = 500;
 
-/** Maximum duration of one watch request, in ms: a connection that has stopped responding may delay a change by no more than this. */
-const watchWaitMs = 2000;
+/**
+Maximum duration of one watch request, in ms. The probe has a connection of its own, so a watch whose connection has
+stopped responding is detected only when it times out; half of the two seconds are left for that and for the list that follows.
+*/
+const watchWaitMs = 1000;
 
 export type SharedTablesEvent
 	= | SharedDirectoryEvent
