Announce a configuration to the other data centres

Cause: each data centre relied on its own watcher alone. Class: a bound that holds on average.

Change: a watcher that reads a new configuration announces it to two members of each other data centre.

It costs two datagrams for each other data centre and watcher with each change.

--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -20,6 +20,7 @@
 import {createSharedBudgets} from '../zones/shared-budgets.js';
 import {type BudgetEvent} from '../zones/budget-event.js';
 import {createMembership} from '../zones/membership.js';
+import {contactsOutside} from '../zones/ownership.js';
 import {
 	type Greeting, type RelayMessage, type RelayReply, type RelayTables, type TablesRequest,
 } from '../zones/relay-peers.js';
@@ -37,6 +38,9 @@
 import {createRelayPaths} from './relay-paths.js';
 import {createRelayTurns} from './relay-turn.js';
 
+/** Number of members of each other data centre that learn of a configuration at once. */
+const contactsPerDataCentre = 2;
+
 export type RelayInstance = RelayInstanceReport & {
 	readonly relay: Relay;
 	readonly limits: () => CallerLimits | undefined;
@@ -124,6 +128,7 @@
 		firstChange: as<ChangeNumber>(incarnation),
 		dataCentre,
 		neighbours: () => others().filter(member => member.dataCentre === dataCentre).map(member => member.address),
+		contacts: () => contactsOutside(dataCentre, membership.members(), contactsPerDataCentre, random).map(member => member.address),
 		isWatcher: cluster.isWatcher,
 		isWarm: () => warmUp.isWarm(),
 		reachesEndpoints: () => !paths.isCutOff(),
--- a/src/zones/ownership.ts
+++ b/src/zones/ownership.ts
@@ -1,6 +1,7 @@
 /**
 Ownership by rendezvous hashing: instances with the same membership view choose the same owner.
 */
+import {type Random} from '../contracts/clock.js';
 import {type DataCentreId, type Home} from '../contracts/id.js';
 import {ownerByRendezvous, rankByRendezvous} from '../contracts/rendezvous.js';
 import {type Member} from './membership.js';
@@ -30,6 +31,16 @@
 	return members.filter(member => member.dataCentre === dataCentre && (member.status === 'alive' || member.status === 'suspect'));
 }
 
+/** Up to `count` members of each other data centre, in random order. */
+export function contactsOutside(dataCentre: DataCentreId, members: readonly Member[], count: number, random: Random): readonly Member[] {
+	const others = dataCentresOf(members).filter(other => other !== dataCentre);
+	return others.flatMap(other => candidatesIn(other, members)
+		.map(member => ({member, rank: random.fraction()}))
+		.toSorted((left, right) => left.rank - right.rank)
+		.slice(0, count)
+		.map(({member}) => member));
+}
+
 /** Whether the member would own a key in its own data centre. */
 export function isOwner(member: Member, key: string, members: readonly Member[]): boolean {
 	return ownerOf(key, candidatesIn(member.dataCentre, members))?.id === member.id;
--- a/src/zones/shared-tables.ts
+++ b/src/zones/shared-tables.ts
@@ -1,9 +1,10 @@
 /**
 The tables that all instances share: the configuration and the directory of endpoints. One instance of each data
 centre, the watcher, watches the store, broadcasts each change to the others there, and sends them heartbeats while
-the store answers it. An instance that misses a change fetches the tables from a peer; one that gets no heartbeat
-watches the store itself, and one that the store does not answer either asks other instances what they have. So the
-staleness of an instance's tables is bounded, whichever other instances fail.
+the store answers it. It also announces a configuration to contacts in the other data centres, who pass it on to their
+neighbours if their own watcher has not. An instance that misses a change fetches the tables from a peer; one that gets
+no heartbeat watches the store itself, and one that the store does not answer either asks other instances what they have.
+So the staleness of an instance's tables is bounded, whichever other instances fail.
 */
 import {type Clock, type Random} from '../contracts/clock.js';
 import {type Failure} from '../contracts/failure.js';
@@ -66,6 +67,8 @@
 	readonly firstChange: ChangeNumber;
 	/** Addresses of the other live members of the data centre. */
 	readonly neighbours: () => readonly Address[];
+	/** Addresses of a few members of each other data centre. */
+	readonly contacts: () => readonly Address[];
 	/** Whether this instance watches the store for its data centre. */
 	readonly isWatcher: () => boolean;
 	readonly isWarm: () => boolean;
@@ -130,6 +133,9 @@
 		onConfiguration: options.onConfiguration,
 		onUpdate() {
 			peers.broadcast(announcement());
+			if (options.isWatcher()) {
+				peers.send(options.contacts(), announcement());
+			}
 		},
 		onEvent: options.onEvent,
 	});
@@ -183,9 +189,9 @@
 		supervisor.check();
 	}
 
-	function applySnapshot(tables: RelayTables, source: string): void {
+	function applySnapshot(tables: RelayTables, source: Address): void {
 		if (tables.configuration) {
-			configuration.adopt(tables.configuration, source);
+			adoptFromPeer(tables.configuration, source);
 		}
 
 		if (tables.entries) {
@@ -193,6 +199,14 @@
 		}
 	}
 
+	/** Applies a configuration from a peer. Neighbours learn one that came from another data centre, as their watcher has not announced it. */
+	function adoptFromPeer(next: RelayConfiguration, source: Address): void {
+		const isUpdate = configuration.current() !== undefined;
+		if (configuration.adopt(next, source) && isUpdate && !options.neighbours().includes(source)) {
+			peers.broadcast(announcement());
+		}
+	}
+
 	function fetchAfter(peer: Address, reason: FetchReason, isNeeded: () => boolean, delayMs: number): void {
 		const notBefore = as<Milliseconds>(clock.now() + delayMs);
 		peers.fetch({
--- a/src/zones/table-peers.ts
+++ b/src/zones/table-peers.ts
@@ -46,6 +46,8 @@
 export type TablePeers = {
 	/** Number of the last change of this instance. */
 	readonly change: () => ChangeNumber;
+	/** Sends the addresses a message that has to reach them; it is retried. */
+	readonly send: (addresses: readonly Address[], message: RelayMessage) => void;
 	/** Sends the others a message that has to reach them; it is retried. */
 	readonly broadcast: (message: RelayMessage) => void;
 	/** Sends the others a message that is repeated soon; it is not retried. */
@@ -79,12 +81,16 @@
 		},
 	});
 
-	function broadcast(message: RelayMessage): void {
-		for (const address of options.others()) {
+	function send(addresses: readonly Address[], message: RelayMessage): void {
+		for (const address of addresses) {
 			void peers.request(address, message, {timeout: as<Milliseconds>(broadcastTimeoutMs), attempts: broadcastAttempts});
 		}
 	}
 
+	function broadcast(message: RelayMessage): void {
+		send(options.others(), message);
+	}
+
 	function numberEntries(entries: readonly DirectoryEntry[]): void {
 		if (entries.length > 0) {
 			change = as<ChangeNumber>(change + 1);
@@ -111,6 +117,7 @@
 
 	return {
 		change: () => change,
+		send,
 		broadcast,
 		post(message) {
 			for (const address of options.others()) {
--- a/tests/configuration-exploration.test.ts
+++ b/tests/configuration-exploration.test.ts
@@ -171,6 +171,8 @@
 	28,
 	35,
 	39,
+	// A watcher whose watch was silent lost its neighbours before it detected that.
+	140,
 ];
 
 for (const seed of new Set([...Array.from({length: historyCount}, (_, index) => index + 1), ...regressionSeeds])) {
