Ask a few instances at a time for newer tables, first the one that replied

Cause: the search for newer tables asked one peer in 250 ms, at random, also those that had not replied 1.5 s before. Class: a bound that holds on average.

Change: until a peer replies that the store answers, three are asked in a round, those that have been silent longest ago first; then that one and another.

Questions are datagrams of the kind that there is already.

--- a/src/zones/contact-search.ts
+++ b/src/zones/contact-search.ts
@@ -1,17 +1,24 @@
 /**
 Search for an instance with newer tables, while neither the store nor a neighbour keeps those of this instance up to date.
-Gossip brings news from other data centres only by chance, so the instance asks for digests itself, one peer at a time.
+Gossip brings news from other data centres only by chance, so the instance asks for digests itself: a few peers at a time
+until one replies that the store answers, and then that one and another.
 
-Load that it answers: the store turns away every live instance of a data centre, and the configuration changes.
+Load that it answers: the store turns away every live instance of a data centre, most others do not respond, and the
+configuration changes.
 */
 import {type Clock, type Random} from '../contracts/clock.js';
 import {as, type InstanceId, type Milliseconds} from '../contracts/id.js';
 import {type Member} from './membership.js';
-import {createUnresponsivePeers} from './unresponsive-peers.js';
 
-/** Interval between two questions, in ms. */
+/** Interval between two rounds of questions, in ms. */
 const intervalMs = 250;
 
+/** Number of peers asked in a round. */
+const searchWidth = 3;
+
+/** The same while a peer that the store answers replies. */
+const confirmedWidth = 2;
+
 export type ContactSearchOptions = {
 	/** Whether the tables may be older than allowed. */
 	readonly isNeeded: () => boolean;
@@ -38,16 +45,27 @@
 /** Creates a search that has asked nobody yet. */
 export function createContactSearch(options: ContactSearchOptions): ContactSearch {
 	const {clock, random} = options;
-	const unresponsive = createUnresponsivePeers<InstanceId>(clock);
+	/** When each peer last did not reply; absent once it has replied. */
+	const silentSince = new Map<InstanceId, Milliseconds>();
+	/** The peer that replied last, if the store answers it. */
+	let source: InstanceId | undefined;
 	let current: {asked: number; unanswered: number; readonly since: Milliseconds} | undefined;
 
-	/** A random member, if possible one that replies and that the store answers. */
-	function choose(): Member | undefined {
-		const others = options.others();
-		const responsive = others.filter(({id}) => !unresponsive.has(id));
-		const inContact = responsive.filter(({id}) => options.isStoreReachableFrom(id));
-		const candidates = [inContact, responsive, others].find(members => members.length > 0) ?? [];
-		return candidates[Math.floor(random.fraction() * candidates.length)];
+	/** Members in the order in which to ask them: the source first, then those that the store answers, and last those that did not reply lately. */
+	function candidates(): readonly Member[] {
+		return options.others()
+			.map(member => ({
+				member,
+				isSource: member.id === source,
+				silence: silentSince.get(member.id) ?? 0,
+				isInContact: options.isStoreReachableFrom(member.id),
+				tie: random.fraction(),
+			}))
+			.toSorted((left, right) => Number(right.isSource) - Number(left.isSource)
+				|| left.silence - right.silence
+				|| Number(right.isInContact) - Number(left.isInContact)
+				|| left.tie - right.tie)
+			.map(({member}) => member);
 	}
 
 	async function ask(member: Member): Promise<void> {
@@ -56,12 +74,21 @@
 			search.asked++;
 		}
 
-		if (!await options.ask(member)) {
-			unresponsive.add(member.id);
+		const isAnswered = await options.ask(member);
+		if (isAnswered) {
+			silentSince.delete(member.id);
+		} else {
+			silentSince.set(member.id, clock.now());
 			if (search) {
 				search.unanswered++;
 			}
 		}
+
+		if (isAnswered && options.isStoreReachableFrom(member.id)) {
+			source = member.id;
+		} else if (source === member.id) {
+			source = undefined;
+		}
 	}
 
 	function advance(): void {
@@ -72,12 +99,13 @@
 			}
 
 			current = undefined;
+			source = undefined;
+			silentSince.clear();
 			return;
 		}
 
 		current ??= {asked: 0, unanswered: 0, since: clock.now()};
-		const member = choose();
-		if (member) {
+		for (const member of candidates().slice(0, source === undefined ? searchWidth : confirmedWidth)) {
 			void ask(member);
 		}
 	}
