Send accounts one message at a time to each receiver, as fast as it replies

Cause: a message of accounts had 40 ms for its reply and was sent three times, and then once a second, however late its receiver was; each change of an account was a message of its own while the one before was on its way. Class: work that grows because it is late.

Change: each receiver gets one message at a time. What changes meanwhile follows together, in its latest state. The time limit follows how fast the receiver has replied. Claims and notices of the second half are sent at once, as before. The messages are the same.

--- a/src/zones/budget-replication.ts
+++ b/src/zones/budget-replication.ts
@@ -11,9 +11,8 @@
 import {type TokenAccount, withStoreSlotOnly} from '../contracts/token-account.js';
 import {type TokenLedger} from '../contracts/token-ledger.js';
 import {type Member, processOf} from './membership.js';
-import {
-	type AccountExchange, askNeighbours, homeReplicas, replicasFor, sendAccounts,
-} from './replicas.js';
+import {type AccountExchange, askNeighbours, homeReplicas, replicasFor} from './replicas.js';
+import {createAccountDispatch, type Dispatch} from './account-dispatch.js';
 import {candidatesIn, dataCentresOf, isAmongOwners} from './ownership.js';
 import {withTimeout} from './with-timeout.js';
 import {type RelayPeers} from './relay-peers.js';
@@ -21,13 +20,6 @@
 /** Time for which changes of accounts are batched before they are sent. */
 const batchDelayMs = 20;
 
-/** Timeout of one attempt to send accounts to an instance of any data centre, and the number of attempts; a call lasts longer than all of them. */
-const sendTimeoutMs = 40;
-const sendAttempts = 3;
-
-/** Maximum number of accounts in one message, which has to fit into a datagram. */
-const accountsPerMessage = 4;
-
 /** Time within which every data centre that can be reached acknowledges a `Notice`; two round trips. */
 const acknowledgementTimeoutMs = 300;
 
@@ -77,9 +69,6 @@
 */
 type Acknowledgement = {readonly at: Milliseconds; readonly revision: number};
 
-/** An account as it is sent, with the revision of the ledger that it has. */
-type Dispatch = {readonly account: TokenAccount; readonly revision: number};
-
 /** Progress of a notice that only the home may grant from now on. */
 type Notice = {
 	readonly startedAt: Milliseconds;
@@ -144,37 +133,47 @@
 		}
 	}
 
-	async function sendBatches(target: Member, dispatches: readonly Dispatch[]): Promise<void> {
-		for (let index = 0; index < dispatches.length; index += accountsPerMessage) {
-			const part = dispatches.slice(index, index + accountsPerMessage);
-			const isAnswered = await sendAccounts(options, target, {kind: 'accounts', accounts: part.map(({account}) => account), isPassedOn: false}, {
-				timeout: as<Milliseconds>(sendTimeoutMs), attempts: sendAttempts,
-			});
-			if (isAnswered) {
-				for (const dispatch of part) {
-					recordAcknowledgement(target, dispatch);
-				}
-			} else {
-				for (const {account: {program}} of part) {
-					unacknowledged.add(program);
-				}
-			}
+	/** The account as a member is to have it: other data centres need to know its home only. */
+	function dispatchFor(target: Member, program: ProgramId): Dispatch | undefined {
+		const account = ledger.account(program);
+		if (!account || hasAcknowledged(program, target)) {
+			return undefined;
 		}
+
+		const part = target.dataCentre === account.home || account.isSecondHalf ? account : withStoreSlotOnly(account);
+		return {account: part, revision: ledger.revision(program)};
 	}
 
-	async function share(): Promise<void> {
+	const dispatch = createAccountDispatch({
+		exchange: options,
+		clock,
+		dispatchFor,
+		onAcknowledged: recordAcknowledgement,
+		onUnanswered(program) {
+			unacknowledged.add(program);
+		},
+	});
+
+	function share(): void {
 		isShareScheduled = false;
-		const byTarget = new Map<Member, Dispatch[]>();
+		const byTarget = new Map<Member, ProgramId[]>();
 		for (const program of dirty) {
-			const account = ledger.account(program);
-			for (const target of account ? recipients(program) : []) {
-				const part = account && (target.dataCentre === account.home || account.isSecondHalf ? account : withStoreSlotOnly(account));
-				byTarget.set(target, [...(byTarget.get(target) ?? []), ...(part ? [{account: part, revision: ledger.revision(program)}] : [])]);
+			for (const target of ledger.account(program) ? recipients(program) : []) {
+				byTarget.set(target, [...byTarget.get(target) ?? [], program]);
 			}
 		}
 
 		dirty.clear();
-		await Promise.all([...byTarget].map(async ([target, accounts]) => sendBatches(target, accounts)));
+		for (const [target, programs] of byTarget) {
+			dispatch.send(target, programs);
+		}
+	}
+
+	/** Sends an account to all that need it, without waiting for what they have yet to acknowledge. */
+	async function shareNow(program: ProgramId): Promise<void> {
+		dirty.delete(program);
+		const targets = ledger.account(program) ? recipients(program) : [];
+		await Promise.all(targets.map(async target => dispatch.sendNow(target, program)));
 	}
 
 	function markDirty(program: ProgramId): void {
@@ -189,8 +188,8 @@
 	function startNotice(program: ProgramId): Notice {
 		ledger.markSecondHalf(program);
 		acknowledgements.delete(program);
-		dirty.add(program);
-		const notice = {startedAt: clock.now(), answeredAt: new Map<DataCentreId, Milliseconds>(), delivered: share()};
+		const answeredAt = new Map<DataCentreId, Milliseconds>();
+		const notice = {startedAt: clock.now(), answeredAt, delivered: shareNow(program)};
 		notices.set(program, notice);
 		return notice;
 	}
@@ -209,8 +208,7 @@
 		announceClaim(program) {
 			const account = ledger.account(program);
 			if (account) {
-				dirty.add(program);
-				void share();
+				void shareNow(program);
 				sendToNeighbours([withStoreSlotOnly(account)]);
 			}
 		},
@@ -261,6 +259,7 @@
 		},
 		pruneExpired() {
 			const known = new Set(ledger.programs());
+			dispatch.retain(options.members());
 			for (const program of [...acknowledgements.keys(), ...notices.keys()]) {
 				if (!known.has(program)) {
 					acknowledgements.delete(program);
