Wait for late instances, and not for silent ones, when budgets are decided

Cause: a coordinator had 40 ms for the confirmation of a grant, twice in two rounds, and its client 120 ms, twice. Event loops that are 100 ms late miss that: grants were withheld ("unconfirmed"), callers came back, and each call cost up to four times its messages. Class: a limit that supposes that its receiver is fast.

Change: the limits of messages about budgets follow how fast their receiver has replied, within bounds; a receiver that is late gets fewer repetitions. One that has replied to nothing since is down or cut off, and is waited for no longer than before.

--- a/src/zones/account-dispatch.ts
+++ b/src/zones/account-dispatch.ts
@@ -4,20 +4,16 @@
 
 Load that it answers: instances with too little processor time, which reply late, while many programs go on.
 */
-import {type Clock} from '../contracts/clock.js';
 import {as, type Milliseconds, type ProgramId} from '../contracts/id.js';
 import {type TokenAccount} from '../contracts/token-account.js';
 import {type Member, processOf} from './membership.js';
 import {type AccountExchange, sendAccounts} from './replicas.js';
-import {createReplyTimes} from './reply-times.js';
+import {type ReplyBounds} from './reply-times.js';
 
-/** Time limits of a message to an instance of any data centre, in ms; a call lasts longer than all attempts at the minimum. */
-const minimumLimitMs = 40;
-const maximumLimitMs = 1000;
-const attempts = 3;
-
-/** Time limit from which on a message is sent once, in ms: its receiver is late, and what was lost is sent again with the next retry. */
-const singleAttemptMs = 160;
+/** Limits of a message to an instance of any data centre; a call lasts longer than all attempts at one that is fast. */
+const bounds: ReplyBounds = {
+	minimum: as<Milliseconds>(40), maximum: as<Milliseconds>(1000), attempts: 3, lateAttempts: 1,
+};
 
 /** Maximum number of accounts in one message, which has to fit into a datagram. */
 const accountsPerMessage = 4;
@@ -27,7 +23,6 @@
 
 export type AccountDispatchOptions = {
 	readonly exchange: AccountExchange;
-	readonly clock: Clock;
 	/** The current account as the member is to have it; undefined if it needs nothing. */
 	readonly dispatchFor: (target: Member, program: ProgramId) => Dispatch | undefined;
 	readonly onAcknowledged: (target: Member, dispatch: Dispatch) => void;
@@ -39,31 +34,18 @@
 	readonly send: (target: Member, programs: readonly ProgramId[]) => void;
 	/** Sends an account at once. Resolves when the receiver has replied or does not reply in time. */
 	readonly sendNow: (target: Member, program: ProgramId) => Promise<void>;
-	/** Forgets members that are gone. */
-	readonly retain: (members: readonly Member[]) => void;
 };
 
 /** Creates the dispatch of an instance that has sent nothing. */
 export function createAccountDispatch(options: AccountDispatchOptions): AccountDispatch {
-	const {exchange, clock, dispatchFor} = options;
-	const replyTimes = createReplyTimes<string>({minimum: as<Milliseconds>(minimumLimitMs), maximum: as<Milliseconds>(maximumLimitMs)});
+	const {exchange, dispatchFor} = options;
 	/** Programs that wait for the receiver's reply to an earlier message. */
 	const waiting = new Map<string, Set<ProgramId>>();
 
 	/** Sends one message. Resolves to whether it was acknowledged. */
-	async function sendMessage(target: Member, dispatches: readonly Dispatch[], isUrgent: boolean): Promise<boolean> {
-		const receiver = processOf(target);
-		const sentAt = clock.now();
-		const limit = replyTimes.limit(receiver);
-		const isAnswered = await sendAccounts(exchange, target, {kind: 'accounts', accounts: dispatches.map(({account}) => account), isPassedOn: false}, {
-			timeout: limit, attempts: isUrgent || limit < singleAttemptMs ? attempts : 1,
-		});
-		if (isAnswered) {
-			replyTimes.recordReply(receiver, as<Milliseconds>(clock.now() - sentAt));
-		} else {
-			replyTimes.recordTimeout(receiver);
-		}
-
+	async function sendMessage(target: Member, dispatches: readonly Dispatch[]): Promise<boolean> {
+		const accounts = dispatches.map(({account}) => account);
+		const isAnswered = await sendAccounts(exchange, target, {kind: 'accounts', accounts, isPassedOn: false}, bounds);
 		for (const dispatch of dispatches) {
 			if (isAnswered) {
 				options.onAcknowledged(target, dispatch);
@@ -96,7 +78,7 @@
 		let isAnswered = true;
 		while (isAnswered && programs.size > 0) {
 			const dispatches = take(target, programs);
-			isAnswered = dispatches.length === 0 || await sendMessage(target, dispatches, false);
+			isAnswered = dispatches.length === 0 || await sendMessage(target, dispatches);
 		}
 
 		waiting.delete(processOf(target));
@@ -123,11 +105,8 @@
 		async sendNow(target, program) {
 			const dispatch = dispatchFor(target, program);
 			if (dispatch) {
-				await sendMessage(target, [dispatch], true);
+				await sendMessage(target, [dispatch]);
 			}
 		},
-		retain(members) {
-			replyTimes.retain(new Set(members.map(member => processOf(member))));
-		},
 	};
 }
--- a/src/zones/budget-client.ts
+++ b/src/zones/budget-client.ts
@@ -14,11 +14,13 @@
 	candidatesIn, dataCentresOf, rankDataCentres, rankOwners,
 } from './ownership.js';
 import {type RelayPeers, type ReservationOutcome} from './relay-peers.js';
+import {createReplyTimes, type ReplyBounds} from './reply-times.js';
 import {createUnresponsivePeers} from './unresponsive-peers.js';
 
-/** Timeout of one attempt of a reservation, and the number of attempts; a coordinator replies within milliseconds unless it is short of processor time. */
-const askTimeoutMs = 120;
-const askAttempts = 2;
+/** Limits of a reservation; a coordinator replies within milliseconds unless it is short of processor time. */
+const askBounds: ReplyBounds = {
+	minimum: as<Milliseconds>(120), maximum: as<Milliseconds>(400), attempts: 2, lateAttempts: 1,
+};
 
 /** Maximum number of instances of one data centre that are asked in turn; several may be restarting at the same time. */
 const maximumAsked = 4;
@@ -26,9 +28,10 @@
 /** Number of instances of another data centre that fail to reply before the data centre is skipped as unreachable for a while. */
 const maximumUnanswered = 2;
 
-/** Timeout of one attempt of a settlement, and the number of attempts. */
-const settleTimeoutMs = 100;
-const settleAttempts = 4;
+/** Limits of a settlement, for which nobody waits. */
+const settleBounds: ReplyBounds = {
+	minimum: as<Milliseconds>(100), maximum: as<Milliseconds>(1000), attempts: 4, lateAttempts: 2,
+};
 
 /** How a coordinator is asked: as the home or as a fallback for it, and by an entry instance or by an instance that forwards. */
 export type QueryMode = {readonly isHomeUnreachable: boolean; readonly isForwarded: boolean};
@@ -67,7 +70,7 @@
 export type BudgetClientOptions = {
 	readonly self: () => Member;
 	readonly members: () => readonly Member[];
-	readonly peers: Pick<RelayPeers, 'request'>;
+	readonly peers: Pick<RelayPeers, 'request' | 'repliedAt'>;
 	readonly clock: Clock;
 	readonly localCoordinator: BudgetCoordinator;
 	readonly places: PromptLocations;
@@ -81,21 +84,23 @@
 	const unresponsive = createUnresponsivePeers<InstanceId>(clock);
 	const unreachableDataCentres = createUnresponsivePeers<DataCentreId>(clock);
 	const homes = new Map<ProgramId, DataCentreId>();
+	const replyTimes = createReplyTimes(options.peers.repliedAt);
 
 	function rankedMembers(dataCentre: Member['dataCentre'], program: ProgramId): readonly Member[] {
 		return rankOwners(program, candidatesIn(dataCentre, options.members()));
 	}
 
 	async function askRemote(coordinator: Member, request: ReservationRequest, {isHomeUnreachable, isForwarded}: QueryMode): Promise<CoordinatorReply | undefined> {
+		const sentAt = clock.now();
 		const reply = await options.peers.request(coordinator.address, {
 			kind: 'reserve', reservation: request, isHomeUnreachable, isForwarded,
-		}, {
-			timeout: as<Milliseconds>(askTimeoutMs), attempts: askAttempts,
-		});
+		}, replyTimes.next(coordinator, askBounds));
 		if (reply?.kind === 'reservation') {
+			replyTimes.recordReply(coordinator, as<Milliseconds>(clock.now() - sentAt));
 			return {outcome: reply.outcome, places: reply.places, coordinator};
 		}
 
+		replyTimes.recordTimeout(coordinator, sentAt);
 		unresponsive.add(coordinator.id);
 		options.onEvent({
 			kind: 'keeper-silent', request: request.attempt, program: request.program, keeper: coordinator.id,
@@ -149,7 +154,7 @@
 	}
 
 	function settleAt(coordinator: Member, settlement: Settlement): void {
-		void options.peers.request(coordinator.address, {kind: 'settle', ...settlement}, {timeout: as<Milliseconds>(settleTimeoutMs), attempts: settleAttempts});
+		void options.peers.request(coordinator.address, {kind: 'settle', ...settlement}, replyTimes.next(coordinator, settleBounds));
 	}
 
 	async function askFallback(request: ReservationRequest): Promise<CoordinatorReply> {
@@ -171,6 +176,7 @@
 		askDataCentre,
 		settleAt,
 		prune(isKnown) {
+			replyTimes.retain(options.members());
 			for (const program of homes.keys()) {
 				if (!isKnown(program)) {
 					homes.delete(program);
--- a/src/zones/budget-confirmation.ts
+++ b/src/zones/budget-confirmation.ts
@@ -17,14 +17,16 @@
 	type AccountExchange, askNeighbours, homeReplicas, replicasFor, sendAccounts,
 } from './replicas.js';
 import {dataCentresOf} from './ownership.js';
+import {type ReplyBounds} from './reply-times.js';
 import {withTimeout} from './with-timeout.js';
 
 /**
-Timeout of one attempt of a confirmation, and the number of attempts. A call waits for the confirmation; all rounds
-together take less than the timeout of the instance that asked.
+Limits of a confirmation. A call waits for it; with instances that are fast, all rounds together take less than the
+timeout of the instance that asked.
 */
-const confirmTimeoutMs = 40;
-const confirmAttempts = 2;
+const confirmBounds: ReplyBounds = {
+	minimum: as<Milliseconds>(40), maximum: as<Milliseconds>(200), attempts: 2, lateAttempts: 1,
+};
 
 /** Number of rounds of confirmation; each skips the instances that did not reply in the previous round. */
 const confirmRounds = 2;
@@ -71,9 +73,7 @@
 	}
 
 	async function askConfirmer(target: Member, account: TokenAccount): Promise<boolean> {
-		return sendAccounts(options, target, {kind: 'accounts', accounts: [account], isPassedOn: true}, {
-			timeout: as<Milliseconds>(confirmTimeoutMs), attempts: confirmAttempts,
-		});
+		return sendAccounts(options, target, {kind: 'accounts', accounts: [account], isPassedOn: true}, confirmBounds);
 	}
 
 	/** Resolves once all have replied, or shortly after the first reply; to false when none replied. */
--- a/src/zones/budget-coordinator.ts
+++ b/src/zones/budget-coordinator.ts
@@ -20,6 +20,7 @@
 import {withTimeout} from './with-timeout.js';
 import {createRecordWriter, type RecordWriter} from './record-writer.js';
 import {type RelayPeers, type ReservationOutcome} from './relay-peers.js';
+import {createReplyTimes} from './reply-times.js';
 import {createUnresponsivePeers} from './unresponsive-peers.js';
 
 /** Timeout of a write to the store, after which a call may proceed without the record. */
@@ -59,7 +60,7 @@
 	readonly self: () => Member;
 	readonly members: () => readonly Member[];
 	readonly dataCentres: () => readonly DataCentreId[];
-	readonly peers: Pick<RelayPeers, 'request' | 'post'>;
+	readonly peers: Pick<RelayPeers, 'request' | 'post' | 'repliedAt'>;
 	readonly ledger: TokenLedger;
 	readonly records: DurableRecords;
 	readonly clock: Clock;
@@ -78,6 +79,7 @@
 	const exchange = {
 		...options,
 		unresponsive: createUnresponsivePeers<InstanceId>(clock),
+		replyTimes: createReplyTimes(options.peers.repliedAt),
 		receive(accounts: readonly TokenAccount[]) {
 			receive(accounts);
 		},
@@ -281,6 +283,7 @@
 			markDirty(program);
 		},
 		maintain() {
+			exchange.replyTimes.retain(options.members());
 			ledger.expire(clock.now());
 			replication.pruneExpired();
 			replication.retry();
--- a/src/zones/budget-replication.ts
+++ b/src/zones/budget-replication.ts
@@ -11,7 +11,9 @@
 import {type TokenAccount, withStoreSlotOnly} from '../contracts/token-account.js';
 import {type TokenLedger} from '../contracts/token-ledger.js';
 import {type Member, processOf} from './membership.js';
-import {type AccountExchange, askNeighbours, homeReplicas, replicasFor} from './replicas.js';
+import {
+	type AccountExchange, askNeighbours, homeReplicas, replicasFor,
+} from './replicas.js';
 import {createAccountDispatch, type Dispatch} from './account-dispatch.js';
 import {candidatesIn, dataCentresOf, isAmongOwners} from './ownership.js';
 import {withTimeout} from './with-timeout.js';
@@ -146,7 +148,6 @@
 
 	const dispatch = createAccountDispatch({
 		exchange: options,
-		clock,
 		dispatchFor,
 		onAcknowledged: recordAcknowledgement,
 		onUnanswered(program) {
@@ -259,7 +260,6 @@
 		},
 		pruneExpired() {
 			const known = new Set(ledger.programs());
-			dispatch.retain(options.members());
 			for (const program of [...acknowledgements.keys(), ...notices.keys()]) {
 				if (!known.has(program)) {
 					acknowledgements.delete(program);
--- a/src/zones/replicas.ts
+++ b/src/zones/replicas.ts
@@ -2,20 +2,24 @@
 The instances that hold replicas of a program's account and would take over as its coordinator, and the exchange of
 accounts with them.
 */
+import {type Clock} from '../contracts/clock.js';
 import {
 	as, type DataCentreId, type InstanceId, type Milliseconds, type ProgramId,
 } from '../contracts/id.js';
 import {type TokenAccount} from '../contracts/token-account.js';
 import {type Member} from './membership.js';
 import {candidatesIn, rankOwners} from './ownership.js';
-import {type MessageOptions, type RelayMessage, type RelayPeers} from './relay-peers.js';
+import {type RelayMessage, type RelayPeers} from './relay-peers.js';
+import {type ReplyBounds, type ReplyTimes} from './reply-times.js';
 import {type UnresponsivePeers} from './unresponsive-peers.js';
 
 /** Number of instances of a program's home that hold its account, including the coordinator. */
 export const homeReplicas = 3;
 
-/** Timeout of a message to an instance of the same data centre. */
-const neighbourTimeoutMs = 40;
+/** Limits of a message to an instance of the same data centre. */
+const neighbourBounds: ReplyBounds = {
+	minimum: as<Milliseconds>(40), maximum: as<Milliseconds>(200), attempts: 1, lateAttempts: 1,
+};
 
 /** The other instances, as seen from this one. */
 export type PeerView = {
@@ -30,6 +34,9 @@
 /** How accounts are exchanged with other instances. */
 export type AccountExchange = PeerView & {
 	readonly peers: Pick<RelayPeers, 'request'>;
+	/** How fast each process of an instance has replied to accounts. */
+	readonly replyTimes: ReplyTimes;
+	readonly clock: Clock;
 	/** Merges what a peer counted. */
 	readonly receive: (accounts: readonly TokenAccount[]) => void;
 };
@@ -50,14 +57,18 @@
 	exchange: AccountExchange,
 	target: Member,
 	message: Extract<RelayMessage, {kind: 'accounts'}>,
-	options: MessageOptions,
+	bounds: ReplyBounds,
 ): Promise<boolean> {
-	const reply = await exchange.peers.request(target.address, message, options);
+	const {peers, replyTimes, clock} = exchange;
+	const sentAt = clock.now();
+	const reply = await peers.request(target.address, message, replyTimes.next(target, bounds));
 	if (!reply) {
+		replyTimes.recordTimeout(target, sentAt);
 		exchange.unresponsive.add(target.id);
 		return false;
 	}
 
+	replyTimes.recordReply(target, as<Milliseconds>(clock.now() - sentAt));
 	if (reply.kind === 'accounts') {
 		exchange.receive(reply.accounts);
 	}
@@ -72,8 +83,6 @@
 export async function askNeighbours(exchange: AccountExchange, account: TokenAccount): Promise<boolean> {
 	const self = exchange.self();
 	const neighbours = exchange.members().filter(member => member.dataCentre === self.dataCentre && member.id !== self.id);
-	const replies = await Promise.all(neighbours.map(async member => sendAccounts(exchange, member, {kind: 'accounts', accounts: [account], isPassedOn: true}, {
-		timeout: as<Milliseconds>(neighbourTimeoutMs), attempts: 1,
-	})));
+	const replies = await Promise.all(neighbours.map(async member => sendAccounts(exchange, member, {kind: 'accounts', accounts: [account], isPassedOn: true}, neighbourBounds)));
 	return replies.includes(true);
 }
--- a/tests/wrong-suspicions.test.ts
+++ b/tests/wrong-suspicions.test.ts
@@ -13,6 +13,7 @@
 import {createBudgetReplication} from '../src/zones/budget-replication.js';
 import {createGossipProtocol} from '../src/zones/gossip-protocol.js';
 import {createMembership, type Member, processOf} from '../src/zones/membership.js';
+import {createReplyTimes} from '../src/zones/reply-times.js';
 import {createUnresponsivePeers} from '../src/zones/unresponsive-peers.js';
 import {createFakeClock, createSeededRandom} from './fixtures/fake-clock.js';
 
@@ -36,6 +37,7 @@
 		members: () => [...members.values()],
 		dataCentres: () => [dataCentre],
 		unresponsive: createUnresponsivePeers(clock),
+		replyTimes: createReplyTimes(() => undefined),
 		peers: {
 			async request(_address, message) {
 				sent += message.kind === 'accounts' ? message.accounts.length : 0;
