Take an instance for silent only after a second without any reply

Change: an instance that has replied to anything within the last second is late; one that has not is silent.

--- a/src/zones/budget-client.ts
+++ b/src/zones/budget-client.ts
@@ -84,7 +84,7 @@
 	const unresponsive = createUnresponsivePeers<InstanceId>(clock);
 	const unreachableDataCentres = createUnresponsivePeers<DataCentreId>(clock);
 	const homes = new Map<ProgramId, DataCentreId>();
-	const replyTimes = createReplyTimes(options.peers.repliedAt);
+	const replyTimes = createReplyTimes(options.peers.repliedAt, clock);
 
 	function rankedMembers(dataCentre: Member['dataCentre'], program: ProgramId): readonly Member[] {
 		return rankOwners(program, candidatesIn(dataCentre, options.members()));
@@ -100,7 +100,7 @@
 			return {outcome: reply.outcome, places: reply.places, coordinator};
 		}
 
-		replyTimes.recordTimeout(coordinator, sentAt);
+		replyTimes.recordTimeout(coordinator);
 		unresponsive.add(coordinator.id);
 		options.onEvent({
 			kind: 'keeper-silent', request: request.attempt, program: request.program, keeper: coordinator.id,
--- a/src/zones/budget-coordinator.ts
+++ b/src/zones/budget-coordinator.ts
@@ -79,7 +79,7 @@
 	const exchange = {
 		...options,
 		unresponsive: createUnresponsivePeers<InstanceId>(clock),
-		replyTimes: createReplyTimes(options.peers.repliedAt),
+		replyTimes: createReplyTimes(options.peers.repliedAt, clock),
 		receive(accounts: readonly TokenAccount[]) {
 			receive(accounts);
 		},
--- a/src/zones/replicas.ts
+++ b/src/zones/replicas.ts
@@ -63,7 +63,7 @@
 	const sentAt = clock.now();
 	const reply = await peers.request(target.address, message, replyTimes.next(target, bounds));
 	if (!reply) {
-		replyTimes.recordTimeout(target, sentAt);
+		replyTimes.recordTimeout(target);
 		exchange.unresponsive.add(target.id);
 		return false;
 	}
--- a/src/zones/reply-times.ts
+++ b/src/zones/reply-times.ts
@@ -2,6 +2,7 @@
 Time limits of messages by how fast their receivers have replied. A receiver with little processor time replies late; sending to it
 again before its reply is due would only add to its work.
 */
+import {type Clock} from '../contracts/clock.js';
 import {as, type Milliseconds} from '../contracts/id.js';
 import {type Member, processOf} from './membership.js';
 import {type RelayPeers} from './relay-peers.js';
@@ -15,6 +16,9 @@
 /** Limit, as a multiple of its minimum, from which on the receiver is late, rather than a message lost. */
 const lateMultiple = 3;
 
+/** Time without any reply, in ms, after which a receiver is taken to be down or cut off rather than late. */
+const silenceMs = 1000;
+
 /** How long a message may wait for its reply. */
 export type ReplyBounds = {
 	/** Limit of one attempt for a receiver that is fast. */
@@ -29,48 +33,46 @@
 	/** Time limit and number of attempts of the next message to a receiver. */
 	readonly next: (receiver: Member, bounds: ReplyBounds) => {readonly timeout: Milliseconds; readonly attempts: number};
 	readonly recordReply: (receiver: Member, took: Milliseconds) => void;
-	/** Records that a receiver did not reply in time to a message that was sent at `sentAt`. */
-	readonly recordTimeout: (receiver: Member, sentAt: Milliseconds) => void;
+	/** Records that a receiver did not reply in time. */
+	readonly recordTimeout: (receiver: Member) => void;
 	/** Forgets processes that are gone. */
 	readonly retain: (members: readonly Member[]) => void;
 };
 
-/** `unansweredSince` is when the message was sent whose reply did not come in time; undefined if the last one did. */
-type Estimate = {readonly smoothed: number; readonly timeouts: number; readonly unansweredSince: Milliseconds | undefined};
+/** `timeouts` counts the messages without a reply in time since the last reply. */
+type Estimate = {readonly smoothed: number; readonly timeouts: number};
 
-const unknown: Estimate = {smoothed: 0, timeouts: 0, unansweredSince: undefined};
+const unknown: Estimate = {smoothed: 0, timeouts: 0};
 
 /** Creates estimates that take all receivers to be fast. `repliedAt` is when an address last replied to anything, in time or not. */
-export function createReplyTimes(repliedAt: RelayPeers['repliedAt']): ReplyTimes {
+export function createReplyTimes(repliedAt: RelayPeers['repliedAt'], clock: Clock): ReplyTimes {
 	const estimates = new Map<string, Estimate>();
 	const estimateOf = (receiver: Member): Estimate => estimates.get(processOf(receiver)) ?? unknown;
 
-	/** A receiver that has not replied to anything since is down or cut off, and waiting longer would not help. */
-	function isSilent({address}: Member, {unansweredSince}: Estimate): boolean {
-		return unansweredSince !== undefined && (repliedAt(address) ?? -Infinity) < unansweredSince;
+	/** Waiting longer for a receiver that replies to nothing would not help. */
+	function isSilent({address}: Member): boolean {
+		return clock.now() - (repliedAt(address) ?? -Infinity) > silenceMs;
 	}
 
 	return {
 		next(receiver, {
 			minimum, maximum, attempts, lateAttempts,
 		}) {
-			const estimate = estimateOf(receiver);
-			if (isSilent(receiver, estimate)) {
+			if (isSilent(receiver)) {
 				return {timeout: minimum, attempts};
 			}
 
-			const timeout = Math.min(maximum, Math.max(minimum, margin * estimate.smoothed) * (2 ** estimate.timeouts));
+			const {smoothed, timeouts} = estimateOf(receiver);
+			const timeout = Math.min(maximum, Math.max(minimum, margin * smoothed) * (2 ** timeouts));
 			return {timeout: as<Milliseconds>(timeout), attempts: timeout < lateMultiple * minimum ? attempts : lateAttempts};
 		},
 		recordReply(receiver, took) {
 			const {smoothed} = estimateOf(receiver);
-			estimates.set(processOf(receiver), {smoothed: smoothed + (smoothing * (took - smoothed)), timeouts: 0, unansweredSince: undefined});
+			estimates.set(processOf(receiver), {smoothed: smoothed + (smoothing * (took - smoothed)), timeouts: 0});
 		},
-		recordTimeout(receiver, sentAt) {
-			const estimate = estimateOf(receiver);
-			// Only a receiver that has replied since the timeout before is late; the others start again at the minimum.
-			const timeouts = isSilent(receiver, estimate) ? 1 : estimate.timeouts + 1;
-			estimates.set(processOf(receiver), {smoothed: estimate.smoothed, timeouts, unansweredSince: sentAt});
+		recordTimeout(receiver) {
+			const {smoothed, timeouts} = estimateOf(receiver);
+			estimates.set(processOf(receiver), {smoothed, timeouts: isSilent(receiver) ? 0 : timeouts + 1});
 		},
 		retain(members) {
 			const processes = new Set(members.map(member => processOf(member)));
--- a/tests/reply-times.test.ts
+++ b/tests/reply-times.test.ts
@@ -8,6 +8,7 @@
 } from '../src/contracts/id.js';
 import {type Member} from '../src/zones/membership.js';
 import {createReplyTimes, type ReplyBounds} from '../src/zones/reply-times.js';
+import {createFakeClock} from './fixtures/fake-clock.js';
 
 const receiver: Member = {
 	id: as<InstanceId>('a2'), dataCentre: as<DataCentreId>('a'), address: as<Address>('a2'), incarnation: as<Incarnation>(1), status: 'alive',
@@ -18,17 +19,17 @@
 };
 
 test('a fast receiver has the minimum and all attempts', () => {
-	const replyTimes = createReplyTimes(() => undefined);
+	const clock = createFakeClock();
+	const replyTimes = createReplyTimes(() => clock.now(), clock);
 	replyTimes.recordReply(receiver, ms(3));
 	assert.deepEqual(replyTimes.next(receiver, bounds), {timeout: 40, attempts: 3});
 });
 
 test('a receiver that replies after the limit gets longer ones, up to the maximum, and fewer messages', () => {
-	let now = 0;
-	const replyTimes = createReplyTimes(() => ms(now));
+	const clock = createFakeClock();
+	const replyTimes = createReplyTimes(() => clock.now(), clock);
 	const limits = [1, 2, 3, 4, 5].map(() => {
-		replyTimes.recordTimeout(receiver, ms(now));
-		now += 100;
+		replyTimes.recordTimeout(receiver);
 		return replyTimes.next(receiver, bounds);
 	});
 	assert.deepEqual(limits.map(({timeout}) => timeout), [80, 160, 320, 500, 500]);
@@ -40,11 +41,15 @@
 	assert.deepEqual(replyTimes.next(receiver, bounds), {timeout: 40, attempts: 3});
 });
 
-test('a receiver that is down or cut off is not waited for longer than the minimum', () => {
-	const replyTimes = createReplyTimes(() => ms(50));
+test('a receiver that is down or cut off is not waited for longer than the minimum', async () => {
+	const clock = createFakeClock();
+	const replyTimes = createReplyTimes(() => ms(0), clock);
 	replyTimes.recordReply(receiver, ms(100));
-	for (const sentAt of [100, 300, 500]) {
-		replyTimes.recordTimeout(receiver, ms(sentAt));
+	replyTimes.recordTimeout(receiver);
+	assert.deepEqual(replyTimes.next(receiver, bounds), {timeout: 150, attempts: 1});
+	await clock.advance(1500);
+	for (let message = 0; message < 3; message++) {
+		replyTimes.recordTimeout(receiver);
 		assert.deepEqual(replyTimes.next(receiver, bounds), {timeout: 40, attempts: 3});
 	}
 });
--- a/tests/wrong-suspicions.test.ts
+++ b/tests/wrong-suspicions.test.ts
@@ -37,7 +37,7 @@
 		members: () => [...members.values()],
 		dataCentres: () => [dataCentre],
 		unresponsive: createUnresponsivePeers(clock),
-		replyTimes: createReplyTimes(() => undefined),
+		replyTimes: createReplyTimes(() => undefined, clock),
 		peers: {
 			async request(_address, message) {
 				sent += message.kind === 'accounts' ? message.accounts.length : 0;
