--- a/src/contracts/id.ts
+++ b/src/contracts/id.ts
@@ -30,6 +30,8 @@
 export type Address = Brand<string, 'Address'>;
 
 export type Incarnation = Brand<number, 'Incarnation'>;
+/** One run of an instance's process, from its start to its end. */
+export type ProcessId = Brand<string, 'ProcessId'>;
 export type ShardNumber = Brand<number, 'ShardNumber'>;
 export type FencingNumber = Brand<number, 'FencingNumber'>;
 export type ConfigurationGeneration = Brand<number, 'ConfigurationGeneration'>;
--- a/src/zones/account-dispatch.ts
+++ b/src/zones/account-dispatch.ts
@@ -4,9 +4,12 @@
 
 Load that it answers: instances with too little processor time, which reply late, while many programs go on.
 */
-import {as, type Milliseconds, type ProgramId} from '../contracts/id.js';
+import {
+	as, type Milliseconds, type ProcessId, type ProgramId,
+} from '../contracts/id.js';
 import {type TokenAccount} from '../contracts/token-account.js';
-import {type Member, processOf} from './membership.js';
+import {processOf} from './member-identity.js';
+import {type Member} from './membership.js';
 import {type AccountExchange, sendAccounts} from './replicas.js';
 import {type ReplyBounds} from './reply-times.js';
 
@@ -40,7 +43,7 @@
 export function createAccountDispatch(options: AccountDispatchOptions): AccountDispatch {
 	const {exchange, dispatchFor} = options;
 	/** Programs that wait for the receiver's reply to an earlier message. */
-	const waiting = new Map<string, Set<ProgramId>>();
+	const waiting = new Map<ProcessId, Set<ProgramId>>();
 
 	/** Sends one message. Resolves to whether it was acknowledged. */
 	async function sendMessage(target: Member, dispatches: readonly Dispatch[]): Promise<boolean> {
--- a/src/zones/budget-replication.ts
+++ b/src/zones/budget-replication.ts
@@ -6,11 +6,12 @@
 */
 import {type Clock} from '../contracts/clock.js';
 import {
-	as, type DataCentreId, type Milliseconds, type ProgramId,
+	as, type DataCentreId, type Milliseconds, type ProcessId, type ProgramId,
 } from '../contracts/id.js';
 import {type TokenAccount, withStoreSlotOnly} from '../contracts/token-account.js';
 import {type TokenLedger} from '../contracts/token-ledger.js';
-import {type Member, processOf} from './membership.js';
+import {processOf} from './member-identity.js';
+import {type Member} from './membership.js';
 import {
 	type AccountExchange, askNeighbours, homeReplicas, replicasFor,
 } from './replicas.js';
@@ -86,7 +87,7 @@
 	const dirty = new Set<ProgramId>();
 	/** Programs whose accounts were not acknowledged by every recipient. */
 	const unacknowledged = new Set<ProgramId>();
-	const acknowledgements = new Map<ProgramId, Map<string, Acknowledgement>>();
+	const acknowledgements = new Map<ProgramId, Map<ProcessId, Acknowledgement>>();
 	const notices = new Map<ProgramId, Notice>();
 	let isShareScheduled = false;
 	let candidates = '';
@@ -127,7 +128,7 @@
 	}
 
 	function recordAcknowledgement(target: Member, {account: {program, isSecondHalf}, revision}: Dispatch): void {
-		const byProcess = acknowledgements.get(program) ?? new Map<string, Acknowledgement>();
+		const byProcess = acknowledgements.get(program) ?? new Map<ProcessId, Acknowledgement>();
 		acknowledgements.set(program, byProcess.set(processOf(target), {at: clock.now(), revision}));
 		const answeredAt = isSecondHalf ? notices.get(program)?.answeredAt : undefined;
 		if (answeredAt && !answeredAt.has(target.dataCentre)) {
--- a/src/zones/membership.ts
+++ b/src/zones/membership.ts
@@ -10,6 +10,7 @@
 } from '../contracts/id.js';
 import {type Random} from '../contracts/clock.js';
 import {createBroadcastQueue} from './broadcast-queue.js';
+import {memberDigest} from './member-identity.js';
 
 /** Interval between the probes that an instance sends. */
 export const probeIntervalMs = 500;
@@ -85,20 +86,6 @@
 	return severity[candidate.status] > severity[known.status];
 }
 
-function memberDigest(member: Member): number {
-	let hash = 17;
-	for (const character of `${member.id}|${member.incarnation}|${member.status}`) {
-		hash = Math.imul(hash, 31) + (character.codePointAt(0) ?? 0);
-	}
-
-	return hash;
-}
-
-/** Identifies the process of a member: it changes when the member starts again, and not when it refutes a wrong report. */
-export function processOf(member: Member): string {
-	return `${member.id}@${member.startedAs ?? member.incarnation}`;
-}
-
 /** Creates the view of one instance, which at first contains only that instance and the data centres in its settings. */
 export function createMembership(own: Omit<Member, 'status' | 'startedAs'>, random: Random, configuredDataCentres: readonly DataCentreId[] = []): Membership {
 	let self: Member = {...own, startedAs: own.incarnation, status: 'alive'};
--- a/src/zones/reply-times.ts
+++ b/src/zones/reply-times.ts
@@ -3,8 +3,9 @@
 again before its reply is due would only add to its work.
 */
 import {type Clock} from '../contracts/clock.js';
-import {as, type Milliseconds} from '../contracts/id.js';
-import {type Member, processOf} from './membership.js';
+import {as, type Milliseconds, type ProcessId} from '../contracts/id.js';
+import {processOf} from './member-identity.js';
+import {type Member} from './membership.js';
 import {type RelayPeers} from './relay-peers.js';
 
 /** Weight of the latest reply in the smoothed time. */
@@ -46,7 +47,7 @@
 
 /** Creates estimates that take all receivers to be fast. `repliedAt` is when an address last replied to anything, in time or not. */
 export function createReplyTimes(repliedAt: RelayPeers['repliedAt'], clock: Clock): ReplyTimes {
-	const estimates = new Map<string, Estimate>();
+	const estimates = new Map<ProcessId, Estimate>();
 	const estimateOf = (receiver: Member): Estimate => estimates.get(processOf(receiver)) ?? unknown;
 
 	/** Waiting longer for a receiver that replies to nothing would not help. */
--- a/tests/wrong-suspicions.test.ts
+++ b/tests/wrong-suspicions.test.ts
@@ -12,7 +12,8 @@
 import {createTokenLedger} from '../src/contracts/token-ledger.js';
 import {createBudgetReplication} from '../src/zones/budget-replication.js';
 import {createGossipProtocol} from '../src/zones/gossip-protocol.js';
-import {createMembership, type Member, processOf} from '../src/zones/membership.js';
+import {processOf} from '../src/zones/member-identity.js';
+import {createMembership, type Member} from '../src/zones/membership.js';
 import {createReplyTimes} from '../src/zones/reply-times.js';
 import {createUnresponsivePeers} from '../src/zones/unresponsive-peers.js';
 import {createFakeClock, createSeededRandom} from './fixtures/fake-clock.js';
