Log how many accounts a change of members concerns, and how long that takes

The logs could not tell whether a fleet that falls when a data centre is cut off spends its processor time on finding out who holds the accounts of programs now. The event budget-rebalanced says for how many programs that was done, and in what time.

--- a/src/zones/budget-event.ts
+++ b/src/zones/budget-event.ts
@@ -26,6 +26,8 @@
 		| {readonly kind: 'archives-unread'; readonly reason: string}
 	/** Instances that knew the account were lost; of what the store recorded, no instance is known to have granted `unaccounted`. */
 		| {readonly kind: 'recovered'; readonly program: ProgramId; readonly recorded: Tokens; readonly unaccounted: Tokens}
+	/** Members have changed, so the accounts go to those that now hold them; `took` is the time for finding out who these are. */
+		| {readonly kind: 'rebalanced'; readonly programs: number; readonly took: Milliseconds}
 	/** A coordinator, here called `keeper`, did not answer. */
 		| {readonly kind: 'keeper-silent'; readonly request: AttemptId; readonly program: ProgramId; readonly keeper: InstanceId}
 		| {
--- a/src/zones/budget-replication.ts
+++ b/src/zones/budget-replication.ts
@@ -10,6 +10,7 @@
 } from '../contracts/id.js';
 import {type TokenAccount, withStoreSlotOnly} from '../contracts/token-account.js';
 import {type TokenLedger} from '../contracts/token-ledger.js';
+import {type BudgetEvent} from './budget-event.js';
 import {processOf} from './member-identity.js';
 import {type Member} from './membership.js';
 import {
@@ -64,6 +65,7 @@
 	readonly peers: Pick<RelayPeers, 'post'>;
 	readonly ledger: TokenLedger;
 	readonly clock: Clock;
+	readonly onEvent: (event: BudgetEvent) => void;
 };
 
 /**
@@ -91,6 +93,8 @@
 	const notices = new Map<ProgramId, Notice>();
 	let isShareScheduled = false;
 	let candidates = '';
+	/** Number of programs whose accounts are to be shared because members have changed. */
+	let rebalanced = 0;
 
 	/** The instances among which coordinators and replicas are chosen. A member that is suspected, or refutes that, leaves them as they are. */
 	function currentCandidates(): string {
@@ -158,6 +162,7 @@
 
 	function share(): void {
 		isShareScheduled = false;
+		const startedAt = clock.now();
 		const byTarget = new Map<Member, ProgramId[]>();
 		for (const program of dirty) {
 			for (const target of ledger.account(program) ? recipients(program) : []) {
@@ -166,6 +171,11 @@
 		}
 
 		dirty.clear();
+		if (rebalanced > 0) {
+			options.onEvent({kind: 'rebalanced', programs: rebalanced, took: as<Milliseconds>(clock.now() - startedAt)});
+			rebalanced = 0;
+		}
+
 		for (const [target, programs] of byTarget) {
 			dispatch.send(target, programs);
 		}
@@ -243,7 +253,8 @@
 			candidates = current;
 			const self = options.self();
 			const {dataCentre} = self;
-			for (const program of ledger.programs().filter(known => ledger.home(known) === dataCentre)) {
+			const programs = ledger.programs().filter(known => ledger.home(known) === dataCentre);
+			for (const program of programs) {
 				if (self.status !== 'leaving' && !isAmongOwners(self, program, options.members(), homeReplicas)) {
 					// The account that it held for a while is no longer updated. One that leaves hands over what it has.
 					ledger.markIncomplete(program);
@@ -251,6 +262,8 @@
 
 				markDirty(program);
 			}
+
+			rebalanced = programs.length;
 		},
 		retry() {
 			for (const program of unacknowledged) {
--- a/tests/wrong-suspicions.test.ts
+++ b/tests/wrong-suspicions.test.ts
@@ -49,6 +49,7 @@
 		receive: () => undefined,
 		ledger,
 		clock,
+		onEvent: () => undefined,
 	});
 	for (let index = 0; index < programCount; index++) {
 		const program = as<ProgramId>(`program-${index}`);
