Announce the homes of programs through two relays of each data centre, in batches

Now two instances of each data centre collect what the others announce and pass it on every 250 ms. The instances that coordinate a program have acknowledged its home before the first grant, as before; the others know it within half a second.

The message of accounts has a new optional field, isAnnouncement. Builds that do not know it, among them, pass on accounts of other data centres that come with it; homes of their own data centre they merge only, which the instances that coordinate the program know anyway. What they send is handled as before.

--- a/src/zones/budget-coordinator.ts
+++ b/src/zones/budget-coordinator.ts
@@ -50,6 +50,8 @@
 	readonly receive: (accounts: readonly TokenAccount[]) => MergedAccounts;
 	/** Forwards accounts received from another data centre to the members of this one. */
 	readonly rebroadcast: (accounts: readonly TokenAccount[]) => void;
+	/** Passes on accounts that a member of this data centre has announced. */
+	readonly passOn: (accounts: readonly TokenAccount[]) => void;
 	/** Called when the membership has changed: sends accounts to the instances that now coordinate or replicate them. */
 	readonly rebalance: () => void;
 	/** Drops expired accounts, and resends accounts that were not acknowledged. */
@@ -278,6 +280,7 @@
 		writeOnBehalf: writer.writeOnBehalf,
 		receive,
 		rebroadcast: replication.rebroadcast,
+		passOn: replication.passOn,
 		rebalance: replication.rebalance,
 		settle(program, attempt, used) {
 			ledger.settle(program, attempt, used, clock.now());
--- a/src/zones/budget-replication.ts
+++ b/src/zones/budget-replication.ts
@@ -11,6 +11,7 @@
 import {type TokenAccount, withStoreSlotOnly} from '../contracts/token-account.js';
 import {type TokenLedger} from '../contracts/token-ledger.js';
 import {type BudgetEvent} from './budget-event.js';
+import {createHomeAnnouncements} from './home-announcements.js';
 import {processOf} from './member-identity.js';
 import {type Member} from './membership.js';
 import {
@@ -59,6 +60,8 @@
 	out, because this data centre has announced them itself.
 	*/
 	readonly rebroadcast: (accounts: readonly TokenAccount[]) => void;
+	/** Passes on accounts that a member of this data centre has announced. */
+	readonly passOn: (accounts: readonly TokenAccount[]) => void;
 	/** Called when the membership may have changed: sends the accounts whose home is here to the instances that now replicate them. */
 	readonly rebalance: () => void;
 	/** Resends accounts that were not acknowledged. */
@@ -97,6 +100,7 @@
 	const unacknowledged = new Set<ProgramId>();
 	const acknowledgements = new Map<ProgramId, Map<ProcessId, Acknowledgement>>();
 	const notices = new Map<ProgramId, Notice>();
+	const announcements = createHomeAnnouncements(options);
 	let isShareScheduled = false;
 	let isRebalanceScheduled = false;
 	let candidates = '';
@@ -256,22 +260,12 @@
 		moving.clear();
 	}
 
-	function sendToNeighbours(accounts: readonly TokenAccount[]): void {
-		const self = options.self();
-		for (const member of candidatesIn(self.dataCentre, options.members())) {
-			if (member.id !== self.id) {
-				options.peers.post(member.address, {kind: 'accounts', accounts, isPassedOn: true});
-			}
-		}
-	}
-
 	return {
 		markDirty,
 		announceClaim(program) {
-			const account = ledger.account(program);
-			if (account) {
+			if (ledger.account(program)) {
 				void shareNow(program);
-				sendToNeighbours([withStoreSlotOnly(account)]);
+				announcements.announce([program]);
 			}
 		},
 		async acquireExclusivity(program) {
@@ -289,15 +283,16 @@
 		},
 		rebroadcast(accounts) {
 			const {dataCentre} = options.self();
-			const foreign = accounts.filter(account => account.home !== dataCentre);
-			if (foreign.length > 0) {
-				sendToNeighbours(foreign);
-			}
+			announcements.announce(accounts.filter(account => account.home !== dataCentre).map(({program}) => program));
+		},
+		passOn(accounts) {
+			announcements.passOn(accounts.map(({program}) => program));
 		},
 		rebalance() {
 			releaseAccounts();
 			if (options.self().status === 'leaving') {
 				handOver();
+				announcements.flush();
 			} else if (!isRebalanceScheduled) {
 				isRebalanceScheduled = true;
 				void clock.sleep(as<Milliseconds>(rebalanceDelayMs)).then(handOver);
--- /dev/null
+++ b/src/zones/home-announcements.ts
@@ -0,0 +1,126 @@
+/**
+Announcements of the homes of programs within a data centre. Every instance of it has to know the home of each program, so that none
+claims it again when the instances that coordinate it are lost. Two relays collect what the others announce and pass it on to all in batches: sent
+by each instance to each other one by one, announcements would be most of the messages of a large data centre.
+
+Relays are chosen by rendezvous hashing; there are two, so that one may be down or late. The instances that coordinate a program do not depend
+on announcements: they have acknowledged its home before the first call is granted.
+*/
+import {type Clock} from '../contracts/clock.js';
+import {as, type Milliseconds, type ProgramId} from '../contracts/id.js';
+import {type TokenAccount, withStoreSlotOnly} from '../contracts/token-account.js';
+import {type TokenLedger} from '../contracts/token-ledger.js';
+import {type Member} from './membership.js';
+import {candidatesIn} from './ownership.js';
+import {type OwnerRanks} from './owner-ranks.js';
+import {type RelayPeers} from './relay-peers.js';
+
+/** Number of instances of a data centre that pass announcements on. */
+const relayCount = 2;
+
+/** Key for which relays are ranked. */
+const relayKey = 'home-announcements';
+
+/** Time for which announcements are collected before they are sent to the relays, and by the relays before they are passed on. */
+const collectionMs = 100;
+const passOnMs = 250;
+
+/** Maximum number of accounts in one message, which has to fit into a datagram. */
+const accountsPerMessage = 8;
+
+export type HomeAnnouncements = {
+	/** Announces what this instance knows of programs to its data centre. */
+	readonly announce: (programs: readonly ProgramId[]) => void;
+	/** Passes on what a neighbour has announced to this instance as a relay. */
+	readonly passOn: (programs: readonly ProgramId[]) => void;
+	/** Sends at once what is still collected. */
+	readonly flush: () => void;
+};
+
+export type HomeAnnouncementsOptions = {
+	readonly self: () => Member;
+	readonly members: () => readonly Member[];
+	readonly ranks: OwnerRanks;
+	readonly peers: Pick<RelayPeers, 'post'>;
+	readonly ledger: Pick<TokenLedger, 'account'>;
+	readonly clock: Clock;
+};
+
+/** Programs that are collected until they are sent together. */
+type Batch = {readonly add: (programs: readonly ProgramId[]) => void; readonly flush: () => void};
+
+function createBatch(clock: Clock, delay: number, send: (programs: readonly ProgramId[]) => void): Batch {
+	const collected = new Set<ProgramId>();
+
+	function flush(): void {
+		const programs = [...collected];
+		collected.clear();
+		if (programs.length > 0) {
+			send(programs);
+		}
+	}
+
+	return {
+		add(programs) {
+			const isFirst = collected.size === 0;
+			for (const program of programs) {
+				collected.add(program);
+			}
+
+			if (isFirst && collected.size > 0) {
+				void clock.sleep(as<Milliseconds>(delay)).then(flush);
+			}
+		},
+		flush,
+	};
+}
+
+/** Creates the announcements of an instance. */
+export function createHomeAnnouncements({self, members, ranks, peers, ledger, clock}: HomeAnnouncementsOptions): HomeAnnouncements {
+	/** The account as those need it that do not coordinate the program. Once only the home may grant, all must know what was granted. */
+	function announcementOf(program: ProgramId): readonly TokenAccount[] {
+		const account = ledger.account(program);
+		if (!account) {
+			return [];
+		}
+
+		return [account.isSecondHalf ? {...account, isComplete: false} : withStoreSlotOnly(account)];
+	}
+
+	function post(targets: readonly Member[], programs: readonly ProgramId[], isAnnouncement: boolean): void {
+		const accounts = programs.flatMap(program => announcementOf(program));
+		for (let start = 0; start < accounts.length; start += accountsPerMessage) {
+			for (const {address} of targets) {
+				peers.post(address, {
+					kind: 'accounts', accounts: accounts.slice(start, start + accountsPerMessage), isPassedOn: !isAnnouncement, ...(isAnnouncement && {isAnnouncement}),
+				});
+			}
+		}
+	}
+
+	function relays(): readonly Member[] {
+		return ranks.of(self().dataCentre, relayKey, members()).slice(0, relayCount);
+	}
+
+	const passingOn = createBatch(clock, passOnMs, programs => {
+		const informed = new Set([self().id, ...relays().map(({id}) => id)]);
+		post(candidatesIn(self().dataCentre, members()).filter(({id}) => !informed.has(id)), programs, false);
+	});
+	const announcing = createBatch(clock, collectionMs, programs => {
+		const current = relays();
+		const {id} = self();
+		post(current.filter(relay => relay.id !== id), programs, true);
+		if (current.some(relay => relay.id === id)) {
+			passingOn.add(programs);
+		}
+	});
+
+	return {
+		announce: announcing.add,
+		passOn: passingOn.add,
+		flush() {
+			announcing.flush();
+			passingOn.flush();
+		},
+	};
+}
--- a/src/zones/relay-peers.ts
+++ b/src/zones/relay-peers.ts
@@ -51,7 +51,8 @@
 	= | {readonly kind: 'gossip'; readonly gossip: GossipMessage}
 		| {readonly kind: 'reserve'; readonly reservation: ReservationRequest; readonly isHomeUnreachable: boolean; readonly isForwarded: boolean}
 		| {readonly kind: 'settle'; readonly program: ProgramId; readonly attempt: AttemptId; readonly used: Tokens; readonly place: PromptLocation | undefined}
-		| {readonly kind: 'accounts'; readonly accounts: readonly TokenAccount[]; readonly isPassedOn: boolean}
+	/** `isAnnouncement` asks the receiver to pass the accounts on to its data centre; instances that do not know it pass on those of other data centres. */
+		| {readonly kind: 'accounts'; readonly accounts: readonly TokenAccount[]; readonly isPassedOn: boolean; readonly isAnnouncement?: boolean}
 	/** Asks for a write on behalf of the sender, which the store does not answer. */
 		| {readonly kind: 'record'; readonly record: BudgetRecord}
 	/** Changes of the list of endpoints. */
--- a/src/zones/shared-budgets.ts
+++ b/src/zones/shared-budgets.ts
@@ -155,7 +155,9 @@
 
 				case 'accounts': {
 					const {newer, reassigned} = localCoordinator.receive(message.accounts);
-					if (!message.isPassedOn) {
+					if (message.isAnnouncement) {
+						localCoordinator.passOn(message.accounts);
+					} else if (!message.isPassedOn) {
 						localCoordinator.rebroadcast(reassigned);
 					}
 
