Turn new programs away while the event loop is late

Nothing shed what an instance could not serve: each call of a program that had begun competed with those of all that arrived, and with callers who came back, so that most ended after their callers had left.

An instance whose event loop is late by more than 50 ms (smoothed) turns away a growing share of what begins, at once, as not run and with a time to come back.

--- a/src/contracts/relay-request.ts
+++ b/src/contracts/relay-request.ts
@@ -75,6 +75,8 @@
 export type Refusal
 	/** Nothing ran and nothing will; the caller may retry. */
 	= | {readonly kind: 'not-run'; readonly retryAfter: Milliseconds}
+	/** The instance has too little processor time to begin new work; nothing ran, and the caller may retry. */
+		| {readonly kind: 'overloaded'; readonly retryAfter: Milliseconds}
 	/** This instance has no configuration yet. */
 		| {readonly kind: 'not-ready'}
 		| {readonly kind: 'no-route'}
--- a/src/links/process-load.ts
+++ b/src/links/process-load.ts
@@ -4,10 +4,11 @@
 */
 import process from 'node:process';
 import {Counter, type Registry} from 'prom-client';
+import {as, type Milliseconds} from '../contracts/id.js';
 import {type RelayMessage, type RelayReply} from '../zones/relay-peers.js';
 
 /** Interval at which the delay of the event loop is sampled, in ms. */
-const sampleMs = 500;
+const sampleMs = 100;
 
 /** Interval between two reports, in ms. */
 const reportMs = 5000;
@@ -45,6 +46,8 @@
 export type ProcessLoadOptions = {
 	readonly registry: Registry;
 	readonly onReport: (report: LoadReport) => void;
+	/** Is told of the delay of each sample, ten times a second. */
+	readonly onDelay: (delay: Milliseconds) => void;
 	readonly signal: AbortSignal;
 };
 
@@ -65,7 +68,7 @@
 }
 
 /** Starts to observe the process until the signal aborts. */
-export function observeProcessLoad({registry, onReport, signal}: ProcessLoadOptions): ProcessLoad {
+export function observeProcessLoad({registry, onReport, onDelay, signal}: ProcessLoadOptions): ProcessLoad {
 	const totals = new Map<MessageKind, Totals>();
 	const reported = new Map<MessageKind, Totals>();
 	let sampledAt = performance.now();
@@ -129,6 +132,7 @@
 		lastDelay = Math.max(0, now - sampledAt - sampleMs);
 		longestDelay = Math.max(longestDelay, lastDelay);
 		sampledAt = now;
+		onDelay(as<Milliseconds>(lastDelay));
 		if (now - reportedAt >= reportMs) {
 			report(now);
 		}
--- a/src/machines/relay-instance-report.ts
+++ b/src/machines/relay-instance-report.ts
@@ -10,6 +10,7 @@
 import {type SharedEndpointPaths} from '../zones/endpoint-paths/endpoint-paths.js';
 import {type Membership} from '../zones/membership.js';
 import {type SharedTables} from '../zones/shared-tables.js';
+import {type Overload} from './overload.js';
 import {type RelayFleet} from './relay-fleet.js';
 import {type Relay} from './relay.js';
 
@@ -20,6 +21,7 @@
 	readonly tables: Pick<SharedTables, 'digest' | 'age' | 'waits'>;
 	readonly paths: Pick<SharedEndpointPaths, 'isCutOff' | 'gateways'>;
 	readonly relay: Pick<Relay, 'active'>;
+	readonly overload: Pick<Overload, 'admittedShare'>;
 	readonly fleet: Pick<RelayFleet, 'endpoints'>;
 	readonly membership: Pick<Membership, 'members'>;
 	readonly ledger: Pick<TokenLedger, 'accounts' | 'programs'>;
@@ -38,11 +40,12 @@
 /** Creates the report of an instance. */
 export function createRelayInstanceReport(options: RelayInstanceReportOptions): RelayInstanceReport {
 	const {
-		paths, tables, relay, fleet, membership, ledger, allotments, conversations, store, clock,
+		paths, tables, relay, overload, fleet, membership, ledger, allotments, conversations, store, clock,
 	} = options;
 	return {
 		gauges: () => ({
 			activeRequests: relay.active(),
+			admittedPercent: Math.round(overload.admittedShare() * 100),
 			members: membership.members().filter(member => member.status === 'alive').length,
 			endpoints: fleet.endpoints().length,
 			limitedEndpoints: fleet.endpoints().filter(endpoint => endpoint.rateLimit().limit.kind === 'limited').length,
--- a/src/machines/relay-instance.ts
+++ b/src/machines/relay-instance.ts
@@ -28,6 +28,7 @@
 import {createSharedTables} from '../zones/shared-tables.js';
 import {createWarmUp} from '../zones/warm-up.js';
 import {createEndpointKnowledge} from './endpoint-knowledge.js';
+import {createOverload, type Overload} from './overload.js';
 import {createQuarantine} from './quarantine.js';
 import {createRelay, type Relay} from './relay.js';
 import {type RelayInstanceOptions} from './relay-instance-options.js';
@@ -44,6 +45,8 @@
 export type RelayInstance = RelayInstanceReport & {
 	readonly relay: Relay;
 	readonly limits: () => CallerLimits | undefined;
+	/** Records a sample of how late the event loop of the process was. */
+	readonly recordLoopDelay: Overload['recordDelay'];
 	/** Whether the configuration has workspaces, so that callers need keys. */
 	readonly hasWorkspaces: () => boolean;
 	/** Time-out of the route of a request; undefined if there is none. */
@@ -76,6 +79,7 @@
 	}, random, options.dataCentres);
 	const fleet = createRelayFleet(random, options.monitoring);
 	const quarantine = createQuarantine();
+	const overload = createOverload(random);
 	const ledger = createTokenLedger(as<CounterId>(`${id}@${incarnation}`), dataCentre);
 	let table: RoutingTable | undefined;
 
@@ -262,6 +266,8 @@
 		budgets,
 		permits: rateLimits.permits,
 		allotments,
+		overload,
+		hasBegun: program => ledger.home(program) !== undefined,
 		origins,
 		turns: createRelayTurns({turns: conversations, dataOf: options.dataOf}),
 		dataCentre,
@@ -276,7 +282,7 @@
 		},
 	});
 	const report = createRelayInstanceReport({
-		id, isLeaving, isWarm: warmUp.isWarm, paths, tables, relay, fleet, membership, ledger, allotments, conversations, store, clock,
+		id, isLeaving, isWarm: warmUp.isWarm, paths, tables, relay, overload, fleet, membership, ledger, allotments, conversations, store, clock,
 	});
 
 	return {
@@ -285,6 +291,7 @@
 			id, membership, gossipProtocol, tables, budgets, loads, rateLimits, origins, conversations, allotments, receiveDigest: cluster.receiveDigest,
 		}),
 		tunnels,
+		recordLoopDelay: overload.recordDelay,
 		limits: () => table?.configuration.limits,
 		hasWorkspaces: () => table?.configuration.workspaces !== undefined,
 		isCutOff: conversations.isCutOff,
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -7,7 +7,7 @@
 import {type Clock, type Random} from '../contracts/clock.js';
 import {type EndpointPath} from '../contracts/endpoint-path.js';
 import {
-	as, type DataCentreId, type EndpointId, type Milliseconds, type PoolName, type SoftwareVersion, type Tokens,
+	as, type DataCentreId, type EndpointId, type Milliseconds, type PoolName, type ProgramId, type SoftwareVersion, type Tokens,
 } from '../contracts/id.js';
 import {nextRelayStep, type RelayLink, type RelayResult} from '../contracts/relay-attempt.js';
 import {type ListedEndpoint, type RelayRoute} from '../contracts/relay.js';
@@ -17,6 +17,7 @@
 import {choosePool, type RoutingTable} from '../contracts/routing-table.js';
 import {createEndpointChoice, noEndpoint} from './endpoint-choice.js';
 import {type EndpointPaths} from './endpoint-paths.js';
+import {type Arrival, type Overload} from './overload.js';
 import {type Quarantine} from './quarantine.js';
 import {type RelayEndpoint} from './relay-endpoint.js';
 import {type RelayEvent} from './relay-event.js';
@@ -42,6 +43,9 @@
 	readonly budgets: TokenBudgets;
 	readonly permits: RatePermits;
 	readonly allotments: RequestAllotments;
+	readonly overload: Pick<Overload, 'admit'>;
+	/** Whether a program has begun, as far as this instance knows. */
+	readonly hasBegun: (program: ProgramId) => boolean;
 	readonly origins: StreamOrigins;
 	readonly turns: RelayTurns;
 	readonly quarantine: Quarantine;
@@ -195,6 +199,13 @@
 		});
 	}
 
+	/** Whether the request begins a program. One that belongs to none is all of its caller's work, and so begins it. */
+	function arrivalOf({program, previousTurn, lastEvent}: RelayRequest, {isStream}: RelayRoute): Arrival {
+		const isContinued = previousTurn !== undefined || lastEvent !== undefined;
+		const belongs = program !== undefined && (!isStream || options.hasBegun(program.id));
+		return {kind: isContinued || belongs ? 'continues' : 'begins'};
+	}
+
 	async function admit(request: RelayRequest, caller: Caller, signal: AbortSignal): Promise<void> {
 		const table = options.table();
 		const route = table?.routeOf(request.host, pathOf(request));
@@ -209,6 +220,12 @@
 			return;
 		}
 
+		const admission = options.overload.admit(arrivalOf(request, route));
+		if (admission.kind === 'refused') {
+			endings.refuseAtOnce(request, caller, {kind: 'overloaded', retryAfter: admission.retryAfter});
+			return;
+		}
+
 		const arrivedAt = clock.now();
 		const entry = await gate.enter(request, route, table, signal);
 		const waited = as<Milliseconds>(clock.now() - arrivedAt);
