Ask others what has ended before a budget is reported as used up

A coordinator answered 402 at once from what it had been told of the reservations of others, also when these had ended since and only it had not heard of that; 402 ends the caller's program. Now it asks those that confirm its grants first, if the budget covers the call without what others have reserved. The test failed before (exhausted in place of granted).

--- a/src/contracts/token-ledger.ts
+++ b/src/contracts/token-ledger.ts
@@ -60,6 +60,8 @@
 	readonly claim: (request: ReservationRequest, home: DataCentreId, now: Milliseconds) => void;
 	/** Whether the tokens of a call are reserved here, so that it may be granted. */
 	readonly isReserved: (program: ProgramId, attempt: AttemptId) => boolean;
+	/** Whether the budget covers a call unless reservations of other instances, as far as these are known here, are used. */
+	readonly dependsOnOthers: (request: ReservationRequest) => boolean;
 	/** Records that the home has reached the second half of the budget. */
 	readonly markSecondHalf: (program: ProgramId) => void;
 	/** Withdraws a claim if nothing has been granted. */
@@ -203,6 +205,11 @@
 			return {kind: 'record-first', upTo: as<Tokens>(Math.min(budget, Math.max(used + most, budget * firstRecordFraction)))};
 		},
 		isReserved: (program, attempt) => entries.get(program)?.reservations.has(attempt) ?? false,
+		dependsOnOthers({program, budget, most}) {
+			const entry = entries.get(program);
+			const reserved = [...entry?.slots.values() ?? []].filter(slot => slot.counter !== counter).reduce((sum, slot) => sum + slot.reserved, 0);
+			return entry !== undefined && reserved > 0 && grantedTokens(entry) - reserved + most <= budget;
+		},
 		markSecondHalf(program) {
 			const entry = entries.get(program);
 			if (entry) {
--- a/src/zones/budget-coordinator.ts
+++ b/src/zones/budget-coordinator.ts
@@ -227,10 +227,22 @@
 		return {kind: 'withheld'};
 	}
 
+	/** Reserves tokens, unless the budget is used up. Others are asked first whether what they had reserved has ended. */
+	async function reserveCurrent(request: ReservationRequest): Promise<LedgerDecision> {
+		const {program} = request;
+		const first = ledger.reserve(request, entitlementOf(program), clock.now());
+		if (first.kind !== 'exhausted' || !ledger.dependsOnOthers(request)) {
+			return first;
+		}
+
+		await confirmation.confirm(program);
+		return ledger.reserve(request, entitlementOf(program), clock.now());
+	}
+
 	/** Reserves tokens. If half of the budget is not enough, the home first acquires the exclusive right to grant the rest. */
 	async function reserve(request: ReservationRequest): Promise<LedgerDecision> {
 		const {program} = request;
-		const first = ledger.reserve(request, entitlementOf(program), clock.now());
+		const first = await reserveCurrent(request);
 		if (first.kind !== 'withheld' || !isAtHome(program) || replication.isExclusive(program)) {
 			return first;
 		}
--- a/tests/shared-budgets.test.ts
+++ b/tests/shared-budgets.test.ts
@@ -184,6 +184,26 @@
 	assert.equal(await spend(cluster, instances, 500, 10), 500);
 });
 
+// Guards against programs that end although their budget is not used up, since reservations that have ended are still counted elsewhere.
+test('a budget is not reported as used up by a reservation that has ended at another instance', async () => {
+	const cluster = createBudgetCluster(instances);
+	const [coordinator, other] = rankOwners('p', ['a1', 'a2', 'a3'].map(id => cluster.node(id).member)).map(({id}) => cluster.node(id));
+	assert.ok(coordinator && other);
+	const request = {
+		program: as<ProgramId>('p'), attempt: as<AttemptId>('ended'), budget: as<Tokens>(most), most: as<Tokens>(most), retention: as<Milliseconds>(60_000),
+	};
+	const now = cluster.clock.now();
+	other.ledger.claim(request, other.member.dataCentre, now);
+	other.ledger.reserve(request, 'whole', now);
+	const account = other.ledger.account(request.program);
+	assert.ok(account);
+	coordinator.sharedBudgets.receive([account]);
+	other.ledger.settle(request.program, request.attempt, as<Tokens>(0), now);
+	assert.equal(coordinator.ledger.used(request.program), most);
+	const reservation = await cluster.reserve(coordinator.member.id, 'p', 'next', most);
+	assert.equal(reservation.kind, 'granted');
+});
+
 /** Asks the coordinator of a program directly, and tells it that the question has been given up after some time. */
 async function askAndGiveUp(delay: number) {
 	const cluster = createBudgetCluster(instances);
