Take a response with a status that HTTP does not define for a broken one

An engine in trouble may answer with status 000. But a status from 600 on was passed on as the engine's answer.

--- a/src/links/engine.ts
+++ b/src/links/engine.ts
@@ -14,7 +14,9 @@
 import {type Usage} from '../contracts/outcome.js';
 import {type Endpoint} from '../contracts/pool.js';
 import {maximumBodyBytes, readBoundedText} from './bounded-body.js';
-import {isNotSent, isTimeout, readJson} from './http.js';
+import {
+	isNotSent, isStatus, isTimeout, readJson,
+} from './http.js';
 import {withinTimeLimit} from './time-limit.js';
 
 const controlTimeoutMs = 1000;
@@ -63,6 +65,11 @@
 		return {kind: 'broken', failure: failure('endpoint-failed', message, {step: 'dispatch', peer: endpoint.id, execution: 'unknown'})};
 	}
 
+	if (!isStatus(statusCode)) {
+		body.once('error', () => undefined).destroy();
+		return {kind: 'broken', failure: failure('endpoint-failed', `${endpoint.id} returned status ${statusCode}, which HTTP does not define`, {step: 'dispatch', peer: endpoint.id, execution: 'unknown'})};
+	}
+
 	if (!isRefusal) {
 		return undefined;
 	}
--- a/src/links/http.ts
+++ b/src/links/http.ts
@@ -3,6 +3,9 @@
 */
 import {type Dispatcher} from 'undici';
 
+const firstStatus = 100;
+const lastStatus = 599;
+
 /** Codes of the errors that undici raises before it sends the first byte of a request. */
 const notSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT']);
 
@@ -21,6 +24,11 @@
 	return 'cause' in error ? codeOf(error.cause) : undefined;
 }
 
+/** Whether HTTP defines the class of a status. A response with any other is malformed. */
+export function isStatus(status: number): boolean {
+	return status >= firstStatus && status <= lastStatus;
+}
+
 /** Whether the error proves that no byte of the request was sent. */
 export function isNotSent(error: unknown): boolean {
 	const code = codeOf(error);
--- a/tests/faulty-back-ends.test.ts
+++ b/tests/faulty-back-ends.test.ts
@@ -101,6 +101,17 @@
 		}
 	});
 
+	for (const status of ['000', '099', '600', '999']) {
+		test(`a response with status ${status} is not an answer (${kind})`, async context => {
+			const endpoint = await startRawEndpoint((request, socket) => {
+				socket.end(answerTo(kind, attemptOf(request), 'Connection: close\r\n').replace('200 OK', `${status} Strange`));
+			});
+			const result = await dispatchFor(context).send(endpointAt(endpoint.port), attemptWith(kind, 't1'), optionsWith(new AbortController().signal));
+			assert.notEqual(result.kind, 'answered');
+			assert.notEqual(result.kind, 'not-started');
+		});
+	}
+
 	test(`an aborted call reports why it was aborted, whatever the messages say (${kind})`, async context => {
 		const endpoint = await startRawEndpoint(() => undefined);
 		const dispatch = dispatchFor(context);
