Settle forwarded reservations whose question was given up before they were granted

An instance that is not the coordinator of a program forwards the question.

Settlements are now remembered for five seconds, and passed on when the answer comes. The test failed before.

--- a/src/zones/budget-coordinator.ts
+++ b/src/zones/budget-coordinator.ts
@@ -27,7 +27,7 @@
 const recordTimeoutMs = 150;
 
 /** Time for which a question may be under way to a coordinator with little processor time after it was given up. */
-const lateQuestionMs = 5000;
+export const lateQuestionMs = 5000;
 
 /**
 Lifetime of a record, as a multiple of the program's retention, and the remainder below which it is renewed. A program may
--- a/src/zones/shared-budgets.ts
+++ b/src/zones/shared-budgets.ts
@@ -12,13 +12,13 @@
 import {type ReservationRequest} from '../contracts/token-ledger.js';
 import {createPromptLocations} from '../machines/prompt-locations.js';
 import {type GrantedReservation, type Reservation, type TokenBudgets} from '../machines/token-budgets.js';
-import {type BudgetCoordinatorOptions, createBudgetCoordinator} from './budget-coordinator.js';
+import {type BudgetCoordinatorOptions, createBudgetCoordinator, lateQuestionMs} from './budget-coordinator.js';
 import {
 	createBudgetClient, forwarding, type CoordinatorReply, type Settlement,
 } from './budget-client.js';
 import {type Member} from './membership.js';
 import {createOwnerRanks} from './owner-ranks.js';
-import {type RelayMessage, type RelayReply} from './relay-peers.js';
+import {type RelayMessage, type RelayReply, type ReservationOutcome} from './relay-peers.js';
 
 /** Interval at which expired accounts are dropped and unacknowledged accounts are resent. */
 const maintenanceIntervalMs = 1000;
@@ -52,9 +52,12 @@
 	});
 	/** Coordinators that granted reservations which this instance forwarded. */
 	const forwarded = new Map<AttemptId, Member>();
+	/** Settlements that have arrived lately: their reservations may be granted later, to questions that were forwarded. */
+	const settled = new Map<AttemptId, {readonly settlement: Settlement; readonly at: Milliseconds}>();
 
 	function settleLocally(settlement: Settlement): void {
 		const {program, attempt, used, place} = settlement;
+		settled.set(attempt, {settlement, at: clock.now()});
 		const coordinator = forwarded.get(attempt);
 		if (coordinator) {
 			forwarded.delete(attempt);
@@ -81,9 +84,16 @@
 		};
 	}
 
-	function recordForward(attempt: AttemptId, {outcome, coordinator}: CoordinatorReply): void {
+	/** Remembers who granted a forwarded reservation. Returns the outcome for the instance that asked, which may have given up meanwhile. */
+	function recordForward(attempt: AttemptId, {outcome, coordinator}: CoordinatorReply): ReservationOutcome {
 		if (outcome.kind !== 'granted' || !coordinator) {
-			return;
+			return outcome;
+		}
+
+		const ended = settled.get(attempt);
+		if (ended) {
+			client.settleAt(coordinator, ended.settlement);
+			return {kind: 'withheld'};
 		}
 
 		forwarded.set(attempt, coordinator);
@@ -91,6 +101,17 @@
 		if (forwarded.size > maximumForwarded && oldest !== undefined) {
 			forwarded.delete(oldest);
 		}
+
+		return outcome;
+	}
+
+	/** Drops settlements of questions that cannot be under way any more. */
+	function pruneSettled(): void {
+		for (const [attempt, {at}] of settled) {
+			if (clock.now() - at > lateQuestionMs) {
+				settled.delete(attempt);
+			}
+		}
 	}
 
 	/**
@@ -104,8 +125,7 @@
 		if (options.isWarm() && (isHome ? !ranks.isAmongOwners(self, request.program, options.members()) : isHomeUnreachable)) {
 			const reply = await client.askDataCentre(home, request, forwarding);
 			if (reply && reply.outcome.kind !== 'elsewhere') {
-				recordForward(request.attempt, reply);
-				return {kind: 'reservation', outcome: reply.outcome, places: reply.places};
+				return {kind: 'reservation', outcome: recordForward(request.attempt, reply), places: reply.places};
 			}
 		}
 
@@ -190,6 +210,7 @@
 			while (!signal.aborted) {
 				await clock.sleep(as<Milliseconds>(maintenanceIntervalMs), signal);
 				localCoordinator.maintain();
+				pruneSettled();
 				client.prune(program => ledger.home(program) !== undefined);
 			}
 		},
--- a/tests/shared-budgets.test.ts
+++ b/tests/shared-budgets.test.ts
@@ -184,6 +184,28 @@
 	assert.equal(await spend(cluster, instances, 500, 10), 500);
 });
 
+// Guards against reservations that nobody settles, because the instance that asked has given up before the forwarded question was decided.
+test('a question that was given up while it was forwarded leaves nothing reserved', async () => {
+	const cluster = createBudgetCluster(instances);
+	cluster.storeLatency = as<Milliseconds>(20);
+	const [coordinator, other] = rankOwners('p', ['a1', 'a2', 'a3'].map(id => cluster.node(id).member)).map(({id}) => cluster.node(id));
+	assert.ok(coordinator && other);
+	const reservation = {
+		program: as<ProgramId>('p'), attempt: as<AttemptId>('late'), budget: as<Tokens>(500), most: as<Tokens>(most), retention: as<Milliseconds>(60_000),
+	};
+	const deciding = other.sharedBudgets.answer({
+		kind: 'reserve', reservation, isHomeUnreachable: false, isForwarded: false,
+	});
+	await cluster.clock.advance(10);
+	await other.sharedBudgets.answer({
+		kind: 'settle', program: reservation.program, attempt: reservation.attempt, used: as<Tokens>(0), place: undefined,
+	});
+	await cluster.clock.advance(3000);
+	const reply = await deciding;
+	assert.deepEqual(reply?.kind === 'reservation' && reply.outcome, {kind: 'withheld'});
+	assert.equal(coordinator.ledger.used(reservation.program), 0);
+});
+
 // Guards against programs that end although their budget is not used up, since reservations that have ended are still counted elsewhere.
 test('a budget is not reported as used up by a reservation that has ended at another instance', async () => {
 	const cluster = createBudgetCluster(instances);
