Report a budget as used up only if it is, whatever becomes of calls in progress elsewhere

An instance that asked a late coordinator, gave up and then decided itself counted the late one's reservation for the very same call, and answered 402, which ends the caller's program. While the verdict depends on what other instances have reserved, the call is withheld (503, with a time to come back). The test failed before.

--- a/src/zones/budget-coordinator.ts
+++ b/src/zones/budget-coordinator.ts
@@ -272,6 +272,10 @@
 			}
 
 			case 'exhausted': {
+				if (ledger.dependsOnOthers(request)) {
+					return withhold(request, entitlementOf(program), 'reserved-elsewhere');
+				}
+
 				options.onEvent({
 					kind: 'exhausted', request: request.attempt, program, used: decision.used, budget: request.budget, most: request.most,
 				});
--- a/src/zones/budget-event.ts
+++ b/src/zones/budget-event.ts
@@ -9,10 +9,10 @@
 /**
 Why a call is not granted now although the budget covers it: this instance may grant no more (`limit`), no other
 instance confirmed the reservation (`unconfirmed`), what was used before the instances that knew it were lost cannot be
-read (`unrecovered`), other instances have granted the rest (`spent-elsewhere`), the store has been unreachable for too many
+read (`unrecovered`), other instances have granted the rest (`spent-elsewhere`) or may have (`reserved-elsewhere`), the store has been unreachable for too many
 calls (`unrecorded`), or the instance that asked has given up meanwhile (`given-up`).
 */
-export type WithholdReason = 'limit' | 'unconfirmed' | 'unrecovered' | 'spent-elsewhere' | 'unrecorded' | 'given-up';
+export type WithholdReason = 'limit' | 'unconfirmed' | 'unrecovered' | 'spent-elsewhere' | 'reserved-elsewhere' | 'unrecorded' | 'given-up';
 
 export type BudgetEvent
 	/** The store did not confirm the record in time; the call may proceed without it. */
--- a/tests/shared-budgets.test.ts
+++ b/tests/shared-budgets.test.ts
@@ -206,13 +206,12 @@
 	assert.equal(coordinator.ledger.used(reservation.program), 0);
 });
 
-// Guards against programs that end although their budget is not used up, since reservations that have ended are still counted elsewhere.
-test('a budget is not reported as used up by a reservation that has ended at another instance', async () => {
-	const cluster = createBudgetCluster(instances);
+/** Lets an instance that is not the coordinator reserve all of a budget, and the coordinator know of it. */
+function reserveElsewhere(cluster: BudgetCluster) {
 	const [coordinator, other] = rankOwners('p', ['a1', 'a2', 'a3'].map(id => cluster.node(id).member)).map(({id}) => cluster.node(id));
 	assert.ok(coordinator && other);
 	const request = {
-		program: as<ProgramId>('p'), attempt: as<AttemptId>('ended'), budget: as<Tokens>(most), most: as<Tokens>(most), retention: as<Milliseconds>(60_000),
+		program: as<ProgramId>('p'), attempt: as<AttemptId>('elsewhere'), budget: as<Tokens>(most), most: as<Tokens>(most), retention: as<Milliseconds>(60_000),
 	};
 	const now = cluster.clock.now();
 	other.ledger.claim(request, other.member.dataCentre, now);
@@ -220,10 +219,27 @@
 	const account = other.ledger.account(request.program);
 	assert.ok(account);
 	coordinator.sharedBudgets.receive([account]);
-	other.ledger.settle(request.program, request.attempt, as<Tokens>(0), now);
 	assert.equal(coordinator.ledger.used(request.program), most);
-	const reservation = await cluster.reserve(coordinator.member.id, 'p', 'next', most);
-	assert.equal(reservation.kind, 'granted');
+	return {
+		settle(used: number) {
+			other.ledger.settle(request.program, request.attempt, as<Tokens>(used), now);
+		},
+		reserveNext: async (attempt: string) => cluster.reserve(coordinator.member.id, 'p', attempt, most),
+	};
+}
+
+// Guards against programs that end although their budget is not used up.
+test('a budget is not reported as used up by a reservation that has ended at another instance', async () => {
+	const {settle, reserveNext} = reserveElsewhere(createBudgetCluster(instances));
+	settle(0);
+	assert.equal((await reserveNext('next')).kind, 'granted');
+});
+
+test('a budget is not reported as used up by a call that is still in progress at another instance', async () => {
+	const {settle, reserveNext} = reserveElsewhere(createBudgetCluster(instances));
+	assert.equal((await reserveNext('meanwhile')).kind, 'unknown');
+	settle(most);
+	assert.equal((await reserveNext('after')).kind, 'exhausted');
 });
 
 /** Asks the coordinator of a program directly, and tells it that the question has been given up after some time. */
