--- a/src/zones/home-announcements.ts
+++ b/src/zones/home-announcements.ts
@@ -21,19 +21,18 @@
 /** Key for which relays are ranked. */
 const relayKey = 'home-announcements';
 
-/** Time for which announcements are collected before they are sent to the relays, and by the relays before they are passed on. */
-const collectionMs = 100;
-const passOnMs = 250;
+/** Time for which relays collect announcements before they pass them on. */
+const passOnMs = 100;
 
 /** Maximum number of accounts in one message, which has to fit into a datagram. */
-const accountsPerMessage = 8;
+const accountsPerMessage = 24;
 
 export type HomeAnnouncements = {
 	/** Announces what this instance knows of programs to its data centre. */
 	readonly announce: (programs: readonly ProgramId[]) => void;
 	/** Passes on what a neighbour has announced to this instance as a relay. */
 	readonly passOn: (programs: readonly ProgramId[]) => void;
-	/** Sends at once what is still collected. */
+	/** Passes on at once what is still collected. */
 	readonly flush: () => void;
 };
 
@@ -46,37 +45,11 @@
 	readonly clock: Clock;
 };
 
-/** Programs that are collected until they are sent together. */
-type Batch = {readonly add: (programs: readonly ProgramId[]) => void; readonly flush: () => void};
-
-function createBatch(clock: Clock, delay: number, send: (programs: readonly ProgramId[]) => void): Batch {
-	const collected = new Set<ProgramId>();
-
-	function flush(): void {
-		const programs = [...collected];
-		collected.clear();
-		if (programs.length > 0) {
-			send(programs);
-		}
-	}
-
-	return {
-		add(programs) {
-			const isFirst = collected.size === 0;
-			for (const program of programs) {
-				collected.add(program);
-			}
-
-			if (isFirst && collected.size > 0) {
-				void clock.sleep(as<Milliseconds>(delay)).then(flush);
-			}
-		},
-		flush,
-	};
-}
-
 /** Creates the announcements of an instance. */
 export function createHomeAnnouncements({self, members, ranks, peers, ledger, clock}: HomeAnnouncementsOptions): HomeAnnouncements {
+	/** Programs that are to be passed on. */
+	const collected = new Set<ProgramId>();
+
 	/** The account as those need it that do not coordinate the program. Once only the home may grant, all must know what was granted. */
 	function announcementOf(program: ProgramId): readonly TokenAccount[] {
 		const account = ledger.account(program);
@@ -102,25 +75,33 @@
 		return ranks.of(self().dataCentre, relayKey, members()).slice(0, relayCount);
 	}
 
-	const passingOn = createBatch(clock, passOnMs, programs => {
+	function flush(): void {
 		const informed = new Set([self().id, ...relays().map(({id}) => id)]);
-		post(candidatesIn(self().dataCentre, members()).filter(({id}) => !informed.has(id)), programs, false);
-	});
-	const announcing = createBatch(clock, collectionMs, programs => {
-		const current = relays();
-		const {id} = self();
-		post(current.filter(relay => relay.id !== id), programs, true);
-		if (current.some(relay => relay.id === id)) {
-			passingOn.add(programs);
+		post(candidatesIn(self().dataCentre, members()).filter(({id}) => !informed.has(id)), [...collected], false);
+		collected.clear();
+	}
+
+	function passOn(programs: readonly ProgramId[]): void {
+		const isFirst = collected.size === 0;
+		for (const program of programs) {
+			collected.add(program);
 		}
-	});
+
+		if (isFirst && collected.size > 0) {
+			void clock.sleep(as<Milliseconds>(passOnMs)).then(flush);
+		}
+	}
 
 	return {
-		announce: announcing.add,
-		passOn: passingOn.add,
-		flush() {
-			announcing.flush();
-			passingOn.flush();
+		announce(programs) {
+			const current = relays();
+			const {id} = self();
+			post(current.filter(relay => relay.id !== id), programs, true);
+			if (current.some(relay => relay.id === id)) {
+				passOn(programs);
+			}
 		},
+		passOn,
+		flush,
 	};
 }
