--- a/src/zones/budget-coordinator.ts
+++ b/src/zones/budget-coordinator.ts
@@ -15,10 +15,12 @@
 import {createBudgetReplication} from './budget-replication.js';
 import {createBudgetConfirmation} from './budget-confirmation.js';
 import {createBudgetRecovery} from './budget-recovery.js';
+import {createGrantCheck} from './grant-check.js';
 import {type Member} from './membership.js';
 import {type OwnerRanks} from './owner-ranks.js';
 import {withTimeout} from './with-timeout.js';
 import {createRecordWriter, type RecordWriter} from './record-writer.js';
+import {createRecentSettlements} from './recent-settlements.js';
 import {type RelayPeers, type ReservationOutcome} from './relay-peers.js';
 import {createReplyTimes} from './reply-times.js';
 import {createUnresponsivePeers} from './unresponsive-peers.js';
@@ -26,9 +28,6 @@
 /** Timeout of a write to the store, after which a call may proceed without the record. */
 const recordTimeoutMs = 150;
 
-/** Time for which a question may be under way to a coordinator with little processor time after it was given up. */
-export const lateQuestionMs = 5000;
-
 /**
 Lifetime of a record, as a multiple of the program's retention, and the remainder below which it is renewed. A program may
 return within its retention after its last call, which ends some seconds after it was granted.
@@ -80,8 +79,7 @@
 	const {ledger, clock} = options;
 	/** Used tokens of each program in pending writes to the store. */
 	const pendingRecords = new Map<ProgramId, Tokens>();
-	/** Attempts that have ended lately, and when: a question about one that arrives late is given up already. */
-	const ended = new Map<AttemptId, Milliseconds>();
+	const settlements = createRecentSettlements<Tokens>(clock);
 	/** Reservations in progress, so that a retransmitted request gets the same outcome. */
 	const inProgress = new Map<AttemptId, Promise<ReservationOutcome>>();
 	const exchange = {
@@ -96,6 +94,7 @@
 	const confirmation = createBudgetConfirmation(exchange);
 	const recovery = createBudgetRecovery(exchange);
 	const writer = createRecordWriter(exchange);
+	const checkGrant = createGrantCheck({ledger, confirmation, entitlementOf});
 	const {markDirty} = replication;
 
 	/** Makes this data centre the home of a program that has no known home. Returns whether none was known. */
@@ -176,33 +175,10 @@
 		return isAtHome(program) && replication.isExclusive(program) ? 'whole' : 'half';
 	}
 
-	/** Why a reservation may not be granted although it was confirmed: other accounts were merged, or it was settled, meanwhile. */
-	function objectionTo(request: ReservationRequest): WithholdReason | undefined {
-		if (!ledger.isReserved(request.program, request.attempt)) {
-			return 'given-up';
-		}
-
-		return ledger.isWithin(request, entitlementOf(request.program)) ? undefined : 'spent-elsewhere';
-	}
-
-	/** Has other instances confirm a reservation, and then the store record it: what is recorded counts as used after a loss of memory. */
-	async function findObjection(request: ReservationRequest, record: () => Promise<boolean>): Promise<WithholdReason | undefined> {
-		if (!await confirmation.confirm(request.program)) {
-			return 'unconfirmed';
-		}
-
-		const objection = objectionTo(request);
-		if (objection) {
-			return objection;
-		}
-
-		return await record() ? objectionTo(request) : 'unrecorded';
-	}
-
 	/** Grants a reservation once other instances have confirmed it and the store has recorded it. */
 	async function confirm(request: ReservationRequest, isNew: boolean, record: () => Promise<boolean>): Promise<ReservationOutcome> {
 		const {program, attempt} = request;
-		const objection = await findObjection(request, record);
+		const objection = await checkGrant(request, record);
 		if (!objection) {
 			if (isNew) {
 				replication.announceClaim(program);
@@ -257,7 +233,7 @@
 			return withhold(request, entitlementOf(program), 'unrecovered');
 		}
 
-		if (ended.has(request.attempt)) {
+		if (settlements.of(request.attempt) !== undefined) {
 			return withhold(request, entitlementOf(program), 'given-up');
 		}
 
@@ -323,17 +299,12 @@
 		passOn: replication.passOn,
 		rebalance: replication.rebalance,
 		settle(program, attempt, used) {
-			ended.set(attempt, clock.now());
+			settlements.record(attempt, used);
 			ledger.settle(program, attempt, used, clock.now());
 			markDirty(program);
 		},
 		maintain() {
-			for (const [attempt, at] of ended) {
-				if (clock.now() - at > lateQuestionMs) {
-					ended.delete(attempt);
-				}
-			}
-
+			settlements.prune();
 			exchange.replyTimes.retain(options.members());
 			ledger.expire(clock.now());
 			replication.pruneExpired();
--- a/src/zones/shared-budgets.ts
+++ b/src/zones/shared-budgets.ts
@@ -12,12 +12,13 @@
 import {type ReservationRequest} from '../contracts/token-ledger.js';
 import {createPromptLocations} from '../machines/prompt-locations.js';
 import {type GrantedReservation, type Reservation, type TokenBudgets} from '../machines/token-budgets.js';
-import {type BudgetCoordinatorOptions, createBudgetCoordinator, lateQuestionMs} from './budget-coordinator.js';
+import {type BudgetCoordinatorOptions, createBudgetCoordinator} from './budget-coordinator.js';
 import {
 	createBudgetClient, forwarding, type CoordinatorReply, type Settlement,
 } from './budget-client.js';
 import {type Member} from './membership.js';
 import {createOwnerRanks} from './owner-ranks.js';
+import {createRecentSettlements} from './recent-settlements.js';
 import {type RelayMessage, type RelayReply, type ReservationOutcome} from './relay-peers.js';
 
 /** Interval at which expired accounts are dropped and unacknowledged accounts are resent. */
@@ -52,12 +53,11 @@
 	});
 	/** Coordinators that granted reservations which this instance forwarded. */
 	const forwarded = new Map<AttemptId, Member>();
-	/** Settlements that have arrived lately: their reservations may be granted later, to questions that were forwarded. */
-	const settled = new Map<AttemptId, {readonly settlement: Settlement; readonly at: Milliseconds}>();
+	const settlements = createRecentSettlements<Settlement>(clock);
 
 	function settleLocally(settlement: Settlement): void {
 		const {program, attempt, used, place} = settlement;
-		settled.set(attempt, {settlement, at: clock.now()});
+		settlements.record(attempt, settlement);
 		const coordinator = forwarded.get(attempt);
 		if (coordinator) {
 			forwarded.delete(attempt);
@@ -90,9 +90,9 @@
 			return outcome;
 		}
 
-		const ended = settled.get(attempt);
-		if (ended) {
-			client.settleAt(coordinator, ended.settlement);
+		const settlement = settlements.of(attempt);
+		if (settlement) {
+			client.settleAt(coordinator, settlement);
 			return {kind: 'withheld'};
 		}
 
@@ -105,15 +105,6 @@
 		return outcome;
 	}
 
-	/** Drops settlements of questions that cannot be under way any more. */
-	function pruneSettled(): void {
-		for (const [attempt, {at}] of settled) {
-			if (clock.now() - at > lateQuestionMs) {
-				settled.delete(attempt);
-			}
-		}
-	}
-
 	/**
 	Answers an entry instance. Membership views may differ after a partition: it may have asked an instance that is not
 	the coordinator, or one that reaches the home although it does not itself. Such an instance forwards the request.
@@ -210,7 +201,7 @@
 			while (!signal.aborted) {
 				await clock.sleep(as<Milliseconds>(maintenanceIntervalMs), signal);
 				localCoordinator.maintain();
-				pruneSettled();
+				settlements.prune();
 				client.prune(program => ledger.home(program) !== undefined);
 			}
 		},
