Serve requests that belong to no program while the event loop is late

Each such request is all that its caller wants, so turning it away gains nothing that the first call of a program, which brings more calls, would not gain more of. Only these are turned away now. Traffic of programs is not concerned.

--- a/src/machines/overload.ts
+++ b/src/machines/overload.ts
@@ -1,10 +1,11 @@
 /**
-Overload of an instance: turns away what would begin new work while its event loop is late, so that it goes on with what it has begun. The
-share of new programs that it admits falls quickly while the loop is late, and rises slowly once it is not.
+Overload of an instance: turns new programs away while its event loop is late, so that it goes on with those that have begun. The share of
+new programs that it admits falls quickly while the loop is late, and rises slowly once it is not.
 
 Load that it answers: more work than the instance has processor time for, such as after a data centre has returned. Each answer then takes
 longer than its caller waits, and callers who come back add to the work, so that none is served even when the cause is over. A program
-that is turned away at its first call has lost nothing; one that is broken off has lost all of its calls.
+that is turned away at its first call has lost nothing; one that is broken off has lost all of its calls. A request that belongs to no program
+brings no further ones, and is served.
 */
 import {type Random} from '../contracts/clock.js';
 import {as, type Milliseconds} from '../contracts/id.js';
@@ -29,8 +30,8 @@
 const minimumRetryMs = 400;
 const fullRetryMs = 1200;
 
-/** What a request means for the instance: whether it begins a program, or belongs to one that has begun. */
-export type Arrival = {readonly kind: 'begins'} | {readonly kind: 'continues'};
+/** Whether a request begins a program, and so brings further calls. */
+export type Arrival = {readonly kind: 'begins-program'} | {readonly kind: 'other'};
 
 export type Admission = {readonly kind: 'admitted'} | {readonly kind: 'refused'; readonly retryAfter: Milliseconds};
 
@@ -61,11 +62,11 @@
 		},
 		admit(arrival) {
 			switch (arrival.kind) {
-				case 'begins': {
+				case 'begins-program': {
 					return share === 1 || random.fraction() < share ? admitted : refusal();
 				}
 
-				case 'continues': {
+				case 'other': {
 					return admitted;
 				}
 			}
--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -199,11 +199,11 @@
 		});
 	}
 
-	/** Whether the request begins a program. One that belongs to none is all of its caller's work, and so begins it. */
+	/** Whether the request is the first model call of a program. */
 	function arrivalOf({program, previousTurn, lastEvent}: RelayRequest, {isStream}: RelayRoute): Arrival {
 		const isContinued = previousTurn !== undefined || lastEvent !== undefined;
-		const belongs = program !== undefined && (!isStream || options.hasBegun(program.id));
-		return {kind: isContinued || belongs ? 'continues' : 'begins'};
+		const isFirst = isStream && program !== undefined && !isContinued && !options.hasBegun(program.id);
+		return {kind: isFirst ? 'begins-program' : 'other'};
 	}
 
 	async function admit(request: RelayRequest, caller: Caller, signal: AbortSignal): Promise<void> {
