Show that turns are lost when disks are lost one after the other

Callers saw LOST: a turn that was answered whole is refused for good. A turn is kept at one disk more than may be lost at once. A machine whose disk was lost counts as back CatchUpS after it is back, or after its successor has started, and then others may be lost. But nobody makes the copies anew that were on the lost disk: archives do not know of each other except while one of them is emptied, and an archive that starts on an empty disk only says for a retention that it proves no absence. So the losses of a retention add up.

The fixture learns of archives that are started later, and its unstarted process is undefined instead of unassigned; what the other tests of the file check is unchanged.

--- a/tests/archive-processes.test.ts
+++ b/tests/archive-processes.test.ts
@@ -17,6 +17,7 @@
 import {z} from 'zod';
 import {as, type Address, type Milliseconds} from '../src/contracts/id.js';
 import {createArchiveClient} from '../src/links/archive-client.js';
+import {systemClock} from '../src/programs/runtime.js';
 import {waitFor} from '../standins/cluster.js';
 import {startObjectStore} from '../standins/object-store.js';
 import {name, plain, recordOf} from './fixtures/turn-machine.js';
@@ -46,8 +47,8 @@
 	readonly stop: (signal: NodeJS.Signals) => Promise<number | undefined>;
 };
 
-/** Starts a store, and prepares archives, each named by its data centre and a number. */
-async function createArchives(context: TestContext, ids: readonly string[], {hasDisk = true} = {}) {
+/** Starts a store and archives, each named by its data centre and a number. Those that are `idle` are not started. */
+async function createArchives(context: TestContext, ids: readonly string[], {hasDisk = true, idle = []}: {readonly hasDisk?: boolean; readonly idle?: readonly string[]} = {}) {
 	const folder = mkdtempSync(path.join(tmpdir(), 'hickoryfork-'));
 	const store = await startObjectStore();
 	const ended = new AbortController();
@@ -56,12 +57,12 @@
 		const host = `127.2.${process.pid % 250}.${index + 1}`;
 		const port = await freePort(host);
 		const directory = path.join(folder, id);
-		let child: ChildProcess;
+		let child: ChildProcess | undefined;
 		return {
 			id,
 			address: as<Address>(`${host}:${port}`),
 			directory,
-			child: () => child,
+			child: () => child ?? assert.fail(`${id} was not started`),
 			async start(isFirstStart) {
 				const values = new Map(Object.entries({
 					NodeName: id, Zone: id.split('-')[0] ?? '', Bootstrap: String(isFirstStart), 'Platform.Address': store.address, HeartbeatMs: '1000', Ip: host, 'PortRange.0': String(port),
@@ -83,19 +84,19 @@
 				await waitFor(`the start of ${id}`, async () => output.includes(hasDisk ? '"event":"recovered"' : '"event":"started"'));
 			},
 			async stop(signal) {
-				if (child.exitCode === null && child.signalCode === null) {
+				if (child?.exitCode === null && child.signalCode === null) {
 					const exited = once(child, 'exit');
 					child.kill(signal);
 					await exited;
 				}
 
-				return child.exitCode ?? undefined;
+				return child?.exitCode ?? undefined;
 			},
 		};
 	}
 
-	const archives = await Promise.all(ids.map(async (id, index) => createProcess(id, index)));
-	await Promise.all(archives.map(async archive => archive.start(true)));
+	const archives = await Promise.all([...ids, ...idle].map(async (id, index) => createProcess(id, index)));
+	await Promise.all(archives.slice(0, ids.length).map(async archive => archive.start(true)));
 	context.after(async () => {
 		ended.abort();
 		await Promise.all(archives.map(async archive => archive.stop('SIGKILL')));
@@ -157,3 +158,55 @@
 	assert.deepEqual(readdirSync(path.dirname(archive.directory)), ['a-1.toml']);
 	assert.equal(await archive.stop('SIGTERM'), 0);
 });
+
+/** Time after which a machine that is back with an empty disk, or a new one in its place, no longer counts as lost: `CatchUpS` of the deployments. */
+const catchUpMs = 6000;
+
+const longerChain = Array.from({length: 40}, (_, index) => recordOf(`turn-${index}`, index === 0 ? {} : {previous: `turn-${index - 1}`}));
+
+/** Number of turns of the chain that the best of the archives still has. */
+async function turnsFoundAt(archives: readonly ArchiveProcess[], client: ReturnType<typeof createArchiveClient>): Promise<number> {
+	const replies = await Promise.all(archives.map(async ({address}) => client.chain(address, name('turn-39'), timeout)));
+	return Math.max(...replies.map(reply => reply?.records.length ?? 0));
+}
+
+// Guards against turns that are lost although no more disks are lost at once than the deployment tolerates.
+const losesDisksInTurn = 'turns outlast the losses of two disks, the second of which comes once the first machine no longer counts as lost';
+test(losesDisksInTurn, knownRed(losesDisksInTurn), async context => {
+	const {archives, client} = await createArchives(context, ['a-1', 'b-1', 'c-1', 'd-1']);
+	const [first, second] = archives;
+	assert.ok(first && second);
+	for (const {address} of [first, second]) {
+		const results = await Promise.all(longerChain.map(async record => client.keep(address, record, timeout)));
+		assert.ok(results.every(({kind}) => kind === 'kept'));
+	}
+
+	for (const archive of [first, second]) {
+		await archive.stop('SIGKILL');
+		rmSync(archive.directory, {recursive: true});
+		await archive.start(false);
+		assert.equal(await turnsFoundAt(archives, client), longerChain.length, `after the loss of the disk of ${archive.id}`);
+		await systemClock.sleep(as<Milliseconds>(catchUpMs));
+	}
+});
+
+// The same for a machine that is gone for good, whose place another one takes at another address.
+const losesReplacedMachine = 'turns outlast the loss of a disk after a machine with a disk was replaced';
+test(losesReplacedMachine, knownRed(losesReplacedMachine), async context => {
+	const {archives, client} = await createArchives(context, ['a-1', 'b-1', 'c-1', 'd-1'], {idle: ['a-2']});
+	const [first, second] = archives;
+	const successor = archives.at(-1);
+	assert.ok(first && second && successor);
+	for (const {address} of [first, second]) {
+		const results = await Promise.all(longerChain.map(async record => client.keep(address, record, timeout)));
+		assert.ok(results.every(({kind}) => kind === 'kept'));
+	}
+
+	await first.stop('SIGKILL');
+	await successor.start(false);
+	await systemClock.sleep(as<Milliseconds>(catchUpMs));
+	await second.stop('SIGKILL');
+	rmSync(second.directory, {recursive: true});
+	await second.start(false);
+	assert.equal(await turnsFoundAt(archives.slice(1), client), longerChain.length);
+});
