Explore losses of disks in series in simulated time

Eight archives with their turn stores on simulated disks, four instances that keep a turn every 100 ms for 40 s, and losses of two disks, or of machines that others replace, 7.1 s after one another: 1 s down, and the 6 s of CatchUpS. That is within the tolerance of two. At the end a new instance looks every turn up; all are within their retention of 60 s.

The exploration of conversations allows a history as many losses of disks as may happen at once, and never again, so it could not show this.

--- /dev/null
+++ b/tests/disk-losses.test.ts
@@ -0,0 +1,117 @@
+/**
+Disks that are lost again and again, never more at once than the deployment tolerates. A turn that was kept must be found by any
+instance for its retention.
+*/
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import process from 'node:process';
+import {test} from 'node:test';
+import {as, type Milliseconds, type ProgramId} from '../src/contracts/id.js';
+import {createArchiveCluster} from './fixtures/archive-cluster.js';
+import {createConversationNode, turnWith} from './fixtures/fake-archives.js';
+import {createFakeClock, createSeededRandom} from './fixtures/fake-clock.js';
+import {knownRed} from './fixtures/known-red.js';
+
+const ids = ['a1', 'a2', 'b1', 'b2', 'c1', 'c2', 'd1', 'd2'];
+const tolerance = {machines: 2, dataCentres: 1};
+const historyCount = Number(process.env.HICKORYFORK_SCHEDULES ?? 2);
+const turnGapMs = 100;
+const historyMs = 40_000;
+const downMs = 1000;
+
+/** Time from a machine's return, or the start of its successor, until others may be lost: `CatchUpS` of the deployments. */
+const catchUpMs = 6000;
+
+type Loss = {readonly kind: 'disk' | 'machine'};
+
+const losses: ReadonlyArray<{readonly name: string; readonly draw: (fraction: number) => Loss}> = [
+	{name: 'disks', draw: () => ({kind: 'disk'})},
+	{name: 'disks and machines', draw: fraction => ({kind: fraction < 0.5 ? 'disk' : 'machine'})},
+];
+
+for (const {name, draw} of losses) {
+	for (let seed = 1; seed <= historyCount; seed++) {
+		const title = `history ${seed} of ${name} that are lost two at a time: every kept turn is found`;
+		test(title, knownRed(title), async () => {
+			const clock = createFakeClock();
+			const random = createSeededRandom(seed);
+			const archives = createArchiveCluster(clock, ids, tolerance);
+			const nodes = ['a0', 'b0', 'c0', 'd0'].map(id => createConversationNode(clock, archives, id, {tolerance}));
+			const kept: string[] = [];
+			let machineCount = ids.length;
+			const returns: Array<{readonly at: number; readonly run: () => void}> = [];
+			let nextLossAt = 4000;
+
+			async function keep(turn: string): Promise<void> {
+				const node = nodes[Math.floor(random.fraction() * nodes.length)];
+				const opened = await node?.conversations.open(turnWith(turn, undefined, {program: as<ProgramId>(turn)}));
+				if (opened?.kind !== 'opened') {
+					return;
+				}
+
+				opened.recorder.event(Buffer.from(`out of ${turn}`));
+				if (await opened.recorder.keep(as<Milliseconds>(5000))) {
+					kept.push(turn);
+				}
+
+				opened.recorder.close();
+			}
+
+			function lose(id: string, elapsed: number): void {
+				const {kind} = draw(random.fraction());
+				const successor = kind === 'machine' ? `${id.slice(0, 1)}${++machineCount}` : id;
+				archives.kill(id, true);
+				returns.push({
+					at: elapsed + downMs,
+					run() {
+						if (successor !== id) {
+							archives.remove(id);
+							archives.add(successor);
+						}
+
+						archives.start(successor, false);
+					},
+				});
+			}
+
+			await clock.advance(500);
+			const running: Array<Promise<void>> = [];
+			for (let elapsed = 0; elapsed < historyMs; elapsed += turnGapMs) {
+				for (const due of returns.splice(0).filter(({at, ...rest}) => at <= elapsed || !returns.push({at, ...rest}))) {
+					due.run();
+				}
+
+				if (elapsed >= nextLossAt) {
+					nextLossAt = elapsed + downMs + catchUpMs + turnGapMs;
+					const candidates = [...archives.ids()];
+					for (let count = 0; count < tolerance.machines; count++) {
+						const [id] = candidates.splice(Math.floor(random.fraction() * candidates.length), 1);
+						lose(id ?? assert.fail(), elapsed);
+					}
+				}
+
+				running.push(keep(`turn-${elapsed}`));
+				await clock.advance(turnGapMs);
+			}
+
+			await clock.advance(downMs + catchUpMs);
+			await Promise.all(running);
+			assert.ok(kept.length > 300, `${kept.length} turns were kept`);
+			const node = createConversationNode(clock, archives, 'a9', {tolerance});
+			await clock.advance(1000);
+			const lost: string[] = [];
+			for (const turn of kept) {
+				const opening = node.conversations.open(turnWith(`after ${turn}`, turn, {program: as<ProgramId>(turn)}));
+				await clock.advance(20);
+				const opened = await Promise.race([opening, clock.advance(3000).then(async () => opening)]);
+				if (opened.kind === 'opened') {
+					opened.recorder.close();
+				} else {
+					lost.push(turn);
+				}
+			}
+
+			assert.deepEqual(lost, [], `${lost.length} of ${kept.length} turns are not found`);
+		});
+	}
+}
