Show that records cannot be read after machines with disks were replaced

After a loss of all memory no instance becomes warm, as too few archives tell their records, though no record is missing. An archive that starts on an empty disk and is not of the first start takes itself for one that has lost records, also if its machine is new and never acknowledged any; it does so for the lifetime of a record and 30 s. A machine that was removed for good stays in the registry as serving, and is waited for without end. So each planned addition or replacement takes one off what may fail, and three of them are too many with a tolerance of two.

--- a/tests/disk-losses.test.ts
+++ b/tests/disk-losses.test.ts
@@ -6,11 +6,17 @@
 import {Buffer} from 'node:buffer';
 import process from 'node:process';
 import {test} from 'node:test';
-import {as, type Milliseconds, type ProgramId} from '../src/contracts/id.js';
+import {ok} from 'neverthrow';
+import {
+	as, type Address, type DataCentreId, type Milliseconds, type ProgramId,
+} from '../src/contracts/id.js';
+import {copiesFor} from '../src/contracts/tolerance.js';
+import {createArchivedRecords} from '../src/zones/archived-records.js';
 import {createArchiveCluster} from './fixtures/archive-cluster.js';
 import {createConversationNode, turnWith} from './fixtures/fake-archives.js';
 import {createFakeClock, createSeededRandom} from './fixtures/fake-clock.js';
 import {knownRed} from './fixtures/known-red.js';
+import {usedRecord} from './fixtures/turn-machine.js';
 
 const ids = ['a1', 'a2', 'b1', 'b2', 'c1', 'c2', 'd1', 'd2'];
 const tolerance = {machines: 2, dataCentres: 1};
@@ -115,3 +121,43 @@
 		});
 	}
 }
+
+// Guards against instances that are never warm after a loss of all memory, although no record is missing.
+const replacesMachines = 'records of used tokens are read after a machine with a disk was added and two were replaced, one after the other';
+test(replacesMachines, knownRed(replacesMachines), async () => {
+	const clock = createFakeClock();
+	const archives = createArchiveCluster(clock, ids, tolerance);
+	const link = archives.linkOf(() => true);
+	await clock.advance(500);
+	const keeping = Promise.all(['a1', 'b2', 'd1'].map(async id => link.keep(as<Address>(id), usedRecord('program', 700), as<Milliseconds>(1000))));
+	await clock.advance(500);
+	const kept = await keeping;
+	assert.ok(kept.every(({kind}) => kind === 'kept'));
+	for (const [added, replaced] of [['a3', undefined], ['b3', 'b1'], ['c3', 'c1']] as const) {
+		if (replaced !== undefined) {
+			archives.kill(replaced, true);
+			archives.remove(replaced);
+		}
+
+		archives.add(added);
+		archives.start(added, false);
+		await clock.advance(downMs + catchUpMs);
+	}
+
+	const records = createArchivedRecords({
+		records: {write: async () => true, load: async () => ok({records: [], addresses: []})},
+		dataCentre: as<DataCentreId>('a'),
+		address: as<Address>('a0:1'),
+		keepsTurns: () => true,
+		keepAtArchives: async () => undefined,
+		required: copiesFor(tolerance),
+		store: archives.store.connect(() => 'answering'),
+		link,
+		clock,
+		onEvent: () => undefined,
+	});
+	const loading = records.load();
+	await clock.advance(3000);
+	const loaded = await loading;
+	assert.deepEqual(loaded.match(({records: found}) => found.map(({used}) => used), ({message}) => message), [700]);
+});
