Prove with one rule that nothing is missing at the archives

While one machine with a disk was down or had lost its disk, each turn that continued one which did not exist was answered 503 in place of 404, for up to 90 s, and its callers came back to no purpose.

The lookup of chains demanded a complete answer of every archive.

A turn that was answered whole has enough copies, which were synced before its response ended, so among those that answered completely at least one has it if the others cannot hold all copies.

--- a/src/zones/conversations/chain-lookup.ts
+++ b/src/zones/conversations/chain-lookup.ts
@@ -1,13 +1,14 @@
 /**
 Looks up the chain of turns that a turn continues: in the cache, then at the archives, until the first turn of the chain is
-found. That a turn does not exist is concluded only if every archive that the store lists at that moment says so and
-holds all that it ever acknowledged. Whatever is not certain makes the chain unavailable for now.
+found. That a turn does not exist is concluded only if no archive that the store lists at that moment has it, and those that have not
+answered or may have lost turns could not hold all of its copies. Whatever is not certain makes the chain unavailable for now.
 */
 import {type ListedArchive} from '../../contracts/archive.js';
 import {type Clock} from '../../contracts/clock.js';
 import {
 	as, type AttemptId, type DataCentreId, type InstanceId, type Milliseconds,
 } from '../../contracts/id.js';
+import {type CopyRequirement} from '../../contracts/tolerance.js';
 import {type WorkspaceName} from '../../contracts/workspace.js';
 import {createRunTimeLimit} from '../run-time-limit.js';
 import {type ArchiveRegistry} from './archive-registry.js';
@@ -16,6 +17,7 @@
 import {
 	type ChainCache, contentBytes, isWhole, type WholeTurn,
 } from './chain-cache.js';
+import {isAllKnown} from './copy-placement.js';
 import {type MemoryShare} from './turn-memory.js';
 import {type AbsenceProof, type TurnSource, type UnavailableReason} from './turn-event.js';
 
@@ -57,6 +59,8 @@
 
 export type ChainLookupOptions = {
 	readonly dataCentre: DataCentreId;
+	/** Copies of a turn that are enough. */
+	readonly required: CopyRequirement;
 	readonly registry: ArchiveRegistry;
 	readonly search: ArchiveSearch;
 	readonly cache: ChainCache;
@@ -69,6 +73,10 @@
 	return {kind: 'unavailable', reason, detail};
 }
 
+function namesOf(archives: readonly ListedArchive[]): string {
+	return archives.length === 0 ? 'none' : archives.map(({id}) => id).join(', ');
+}
+
 /** Why a turn may not be used by a caller of the workspace; undefined if it may. */
 function objectionTo(record: WholeTurn, workspace: WorkspaceName | undefined): Absence | undefined {
 	if (record.workspace === workspace) {
@@ -87,13 +95,12 @@
 
 	/** Why the answers do not prove that the turn does not exist; undefined if they do, provided that all archives were asked. */
 	function doubtAbout({silent, incomplete}: SearchResult): Absence | undefined {
-		if (silent.length > 0) {
-			return unavailable('archives-silent', `no answer from ${silent.map(({id}) => id).join(', ')}`);
+		if (isAllKnown([...silent, ...incomplete], options.required)) {
+			return undefined;
 		}
 
-		return incomplete.length > 0
-			? unavailable('archives-incomplete', `turns may be missing at ${incomplete.map(({id}) => id).join(', ')}`)
-			: undefined;
+		const reason = silent.length > 0 ? 'archives-silent' : 'archives-incomplete';
+		return unavailable(reason, `no answer from ${namesOf(silent)}; turns may be missing at ${namesOf(incomplete)}`);
 	}
 
 	/** Reads which archives exist, and asks all of them again: an archive that has left since may have copied the turn to one that was asked before. */
--- a/src/zones/conversations/conversations.ts
+++ b/src/zones/conversations/conversations.ts
@@ -95,6 +95,7 @@
 	const memory = createTurnMemory(memoryBytes);
 	const search = createArchiveSearch({link, health: readHealth, clock});
 	const chains = createChainLookup({
+		required,
 		dataCentre, registry, search, cache, clock,
 	});
 	const contact = createDataCentreContact({
--- a/src/zones/conversations/copy-placement.ts
+++ b/src/zones/conversations/copy-placement.ts
@@ -30,6 +30,14 @@
 	return archives.length >= required.copies && dataCentresOf(archives).size >= required.dataCentres;
 }
 
+/**
+Whether all that is kept is known although these archives have not told everything that they hold: they cannot hold all copies of any
+record between them, so at least one of the others has told of it.
+*/
+export function isAllKnown(untold: readonly ListedArchive[], required: CopyRequirement): boolean {
+	return !isEnough(untold, required);
+}
+
 /** The first candidate that brings the copies closer to what is required; undefined if there is none. */
 export function nextArchive(candidates: readonly ListedArchive[], chosen: readonly ListedArchive[], required: CopyRequirement): ListedArchive | undefined {
 	const covered = dataCentresOf(chosen);
