Let a new archive take over from machines that are gone for good

Callers saw RECOVER and LOST after machines with disks had been replaced: a machine that was removed stayed registered as serving, so its silence left a doubt for everybody and for good; its copies were not made again; and the new machine, which had never acknowledged anything, counted for 150 s as one that lost its disk. Two replacements and one addition were enough that no instance became warm after a loss of all power, without any disk lost.

An archive that the store did not know when it registered is complete at once. For a minute it watches the others. When one is silent for 3 s, and the silent ones cannot hold all copies of a turn, it copies what too few of the others hold, sends on what only it and too few others hold, and registers the silent ones as left, if all others answered completely. It takes that back once one answers. In a split nobody is registered as left.

Builds read the state `left`, which they know: they do not ask such an archive. The objects have not changed.

--- a/src/links/archive-log.ts
+++ b/src/links/archive-log.ts
@@ -4,6 +4,7 @@
 import {type ArchiveEvent} from '../machines/archive.js';
 import {type ArchiveDrainEvent} from '../machines/archive-drain.js';
 import {type ArchiveRepairEvent} from '../machines/archive-repair/repair-event.js';
+import {type SuccessionEvent} from '../machines/archive-repair/succession.js';
 import {type TurnStoreEvent} from '../machines/turn-store/turn-store-event.js';
 import {type Log} from './log.js';
 
@@ -131,6 +132,36 @@
 	}
 }
 
+function logSuccession(log: Log, event: SuccessionEvent): void {
+	switch (event.kind) {
+		case 'watching': {
+			log.info({event: 'succession-watching', archives: event.archives}, `this archive is new; it watches whether one of ${event.archives} others is gone`);
+			return;
+		}
+
+		case 'silent': {
+			log.warn({event: 'succession-silent', archive: event.archive}, `${event.archive} does not answer`);
+			return;
+		}
+
+		case 'passed': {
+			const {kind, ...rest} = event;
+			log.info({event: 'succession-passed', ...rest}, `${event.copied} turns copied to this archive and ${event.spread} to others, ${event.remaining} remain; in doubt: ${event.doubts.join(', ')}`);
+			return;
+		}
+
+		case 'copy-failed': {
+			log.warn({event: 'succession-copy-failed', archive: event.archive, reason: event.reason}, `${event.archive} did not take a copy: ${event.reason}`);
+			return;
+		}
+
+		case 'registered': {
+			const {kind, ...rest} = event;
+			log.info({event: 'succession-registered', ...rest}, `${event.archive} ${event.isWritten ? 'is' : 'could not be'} registered as ${event.state}`);
+		}
+	}
+}
+
 /** Store events that may occur once for each record while the disk fails. */
 const repeatedStoreEvents: ReadonlySet<TurnStoreEvent['kind']> = new Set(['record-unreadable', 'disk-failed', 'segment-opened']);
 
@@ -156,6 +187,11 @@
 			return;
 		}
 
+		case 'succession': {
+			logSuccession(log, event.succession);
+			return;
+		}
+
 		case 'registration': {
 			log.info({event: 'registration', ...event.registration}, `registration as ${event.registration.state}: ${event.registration.result}`);
 			return;
--- a/src/links/archive-metrics.ts
+++ b/src/links/archive-metrics.ts
@@ -24,6 +24,10 @@
 			return event.repair.kind;
 		}
 
+		case 'succession': {
+			return event.succession.kind;
+		}
+
 		case 'registration': {
 			return event.registration.state;
 		}
--- a/src/machines/archive-registration.ts
+++ b/src/machines/archive-registration.ts
@@ -18,6 +18,8 @@
 export type ArchiveRegistration = {
 	/** Writes a state. Resolves to whether it is in the store; to false once another state was requested or the signal aborts. */
 	readonly write: (state: ArchiveState, signal: AbortSignal) => Promise<boolean>;
+	/** Whether the store had no object of the archive when it was first written, so that nobody has kept a turn there before. */
+	readonly isNew: () => boolean;
 };
 
 export type ArchiveRegistrationOptions = {
@@ -34,10 +36,16 @@
 	/** The object as it was when the store last returned it. */
 	let known: Pick<VersionedObject, 'revision' | 'spec'> | undefined;
 	let requested: ArchiveState | undefined;
+	/** Whether no write has reached the store yet, and the result of the first one that did. */
+	let isFirst = true;
+	let isNew = false;
 
 	async function attempt(spec: unknown): Promise<WriteResult> {
 		if (!known) {
-			return store.create(archiveKind, name, spec);
+			const result = await store.create(archiveKind, name, spec);
+			isNew ||= isFirst && result.kind === 'written';
+			isFirst &&= result.kind === 'unavailable';
+			return result;
 		}
 
 		return isDeepStrictEqual(known.spec, spec)
@@ -71,6 +79,7 @@
 	}
 
 	return {
+		isNew: () => isNew,
 		async write(state, signal) {
 			requested = state;
 			const spec = encodeArchive({...options.archive, state});
--- a/src/machines/archive.ts
+++ b/src/machines/archive.ts
@@ -4,12 +4,14 @@
 */
 import {type Result} from 'neverthrow';
 import {
-	type ArchiveCopyLink, archiveKind, type ArchiveListing, type ArchiveRepairLink, decodeArchive, type InventoryPage, type ListedArchive, type TurnCopies,
+	type ArchiveCopyLink, archiveKind, type ArchiveListing, type ArchiveRepairLink, type ArchiveState, decodeArchive, encodeArchive, type InventoryPage, type ListedArchive, type TurnCopies,
 } from '../contracts/archive.js';
 import {type Clock} from '../contracts/clock.js';
 import {abortOf, createDeferred} from '../contracts/deferred.js';
 import {type Failure} from '../contracts/failure.js';
-import {type AttemptId} from '../contracts/id.js';
+import {
+	as, type AttemptId, type InstanceId, type ObjectName, type ObjectVersion,
+} from '../contracts/id.js';
 import {type ObjectList, type ObjectStore} from '../contracts/object-store.js';
 import {type Tolerance} from '../contracts/tolerance.js';
 import {
@@ -19,6 +21,7 @@
 import {type ArchiveRegistrationEvent, createArchiveRegistration} from './archive-registration.js';
 import {repairArchive} from './archive-repair/archive-repair.js';
 import {type ArchiveRepairEvent} from './archive-repair/repair-event.js';
+import {succeedArchives, type SuccessionEvent} from './archive-repair/succession.js';
 import {type TurnStoreEvent} from './turn-store/turn-store-event.js';
 import {type TurnStore} from './turn-store/turn-store.js';
 
@@ -26,6 +29,7 @@
 	= | {readonly kind: 'store'; readonly store: TurnStoreEvent}
 		| {readonly kind: 'drain'; readonly drain: ArchiveDrainEvent}
 		| {readonly kind: 'repair'; readonly repair: ArchiveRepairEvent}
+		| {readonly kind: 'succession'; readonly succession: SuccessionEvent}
 		| {readonly kind: 'registration'; readonly registration: ArchiveRegistrationEvent}
 		/** An object of the kind of archives cannot be decoded and is passed over. */
 		| {readonly kind: 'unreadable-archive'; readonly name: string}
@@ -75,6 +79,8 @@
 	/** Signal of the drain that is under way or has ended. */
 	let leaving: AbortSignal | undefined;
 	let running = AbortSignal.abort();
+	/** Revisions of the objects of archives, as they were listed or written here. */
+	const revisions = new Map<InstanceId, ObjectVersion>();
 	const unfinished = new Set<Promise<KeepResult>>();
 	const registration = createArchiveRegistration({
 		archive: own,
@@ -85,14 +91,32 @@
 		},
 	});
 
+	/** Writes the state of another archive, unless its object has changed since it was listed or written here. */
+	async function register(archive: ListedArchive, state: ArchiveState): Promise<boolean> {
+		const revision = revisions.get(archive.id);
+		if (revision === undefined) {
+			return false;
+		}
+
+		const result = await objects.replace(archiveKind, as<ObjectName>(archive.id), encodeArchive({...archive, state}), revision);
+		if (result.kind !== 'written') {
+			return false;
+		}
+
+		revisions.set(archive.id, result.revision);
+		return true;
+	}
+
 	function toArchives(list: ObjectList): readonly ListedArchive[] {
 		return list.objects.flatMap(object => {
 			const archive = decodeArchive(object);
 			if (!archive) {
 				onEvent({kind: 'unreadable-archive', name: object.name});
+				return [];
 			}
 
-			return archive ?? [];
+			revisions.set(archive.id, object.revision);
+			return archive;
 		});
 	}
 
@@ -116,9 +140,29 @@
 		return result;
 	}
 
+	/** Ends the doubts that the start of a store leaves. */
 	async function repair(turns: TurnStore, signal: AbortSignal): Promise<void> {
+		const serving = {...own, state: 'serving'} as const;
+		if (!turns.isComplete() && registration.isNew()) {
+			await turns.complete();
+			repaired.resolve(true);
+			await succeedArchives({
+				own: serving,
+				store: turns,
+				link: options.link,
+				list: listArchives,
+				register,
+				tolerance: options.tolerance,
+				clock,
+				onEvent(event) {
+					onEvent({kind: 'succession', succession: event});
+				},
+			}, signal);
+			return;
+		}
+
 		await repairArchive({
-			own: {...own, state: 'serving'},
+			own: serving,
 			store: turns,
 			link: options.link,
 			list: listArchives,
@@ -178,7 +222,8 @@
 			const registering = registration.write('serving', signal);
 			store = await options.openStore(signal);
 			opened.resolve(store);
-			void repair(store, signal);
+			const opening = store;
+			void registering.then(async () => repair(opening, signal));
 			await registering;
 		},
 		isUsed: () => hasRequests || !store || (store.gauges().turns ?? 0) > 0,
--- a/tests/disk-losses.test.ts
+++ b/tests/disk-losses.test.ts
@@ -14,9 +14,10 @@
 import {createArchivedRecords} from '../src/zones/archived-records.js';
 import {createArchiveCluster} from './fixtures/archive-cluster.js';
 import {createConversationNode, turnWith} from './fixtures/fake-archives.js';
+import {timed} from './fixtures/conversation-scene.js';
 import {createFakeClock, createSeededRandom} from './fixtures/fake-clock.js';
 import {knownRed} from './fixtures/known-red.js';
-import {usedRecord} from './fixtures/turn-machine.js';
+import {retentionMs, usedRecord} from './fixtures/turn-machine.js';
 
 const ids = ['a1', 'a2', 'b1', 'b2', 'c1', 'c2', 'd1', 'd2'];
 const tolerance = {machines: 2, dataCentres: 1};
@@ -100,16 +101,19 @@
 				await clock.advance(turnGapMs);
 			}
 
-			await clock.advance(downMs + catchUpMs);
+			await clock.advance(downMs);
+			for (const {run} of returns) {
+				run();
+			}
+
+			await clock.advance(catchUpMs);
 			await Promise.all(running);
 			assert.ok(kept.length > 300, `${kept.length} turns were kept`);
 			const node = createConversationNode(clock, archives, 'a9', {tolerance});
 			await clock.advance(1000);
 			const lost: string[] = [];
 			for (const turn of kept) {
-				const opening = node.conversations.open(turnWith(`after ${turn}`, turn, {program: as<ProgramId>(turn)}));
-				await clock.advance(20);
-				const opened = await Promise.race([opening, clock.advance(3000).then(async () => opening)]);
+				const {value: opened} = await timed(clock, node.conversations.open(turnWith(`after ${turn}`, turn, {program: as<ProgramId>(turn)})));
 				if (opened.kind === 'opened') {
 					opened.recorder.close();
 				} else {
@@ -117,6 +121,7 @@
 				}
 			}
 
+			assert.ok(clock.now() < retentionMs, 'the turns have been looked up within their retention');
 			assert.deepEqual(lost, [], `${lost.length} of ${kept.length} turns are not found`);
 		});
 	}
