Test that requests get permits from the slack while a coordinator is late

The permit client asks for one batch at a time. While the coordinator is late, an ask takes 400 ms and more; the slack is asked once, for that batch. Requests that arrive meanwhile wait until their patience is over, and are refused although the slack has permits.

--- a/tests/late-permits.test.ts
+++ b/tests/late-permits.test.ts
@@ -9,6 +9,7 @@
 import {createPermitAges} from '../src/zones/allotments/permit-ages.js';
 import {allotmentOf, type AllotmentCluster, createAllotmentCluster} from './fixtures/allotment-cluster.js';
 import {createFakeClock, createSeededRandom} from './fixtures/fake-clock.js';
+import {knownRed} from './fixtures/known-red.js';
 
 const ids = ['a1', 'a2', 'a3', 'a4', 'b1', 'b2', 'b3', 'b4', 'c1', 'c2', 'c3', 'c4'];
 const stepMs = 20;
@@ -98,6 +99,49 @@
 	assert.deepEqual(refused.filter(({tookMs}) => tookMs > patienceMs + 500), []);
 });
 
+/** Requests of the other data centres while the coordinator of the allotment stands still: those refused, and those that the slack was asked for in vain. */
+async function refusedDuringPause(seed: number, pauseMs: number) {
+	const rate = 40;
+	const cluster = createAllotmentCluster(ids, seed, allotmentOf(rate, 200));
+	const {clock, nodes, events} = cluster;
+	await clock.advance(6000);
+	for (const {id} of nodes) {
+		void cluster.request(id, patienceMs);
+	}
+
+	await clock.advance(1000);
+	const coordinator = nodes.find(({life}) => (life?.allotments.coordinated().length ?? 0) > 0)?.id ?? '';
+	const others = nodes.filter(({id}) => !id.startsWith(coordinator.slice(0, 1)));
+	const {fraction} = createSeededRandom(seed);
+	const before = events.length;
+	void cluster.pause(coordinator, pauseMs);
+	const requests: Array<Promise<AllotmentOutcome | undefined>> = [];
+	for (let due = 0, elapsed = 0; elapsed < pauseMs; elapsed += stepMs) {
+		for (due += 0.6 * rate * stepMs / 1000; due >= 1; due--) {
+			requests.push(cluster.request(others[Math.floor(fraction() * others.length)]?.id ?? '', patienceMs));
+		}
+
+		await clock.advance(stepMs);
+	}
+
+	await clock.advance(3000);
+	const outcomes = await Promise.all(requests);
+	const inVain = events.slice(before).map(({event}) => event.kind === 'allotment-slack' ? event.asked - event.granted : 0);
+	return {
+		sent: outcomes.length,
+		refused: outcomes.filter(outcome => outcome?.kind !== 'granted').length,
+		inVain: inVain.reduce((sum, count) => sum + count, 0),
+	};
+}
+
+const askedForAll = 'requests that arrive while the coordinator is late are refused only if the slack has no permits for them';
+// Guards against requests that wait behind those for which the coordinator was asked, and are refused without having been asked for.
+test(askedForAll, knownRed(askedForAll), async () => {
+	const trials = await Promise.all(Array.from({length: 10}, async (_, index) => refusedDuringPause(index + 1, 1000)));
+	const sum = (key: 'sent' | 'refused' | 'inVain') => trials.reduce((total, trial) => total + trial[key], 0);
+	assert.ok(sum('refused') <= sum('inVain'), `${sum('refused')} of ${sum('sent')} were refused, ${sum('inVain')} of them by the slack`);
+});
+
 test('the age of a permit is at most the time since it was asked for, less what a faster exchange has shown', async () => {
 	const clock = createFakeClock();
 	const ages = createPermitAges(clock);
