Leave the succession to one of several new archives

Now the one in the data centre of that machine goes first (3 s), others follow after 6 s unless it is registered as left by then, which they read before they begin.

Others that do not answer no longer hold up the registration, as long as all is known without them (isAllKnown): two machines that are gone at once each have a successor of their own.

--- a/src/machines/archive-repair/succession.ts
+++ b/src/machines/archive-repair/succession.ts
@@ -27,8 +27,11 @@
 
 const probeTimeoutMs = 500;
 
-/** Time without an answer after which an archive counts as silent. A restart takes about two seconds. */
-const silenceMs = 3000;
+/**
+Time without an answer after which an archive counts as silent. A restart takes about two seconds. Archives of other data centres
+leave the work to one of its own, if there is one that is new.
+*/
+const silenceMs = {nearby: 3000, elsewhere: 6000} as const;
 
 /** Delay before another attempt after one that left doubts. */
 const retryDelayMs = 2000;
@@ -72,7 +75,10 @@
 	let listedAt = -Infinity;
 	let nextPassAt = -Infinity;
 
-	const isSilent = ({id}: ListedArchive) => clock.now() - (silentSince.get(id) ?? clock.now()) >= silenceMs;
+	function isSilent({id, dataCentre}: ListedArchive): boolean {
+		const silence = clock.now() - (silentSince.get(id) ?? clock.now());
+		return silence >= (dataCentre === own.dataCentre ? silenceMs.nearby : silenceMs.elsewhere);
+	}
 
 	async function refreshList(): Promise<void> {
 		if (clock.now() < listedAt + listIntervalMs) {
@@ -147,17 +153,17 @@
 		return isOwn ? [...lasting, own] : lasting;
 	}
 
-	/** Makes enough copies of all turns without the silent archives. Resolves to whether nothing is missing for certain. */
-	async function pass(silent: readonly ListedArchive[]): Promise<boolean> {
-		const answering = listed.filter(archive => !silent.includes(archive));
-		const doubts = new Set(silent.map(({id}) => id));
+	/** Makes enough copies of all turns at the archives that answer. Resolves to whether nothing is missing for certain. */
+	async function pass(): Promise<boolean> {
+		const answering = listed.filter(archive => !silentSince.has(archive.id));
+		const doubts = new Set(listed.filter(archive => silentSince.has(archive.id)));
 		const walk = walkInventories({
 			archives: [own, ...answering],
 			link: {
 				inventory: async (address, after, timeout) => address === own.address ? store.inventory(after) : link.inventory(address, after, timeout),
 			},
-			onDoubt({id}) {
-				doubts.add(id);
+			onDoubt(archive) {
+				doubts.add(archive);
 			},
 		});
 		let copied = 0;
@@ -176,19 +182,23 @@
 		}
 
 		onEvent({
-			kind: 'passed', copied, spread, remaining, doubts: [...doubts],
+			kind: 'passed', copied, spread, remaining, doubts: [...doubts].map(({id}) => id),
 		});
-		return remaining === 0 && doubts.size === silent.length;
+		return remaining === 0 && isAllKnown([...doubts], required);
 	}
 
 	async function takeOver(): Promise<void> {
-		const silent = listed.filter(archive => isSilent(archive));
-		// Where more are silent than may be lost at once, this instance cannot tell who is cut off.
-		if (silent.length === 0 || !isAllKnown(silent, required) || clock.now() < nextPassAt) {
+		if (clock.now() < nextPassAt || !listed.some(archive => isSilent(archive))) {
 			return;
 		}
 
-		if (await pass(silent)) {
+		// Another new archive may have taken over meanwhile.
+		listedAt = -Infinity;
+		await refreshList();
+		const silent = listed.filter(archive => isSilent(archive));
+		// Where more do not answer than may be lost at once, this archive cannot tell who is cut off.
+		const isPossible = isAllKnown(listed.filter(({id}) => silentSince.has(id)), required);
+		if (silent.length > 0 && isPossible && await pass()) {
 			for (const archive of silent) {
 				await register(archive, 'left');
 			}
--- a/tests/archive-succession.test.ts
+++ b/tests/archive-succession.test.ts
@@ -103,7 +103,7 @@
 test('an archive that was only cut off is registered as serving again once it answers', async () => {
 	const scene = await createScene();
 	scene.archives.cutOff.add('c1');
-	scene.start('b2');
+	scene.start('c2');
 	await scene.clock.advance(catchUpMs);
 	assert.ok(scene.hasState('c1', 'left'));
 	scene.archives.cutOff.delete('c1');
@@ -115,7 +115,7 @@
 test('an archive that comes back after it was registered as left registers itself again', async () => {
 	const scene = await createScene();
 	scene.archives.kill('c1', false);
-	scene.start('b2');
+	scene.start('c2');
 	await scene.clock.advance(catchUpMs);
 	assert.ok(scene.hasState('c1', 'left'));
 	scene.archives.start('c1', false);
@@ -145,6 +145,17 @@
 	assert.ok(scene.hasState('b1', 'serving'));
 });
 
+test('of two new archives, the one in the data centre of a machine that is gone takes over', async () => {
+	const scene = await createScene();
+	scene.start('c2');
+	scene.start('b2');
+	await scene.clock.advance(1000);
+	scene.remove('b1');
+	await scene.clock.advance(catchUpMs + 4000);
+	assert.deepEqual(scene.changes(), ['b1 left']);
+	assert.deepEqual([scene.held('b2'), scene.held('c2')], [turns.length, 0]);
+});
+
 test('restarts and archives that are there from the first start watch nobody', async () => {
 	const scene = await createScene();
 	scene.archives.kill('a1', true);
