Count on no copies that are about to go, and presume nobody gone for good

- Copies at an archive that is leaving counted for repairs and successions.
They are read, but do not count; a drain begins once its archive is registered as leaving, so that two that are emptied do not count on each other, and that is registered while it waits for a repair.
- An archive that a new one took for gone was registered as left, also if it lived.
It is now presumed gone: it watches its own object and registers itself again, is still asked, and only its silence proves nothing.
- A record of used tokens that was kept twice could be held longer by the later copies than by those that a repair counted.
- An entry of an archive that cannot be decoded was passed over.

An archive begins its first segment with the first request of an entry, as an empty disk looks like a lost one. It makes one call of the store in 10 s from then on, to watch its object; none where no turns are kept.

The object of an archive has a further field, isPresumed; builds read such an object as `left` and do not ask that archive. An archive of these builds that is presumed gone while it lives stays so until it restarts.

--- a/src/contracts/archive.ts
+++ b/src/contracts/archive.ts
@@ -15,9 +15,10 @@
 
 /**
 A leaving archive answers reads until its turns are copied, and takes no new ones. One that has left holds nothing that is not
-copied, and may be gone; whether it answers proves nothing about a turn.
+copied, and may be gone; whether it answers proves nothing about a turn. One that is presumed gone was registered so by another, once
+enough others held what it had; should it live, it may hold what was kept there since, until it registers itself again.
 */
-export type ArchiveState = 'serving' | 'leaving' | 'left';
+export type ArchiveState = 'serving' | 'leaving' | 'left' | 'presumed-gone';
 
 export type ListedArchive = {
 	readonly id: InstanceId;
@@ -28,14 +29,22 @@
 
 /** Result of reading which archives are registered. */
 export type ArchiveListing
-	= | {readonly kind: 'listed'; readonly archives: readonly ListedArchive[]}
+	/** `isWhole` tells whether all entries could be decoded. */
+	= | {readonly kind: 'listed'; readonly archives: readonly ListedArchive[]; readonly isWhole: boolean}
 		| {readonly kind: 'failed'; readonly reason: string};
 
-const listingBody = z.object({address: z.string(), dataCentre: z.string(), state: z.enum(['serving', 'leaving', 'left'])});
+/** Builds that do not know archives which are presumed gone take them for ones that have left. */
+const listingBody = z.object({
+	address: z.string(), dataCentre: z.string(), state: z.enum(['serving', 'leaving', 'left']), isPresumed: z.boolean().optional(),
+});
 
 /** Content of an archive's object in the store. */
 export function encodeArchive({address, dataCentre, state}: ListedArchive): z.output<typeof listingBody> {
-	return {address, dataCentre, state};
+	return state === 'presumed-gone'
+		? {
+			address, dataCentre, state: 'left', isPresumed: true,
+		}
+		: {address, dataCentre, state};
 }
 
 /** Decodes an archive's object; undefined if it is invalid. */
@@ -46,7 +55,7 @@
 			id: as<InstanceId>(object.name),
 			address: as<Address>(parsed.data.address),
 			dataCentre: as<DataCentreId>(parsed.data.dataCentre),
-			state: parsed.data.state,
+			state: parsed.data.state === 'left' && parsed.data.isPresumed ? 'presumed-gone' : parsed.data.state,
 		}
 		: undefined;
 }
@@ -72,7 +81,13 @@
 };
 
 /** What an archive holds of a turn. A record that is not known to be synced may not outlast a loss of power. */
-export type HeldTurn = {readonly turn: AttemptId; readonly extent: Extent; readonly isSynced: boolean};
+export type HeldTurn = {
+	readonly turn: AttemptId;
+	readonly extent: Extent;
+	readonly isSynced: boolean;
+	/** Time for which the archive still holds it. */
+	readonly remaining: Milliseconds;
+};
 
 /** Part of the turns that an archive holds, in the order of their names. */
 export type InventoryPage = {
--- a/src/contracts/turn.ts
+++ b/src/contracts/turn.ts
@@ -40,9 +40,16 @@
 
 export type UsedRecord = TurnRecord & {readonly content: UsedTokens};
 
+const usedRecordPrefix = '\nused\n';
+
 /** Id under which the amount of a program and a writer is kept. It contains line feeds, so no caller can send it as the id of a turn. */
 export function usedRecordId({program, writer}: Pick<UsedTokens, 'program' | 'writer'>): AttemptId {
-	return as<AttemptId>(`\nused\n${writer}\n${program}`);
+	return as<AttemptId>(`${usedRecordPrefix}${writer}\n${program}`);
+}
+
+/** Whether an id is one of a record of used tokens. */
+export function isUsedRecordId(id: AttemptId): boolean {
+	return id.startsWith(usedRecordPrefix);
 }
 
 export function isUsedRecord(record: TurnRecord): record is UsedRecord {
--- a/src/links/archive-log.ts
+++ b/src/links/archive-log.ts
@@ -11,6 +11,12 @@
 /** Lines about single requests and records in a second. */
 const repeatedLinesPerSecond = 10;
 
+const reasonOfCompleteness = {
+	expiry: 'all turns that may have been lost have expired',
+	repair: 'all turns that may have been lost are held again',
+	'first-registration': 'no turn was lost, as this machine is new',
+} as const;
+
 function logStore(log: Log, event: TurnStoreEvent): void {
 	switch (event.kind) {
 		case 'segment-recovered': {
@@ -28,7 +34,7 @@
 		}
 
 		case 'complete': {
-			log.info({event: 'complete', by: event.by}, event.by === 'expiry' ? 'all turns that may have been lost have expired' : 'all turns that may have been lost are held again');
+			log.info({event: 'complete', by: event.by}, reasonOfCompleteness[event.by]);
 			return;
 		}
 
@@ -144,9 +150,9 @@
 			return;
 		}
 
-		case 'passed': {
+		case 'compared': {
 			const {kind, ...rest} = event;
-			log.info({event: 'succession-passed', ...rest}, `${event.copied} turns copied to this archive and ${event.spread} to others, ${event.remaining} remain; in doubt: ${event.doubts.join(', ')}`);
+			log.info({event: 'succession-compared', ...rest}, `${event.copied} turns copied to this archive, ${event.spread} copies sent to others, ${event.remaining} turns remain; in doubt: ${event.doubts.join(', ')}`);
 			return;
 		}
 
@@ -155,9 +161,9 @@
 			return;
 		}
 
-		case 'registered': {
+		case 'presumed-gone': {
 			const {kind, ...rest} = event;
-			log.info({event: 'succession-registered', ...rest}, `${event.archive} ${event.isWritten ? 'is' : 'could not be'} registered as ${event.state}`);
+			log.warn({event: 'succession-presumed-gone', ...rest}, `${event.archive} ${event.isWritten ? 'is' : 'could not be'} registered as presumed gone`);
 		}
 	}
 }
--- a/src/links/archive-protocol.ts
+++ b/src/links/archive-protocol.ts
@@ -5,11 +5,11 @@
 import {Buffer} from 'node:buffer';
 import {crc32} from 'node:zlib';
 import {type HeldTurn, type InventoryPage, type TurnCopies} from '../contracts/archive.js';
-import {as, type AttemptId} from '../contracts/id.js';
+import {as, type AttemptId, type Milliseconds} from '../contracts/id.js';
 import {
 	type ChainReply, isUsedRecord, type TurnRecord, type UsedReply,
 } from '../contracts/turn.js';
-import {maximumPageTurns} from '../machines/turn-store/inventory-page.js';
+import {maximumPageTurns} from '../machines/turn-store/inventory.js';
 import {decodeTurn, encodeTurn, maximumTurnBytes} from '../machines/turn-store/turn-encoding.js';
 import {maximumUsedRecords} from '../machines/turn-store/used-reply.js';
 
@@ -168,14 +168,17 @@
 const pageFlag = {isLast: 1, isComplete: 2} as const;
 const heldFlag = {isSynced: 1} as const;
 
-/** Flags and extent, in front of the name of a held turn. */
-const heldHeadBytes = 1 + 8;
+/** Flags, extent and remaining time, in front of the name of a held turn. */
+const heldHeadBytes = 1 + 8 + 8;
 
-function encodeHeldTurn({turn, extent, isSynced}: HeldTurn): Uint8Array {
+function encodeHeldTurn({
+	turn, extent, isSynced, remaining,
+}: HeldTurn): Uint8Array {
 	const name = Buffer.from(turn, 'utf8');
 	const part = Buffer.alloc(heldHeadBytes + name.length);
 	part.writeUInt8(isSynced ? heldFlag.isSynced : 0, 0);
 	part.writeDoubleLE(extent, 1);
+	part.writeDoubleLE(remaining, 9);
 	name.copy(part, heldHeadBytes);
 	return part;
 }
@@ -189,6 +192,7 @@
 	return {
 		turn: as<AttemptId>(bytes.toString('utf8', heldHeadBytes)),
 		extent: bytes.readDoubleLE(1),
+		remaining: as<Milliseconds>(bytes.readDoubleLE(9)),
 		// eslint-disable-next-line no-bitwise -- Flags.
 		isSynced: (bytes.readUInt8(0) & heldFlag.isSynced) !== 0,
 	};
--- a/src/machines/archive-repair/archive-repair.ts
+++ b/src/machines/archive-repair/archive-repair.ts
@@ -7,7 +7,7 @@
 import {type Clock} from '../../contracts/clock.js';
 import {as, type Milliseconds} from '../../contracts/id.js';
 import {copiesFor, type Tolerance} from '../../contracts/tolerance.js';
-import {isAllKnown} from '../../zones/conversations/copy-placement.js';
+import {isProvenWithout} from '../../zones/conversations/copy-placement.js';
 import {type TurnStore} from '../turn-store/turn-store.js';
 import {walkInventories} from './inventory-walk.js';
 import {findMissingTurns, joinInventories} from './missing-turns.js';
@@ -20,9 +20,13 @@
 */
 const settlingMs = 1500;
 
-/** Delay before the archives are compared again. */
+/** Delay before the archives are compared again, unless the comparison took longer. */
 const retryDelayMs = 500;
 
+/** The same while the own store refuses copies; it doubles up to the maximum. */
+const firstRefusedDelayMs = 2000;
+const maximumRefusedDelayMs = 16_000;
+
 export type ArchiveRepairOptions = {
 	readonly own: ListedArchive;
 	readonly store: Pick<TurnStore, 'isComplete' | 'complete' | 'keep' | 'syncedExtent'>;
@@ -41,12 +45,12 @@
 	const required = copiesFor(options.tolerance);
 	let copied = 0;
 
-	/** Compares all turns once. Resolves to whether nothing is missing for certain. */
-	async function pass(): Promise<boolean> {
+	/** Compares all turns once. */
+	async function pass(): Promise<'proven' | 'in-doubt' | 'refused'> {
 		const listing = await options.list();
-		if (listing.kind === 'failed') {
-			onEvent({kind: 'archives-unavailable', reason: listing.reason});
-			return false;
+		if (listing.kind === 'failed' || !listing.isWhole) {
+			onEvent({kind: 'archives-unavailable', reason: listing.kind === 'failed' ? listing.reason : 'an entry of an archive is invalid'});
+			return 'in-doubt';
 		}
 
 		const doubts = new Map<ListedArchive, string>();
@@ -61,13 +65,15 @@
 		});
 		let copiedNow = 0;
 		let remaining = 0;
+		let isRefused = false;
 		for await (const inventories of walk) {
 			const missing = findMissingTurns(joinInventories(inventories), store.syncedExtent, required);
-			const held = await copyTurns(missing, {link, store, signal});
-			copiedNow += held;
-			remaining += missing.length - held;
-			if (signal.aborted) {
-				return false;
+			const outcome = await copyTurns(missing, {link, store, signal});
+			copiedNow += outcome.held;
+			remaining += missing.length - outcome.held;
+			({isRefused} = outcome);
+			if (signal.aborted || isRefused) {
+				break;
 			}
 		}
 
@@ -76,29 +82,46 @@
 		onEvent({
 			kind: 'passed', copied: copiedNow, remaining, doubts: described,
 		});
-		return remaining === 0 && isAllKnown([own, ...doubts.keys()], required);
+		if (isRefused) {
+			return 'refused';
+		}
+
+		return !signal.aborted && remaining === 0 && isProvenWithout([own, ...doubts.keys()], required) ? 'proven' : 'in-doubt';
 	}
 
 	if (store.isComplete()) {
 		return;
 	}
 
-	if (!isAllKnown([own], required)) {
+	if (!isProvenWithout([own], required)) {
 		onEvent({kind: 'impossible'});
 		return;
 	}
 
 	onEvent({kind: 'started'});
 	await clock.sleep(as<Milliseconds>(Math.max(0, options.startedAt + settlingMs - clock.now())), signal);
+	let refusedDelayMs = firstRefusedDelayMs;
 	while (!signal.aborted && !store.isComplete()) {
-		if (await pass()) {
-			const isRecorded = await store.complete();
-			onEvent({
-				kind: 'finished', copied, isRecorded, took: as<Milliseconds>(clock.now() - options.startedAt),
-			});
-			return;
-		}
+		const passStartedAt = clock.now();
+		const outcome = await pass();
+		switch (outcome) {
+			case 'proven': {
+				const isRecorded = await store.complete('repair');
+				onEvent({
+					kind: 'finished', copied, isRecorded, took: as<Milliseconds>(clock.now() - options.startedAt),
+				});
+				return;
+			}
 
-		await clock.sleep(as<Milliseconds>(retryDelayMs), signal);
+			case 'in-doubt': {
+				await clock.sleep(as<Milliseconds>(Math.max(retryDelayMs, clock.now() - passStartedAt)), signal);
+				break;
+			}
+
+			case 'refused': {
+				await clock.sleep(as<Milliseconds>(refusedDelayMs), signal);
+				refusedDelayMs = Math.min(2 * refusedDelayMs, maximumRefusedDelayMs);
+			}
+		}
 	}
 }
--- a/src/machines/archive-repair/turn-copying.ts
+++ b/src/machines/archive-repair/turn-copying.ts
@@ -23,17 +23,28 @@
 	readonly signal: AbortSignal;
 };
 
-/** Copies turns. Resolves to the number of those that are held synced now. */
-export async function copyTurns(missing: readonly MissingTurn[], {link, store, signal}: TurnCopyingOptions): Promise<number> {
+export type CopyOutcome = {
+	/** Number of turns that are held synced now. */
+	readonly held: number;
+	/** Whether the own store has refused a record. */
+	readonly isRefused: boolean;
+};
+
+/** Copies turns, until the own store refuses one. */
+export async function copyTurns(missing: readonly MissingTurn[], {link, store, signal}: TurnCopyingOptions): Promise<CopyOutcome> {
 	const failed = new Set<ListedArchive>();
+	/** Records that the own store has refused. */
+	let refusals = 0;
+	const isRefused = () => refusals > 0;
 
 	async function keepAll(records: readonly TurnRecord[]): Promise<void> {
-		await Promise.all(records.map(async record => store.keep(record)));
+		const results = await Promise.all(records.map(async record => store.keep(record)));
+		refusals += results.filter(({kind}) => kind !== 'kept').length;
 	}
 
 	/** Copies from one archive what it still has. */
 	async function copyFrom(archive: ListedArchive, turns: readonly AttemptId[]): Promise<void> {
-		for (let at = 0; at < turns.length && !signal.aborted;) {
+		for (let at = 0; at < turns.length && !signal.aborted && !isRefused();) {
 			const asked = turns.slice(at, at + turnsPerRequest);
 			const copies = await link.copies(archive.address, asked, as<Milliseconds>(copyTimeoutMs));
 			if (!copies || copies.read === 0) {
@@ -49,7 +60,7 @@
 	const isHeld = ({turn, extent}: MissingTurn) => (store.syncedExtent(turn) ?? -Infinity) >= extent;
 	// Turns are spread over those that hold them: each begins with another one of its sources.
 	let pending = missing.map((turn, offset) => ({turn, sources: [...turn.sources.slice(offset % turn.sources.length), ...turn.sources.slice(0, offset % turn.sources.length)]}));
-	while (pending.length > 0 && !signal.aborted) {
+	while (pending.length > 0 && !signal.aborted && !isRefused()) {
 		const bySource = new Map<ListedArchive, AttemptId[]>();
 		for (const {turn, sources} of pending) {
 			const source = sources.shift();
@@ -65,5 +76,5 @@
 		pending = pending.filter(({turn, sources}) => sources.length > 0 && !isHeld(turn));
 	}
 
-	return missing.filter(turn => isHeld(turn)).length;
+	return {held: missing.filter(turn => isHeld(turn)).length, isRefused: isRefused()};
 }
--- a/src/machines/archive.ts
+++ b/src/machines/archive.ts
@@ -4,7 +4,7 @@
 */
 import {type Result} from 'neverthrow';
 import {
-	type ArchiveCopyLink, archiveKind, type ArchiveListing, type ArchiveRepairLink, type ArchiveState, decodeArchive, encodeArchive, type InventoryPage, type ListedArchive, type TurnCopies,
+	type ArchiveCopyLink, archiveKind, type ArchiveListing, type ArchiveRepairLink, decodeArchive, encodeArchive, type InventoryPage, type ListedArchive, type TurnCopies,
 } from '../contracts/archive.js';
 import {type Clock} from '../contracts/clock.js';
 import {abortOf, createDeferred} from '../contracts/deferred.js';
@@ -75,12 +75,16 @@
 	/** Resolves once the archive is complete, or stops. */
 	const repaired = createDeferred<true>();
 	let store: TurnStore | undefined;
+	/** Resolves once any entry has sent a turn, or asked for one. */
+	const used = createDeferred<true>();
 	let hasRequests = false;
 	/** Signal of the drain that is under way or has ended. */
 	let leaving: AbortSignal | undefined;
 	let running = AbortSignal.abort();
-	/** Revisions of the objects of archives, as they were listed or written here. */
+	/** Revisions of the objects of archives, as they were listed. */
 	const revisions = new Map<InstanceId, ObjectVersion>();
+	/** Ends the watch over other archives, with the process or once this archive leaves itself. */
+	const watching = new AbortController();
 	const unfinished = new Set<Promise<KeepResult>>();
 	const registration = createArchiveRegistration({
 		archive: own,
@@ -91,20 +95,15 @@
 		},
 	});
 
-	/** Writes the state of another archive, unless its object has changed since it was listed or written here. */
-	async function register(archive: ListedArchive, state: ArchiveState): Promise<boolean> {
+	/** Registers another archive as presumed gone, unless its object has changed since it was listed. */
+	async function presumeGone(archive: ListedArchive): Promise<boolean> {
 		const revision = revisions.get(archive.id);
 		if (revision === undefined) {
 			return false;
 		}
 
-		const result = await objects.replace(archiveKind, as<ObjectName>(archive.id), encodeArchive({...archive, state}), revision);
-		if (result.kind !== 'written') {
-			return false;
-		}
-
-		revisions.set(archive.id, result.revision);
-		return true;
+		const result = await objects.replace(archiveKind, as<ObjectName>(archive.id), encodeArchive({...archive, state: 'presumed-gone'}), revision);
+		return result.kind === 'written';
 	}
 
 	function toArchives(list: ObjectList): readonly ListedArchive[] {
@@ -123,11 +122,21 @@
 	async function listArchives(): Promise<ArchiveListing> {
 		const listed: Result<ObjectList, Failure> = await objects.list(archiveKind);
 		return listed.match<ArchiveListing>(
-			list => ({kind: 'listed', archives: toArchives(list)}),
+			list => {
+				const archives = toArchives(list);
+				return {kind: 'listed', archives, isWhole: archives.length === list.objects.length};
+			},
 			failure => ({kind: 'failed', reason: failure.message}),
 		);
 	}
 
+	function noteRequest(): void {
+		if (!hasRequests) {
+			hasRequests = true;
+			used.resolve(true);
+		}
+	}
+
 	async function keep(record: TurnRecord): Promise<KeepResult> {
 		if (!store || leaving) {
 			return {kind: 'refused', reason: leaving ? 'the archive is leaving' : 'the archive is still reading its disk'};
@@ -140,24 +149,29 @@
 		return result;
 	}
 
-	/** Ends the doubts that the start of a store leaves. */
-	async function repair(turns: TurnStore, signal: AbortSignal): Promise<void> {
+	/** Ends the doubts that the start of a store leaves, then watches the registration. */
+	async function settle(turns: TurnStore, signal: AbortSignal): Promise<void> {
+		// Where no turns are kept, an archive makes no call for that.
+		void used.promise.then(async () => {
+			turns.begin();
+			await registration.guard(signal);
+		});
 		const serving = {...own, state: 'serving'} as const;
 		if (!turns.isComplete() && registration.isNew()) {
-			await turns.complete();
+			await turns.complete('first-registration');
 			repaired.resolve(true);
 			await succeedArchives({
 				own: serving,
 				store: turns,
 				link: options.link,
 				list: listArchives,
-				register,
+				presumeGone,
 				tolerance: options.tolerance,
 				clock,
 				onEvent(event) {
 					onEvent({kind: 'succession', succession: event});
 				},
-			}, signal);
+			}, watching.signal);
 			return;
 		}
 
@@ -179,11 +193,15 @@
 	/** Copies everything. Resolves to false if the signal aborts before. */
 	async function copyAll(signal: AbortSignal): Promise<boolean> {
 		const turns = await opened.promise;
-		// Others count on what this archive may have to copy back first.
-		await Promise.race([repaired.promise, abortOf(signal)]);
 		// No turn is acknowledged after those that are copied have been listed.
 		await Promise.all(unfinished);
-		const registering = registration.write('leaving', signal);
+		// From then on nobody counts on copies here. Two archives that are emptied at once must not count on each other.
+		if (!await registration.write('leaving', signal)) {
+			return false;
+		}
+
+		// Others may need what this archive has to copy back first.
+		await Promise.race([repaired.promise, abortOf(signal)]);
 		const isEmpty = await drainArchive({
 			own,
 			turns,
@@ -195,17 +213,16 @@
 				onEvent({kind: 'drain', drain: event});
 			},
 		}, signal);
-		await registering;
 		return isEmpty && registration.write('left', signal);
 	}
 
 	return {
 		async keep(record) {
-			hasRequests = true;
+			noteRequest();
 			return keep(record);
 		},
 		async chain(turn) {
-			hasRequests = true;
+			noteRequest();
 			return store?.chain(turn);
 		},
 		used: () => store?.used(),
@@ -223,12 +240,16 @@
 			store = await options.openStore(signal);
 			opened.resolve(store);
 			const opening = store;
-			void registering.then(async () => repair(opening, signal));
+			signal.addEventListener('abort', () => {
+				watching.abort();
+			}, {once: true});
 			await registering;
+			void settle(opening, signal);
 		},
 		isUsed: () => hasRequests || !store || (store.gauges().turns ?? 0) > 0,
 		async drain(signal) {
 			leaving = signal;
+			watching.abort();
 			if (!await copyAll(signal) && leaving === signal) {
 				leaving = undefined;
 				await registration.write('serving', running);
--- a/src/machines/turn-store/turn-store-event.ts
+++ b/src/machines/turn-store/turn-store-event.ts
@@ -24,8 +24,8 @@
 export type TurnStoreEvent
 	= | ({readonly kind: 'segment-recovered'} & RecoveredSegment)
 		| {readonly kind: 'recovered'; readonly segments: number; readonly turns: number; readonly isComplete: boolean; readonly took: Milliseconds}
-	/** What may have been lost has expired, or is held again. */
-		| {readonly kind: 'complete'; readonly by: 'expiry' | 'repair'}
+	/** What may have been lost has expired, or is held again; or nothing was, as the machine is new. */
+		| {readonly kind: 'complete'; readonly by: 'expiry' | 'repair' | 'first-registration'}
 		| {readonly kind: 'segment-opened'; readonly segment: string}
 		| {readonly kind: 'segment-dropped'; readonly segment: string; readonly turns: number}
 	/** Records are refused since no sync ended within the time limit. */
--- a/src/machines/turn-store/turn-store.ts
+++ b/src/machines/turn-store/turn-store.ts
@@ -16,7 +16,7 @@
 } from './frame.js';
 import {createCompleteness} from './completeness.js';
 import {createGroupCommit} from './group-commit.js';
-import {createInventoryPage} from './inventory-page.js';
+import {createInventory} from './inventory.js';
 import {createRecordCache} from './record-cache.js';
 import {recoverSegments} from './recovery.js';
 import {defaultSegmentBytes, type Segment} from './segment.js';
@@ -70,6 +70,8 @@
 	readonly turns: () => readonly ListedTurn[];
 	/** Reads one record; undefined if it is gone or cannot be read. */
 	readonly read: (turn: AttemptId) => Promise<TurnRecord | undefined>;
+	/** Begins the first segment if there is none, as a further start would take the empty disk for one that was lost. */
+	readonly begin: () => void;
 	/** Whether the store counts as complete, for turns and for records of used tokens. */
 	readonly isComplete: () => boolean;
 	/** What is held, from after a turn on, or from the start. */
@@ -78,8 +80,8 @@
 	readonly copies: (turns: readonly AttemptId[]) => Promise<TurnCopies>;
 	/** Extent of the record of a turn that is synced; undefined if there is none. */
 	readonly syncedExtent: (turn: AttemptId) => Extent | undefined;
-	/** Makes the store complete. Resolves to whether a further start will know of it. */
-	readonly complete: () => Promise<boolean>;
+	/** Makes the store complete, as its machine is new or was repaired. Resolves to whether a further start will know of it. */
+	readonly complete: (by: 'repair' | 'first-registration') => Promise<boolean>;
 	readonly gauges: () => Readonly<Record<string, number>>;
 	readonly close: () => Promise<void>;
 };
@@ -304,6 +306,9 @@
 	}
 
 	const isComplete = () => turns.isComplete() && usedTokens.isComplete();
+	const inventory = createInventory({
+		entries: index.entries, get: index.get, isComplete, clock,
+	});
 	onEvent({
 		kind: 'recovered', segments: recovery.segments.length, turns: index.size(), isComplete: turns.isComplete(), took: as<Milliseconds>(clock.now() - startedAt),
 	});
@@ -331,10 +336,13 @@
 			const record = await read(turn);
 			return record === 'absent' || record === 'unreadable' ? undefined : record;
 		},
+		begin() {
+			if (log.segments().length === 0) {
+				void commit.add({kind: 'segment-start'});
+			}
+		},
 		isComplete,
-		inventory: after => createInventoryPage({
-			entries: index.entries(), after, now: clock.now(), isComplete: isComplete(),
-		}),
+		inventory: inventory.page,
 		async copies(wanted) {
 			const records: TurnRecord[] = [];
 			let count = 0;
@@ -356,11 +364,11 @@
 			const entry = index.get(turn);
 			return entry?.isSynced ? entry.extent : undefined;
 		},
-		async complete() {
+		async complete(by) {
 			turns.restore();
 			usedTokens.restore();
 			log.seal();
-			onEvent({kind: 'complete', by: 'repair'});
+			onEvent({kind: 'complete', by});
 			const result = await commit.add({kind: 'segment-start'});
 			return result.kind === 'kept';
 		},
--- a/src/zones/archived-records.ts
+++ b/src/zones/archived-records.ts
@@ -22,7 +22,7 @@
 import {anyOf} from './any-of.js';
 import {type BudgetEvent} from './budget-event.js';
 import {type BudgetRecord, type BudgetRecords, type DurableRecords} from './budget-records.js';
-import {isAllKnown} from './conversations/copy-placement.js';
+import {isProvenWithout} from './conversations/copy-placement.js';
 import {type KeepOutcome} from './conversations/turn-keeping.js';
 import {withTimeout} from './with-timeout.js';
 
@@ -105,7 +105,7 @@
 		const read: UsedRecord[] = [];
 		const unread = new Map(listed.map(archive => [archive, 'no answer yet']));
 		const isEnded = createDeferred<true>();
-		const isCovered = () => isAllKnown([...unread.keys()], required);
+		const isCovered = () => isProvenWithout([...unread.keys()], required);
 
 		function take(archive: ListedArchive, reply: UsedReply | undefined): void {
 			read.push(...reply?.records ?? []);
--- a/src/zones/conversations/archive-registry.ts
+++ b/src/zones/conversations/archive-registry.ts
@@ -221,6 +221,11 @@
 				case 'left': {
 					return true;
 				}
+
+				// It may live, and hold what was kept there since.
+				case 'presumed-gone': {
+					return false;
+				}
 			}
 		},
 		answer: () => ({kind: 'archives', archives: known}),
--- a/src/zones/conversations/archive-search.ts
+++ b/src/zones/conversations/archive-search.ts
@@ -97,11 +97,12 @@
 			return {found: result, incomplete: [...incomplete], silent: [...silent]};
 		},
 		wavesOf(ranked, own) {
-			const answering = ranked.filter(({id}) => !health.isSkipped(id));
+			const isLikely = ({id, state}: ListedArchive) => !health.isSkipped(id) && state !== 'presumed-gone';
+			const answering = ranked.filter(archive => isLikely(archive));
 			const [first, ...otherNear] = answering.filter(({dataCentre}) => dataCentre === own);
 			// The turns of a program have a copy at the first archive outside, unless it did not answer.
 			const [firstOutside, ...otherOutside] = answering.filter(({dataCentre}) => dataCentre !== own);
-			const waves = [[first], [...otherNear, firstOutside], otherOutside, ranked.filter(({id}) => health.isSkipped(id))];
+			const waves = [[first], [...otherNear, firstOutside], otherOutside, ranked.filter(archive => !isLikely(archive))];
 			return waves.map(wave => wave.filter(archive => archive !== undefined)).filter(wave => wave.length > 0);
 		},
 	};
--- a/src/zones/conversations/chain-lookup.ts
+++ b/src/zones/conversations/chain-lookup.ts
@@ -17,7 +17,7 @@
 import {
 	type ChainCache, contentBytes, isWhole, type WholeTurn,
 } from './chain-cache.js';
-import {isAllKnown} from './copy-placement.js';
+import {isProvenWithout} from './copy-placement.js';
 import {type MemoryShare} from './turn-memory.js';
 import {type AbsenceProof, type TurnSource, type UnavailableReason} from './turn-event.js';
 
@@ -95,7 +95,7 @@
 
 	/** Why the answers do not prove that the turn does not exist; undefined if they do, provided that all archives were asked. */
 	function doubtAbout({silent, incomplete}: SearchResult): Absence | undefined {
-		if (isAllKnown([...silent, ...incomplete], options.required)) {
+		if (isProvenWithout([...silent, ...incomplete], options.required)) {
 			return undefined;
 		}
 
--- a/src/zones/conversations/copy-placement.ts
+++ b/src/zones/conversations/copy-placement.ts
@@ -32,10 +32,10 @@
 
 /**
 Whether all that is kept is known although these archives have not told everything that they hold: they cannot hold all copies of any
-record between them, so at least one of the others has told of it.
+record between them, so at least one of the others has told of it. What those that are presumed gone hold is held elsewhere.
 */
-export function isAllKnown(untold: readonly ListedArchive[], required: CopyRequirement): boolean {
-	return !isEnough(untold, required);
+export function isProvenWithout(untold: readonly ListedArchive[], required: CopyRequirement): boolean {
+	return !isEnough(untold.filter(({state}) => state !== 'presumed-gone'), required);
 }
 
 /** The first candidate that brings the copies closer to what is required; undefined if there is none. */
