Ask the slack for requests that arrive while a coordinator is late

An instance asks for permits for one batch at a time. While the coordinator was late, such an ask took 400 ms and more, and the slack was asked once, for the requests of that ask. Whether the slack had one was not found out, but waited for.

From the first ask that is not answered in time until a coordinator answers, the slack is now asked for all requests that wait and that it has not decided on, beside the ask: one ask an instance and workspace under way, 30 ms between two. A request that would be refused without a decision of the slack asks for one first, and waits at most 100 ms for it. An ask for permits no longer waits for a delegate that is late, except before an instance that has yet to become the coordinator. The limit for a fast delegate is 50 ms instead of 25: what a reply after the limit grants is lost, and little is gained by asking again sooner, as no ask waits behind it. Its maximum, and thus the age at which permits of the slack are used, is as before. No message changes.

The order of waiting is left as it is: it is decided at the delegate, whose message does not say whether a program has begun, and asks to the slack mostly carry one request.

--- a/src/zones/allotments/permit-client.ts
+++ b/src/zones/allotments/permit-client.ts
@@ -1,9 +1,10 @@
 /**
 Permits of an instance for its own requests: asks the coordinator of a workspace for all requests that wait, one ask at a
-time. If the coordinator does not answer, the slack of the data centre serves the requests, and the next instance in order is
-asked. A coordinator that is late, but replies, is waited for instead: no other can grant the allotment meanwhile. A request
-waits no longer than it can; it is refused at once if the coordinator's answer shows that no permit comes in time, and so are
-later ones until that time, without a message.
+time. If the coordinator does not answer, the next instance in order is asked. A coordinator that is late, but replies, is waited
+for instead: no other can grant the allotment meanwhile. Until a coordinator answers, the slack of the data centre is asked for
+the requests that wait and those that arrive, also while an ask is under way, so that none is refused without an answer. A
+request waits no longer than it can; it is refused at once if the coordinator's answer shows that no permit comes in time, and
+so are later ones until that time, without a message.
 */
 import {type AllotmentBounds, maximumPermitAge} from '../../contracts/allotment.js';
 import {type Clock} from '../../contracts/clock.js';
@@ -34,7 +35,7 @@
 
 /** Limits of an ask of the delegate of the own data centre, which replies in less than a millisecond if it is not late. */
 const slackBounds: ReplyBounds = {
-	minimum: as<Milliseconds>(25), maximum: as<Milliseconds>(200), attempts: 1, lateAttempts: 1,
+	minimum: as<Milliseconds>(50), maximum: as<Milliseconds>(200), attempts: 1, lateAttempts: 1,
 };
 
 /** Number of instances that are asked in one go: the coordinator and the next one. */
@@ -47,6 +48,9 @@
 /** Maximum time for which an ask waits for an instance that is late, and a request beyond its patience. */
 const longestWaitMs = 400;
 
+/** Maximum time for which a request that would be refused waits for the reply of the slack. */
+const lastSlackAskMs = 100;
+
 /** Age at which a permit is not given back any more, because it may have been granted in an earlier window. */
 const maximumReturnAgeMs = 500;
 
@@ -56,6 +60,9 @@
 /** Time between two searches for a coordinator while requests wait for one. */
 const searchIntervalMs = 30;
 
+/** Time between two asks for permits from the slack, for the requests that arrived meanwhile. */
+const slackIntervalMs = 30;
+
 /** Time after which a caller without a coordinator retries, and maximum time for which an instance looks for none. */
 const unavailableRetryMs = 300;
 
@@ -64,6 +71,8 @@
 	readonly deadline: Milliseconds;
 	/** Whether it is known when the request gets a permit. */
 	isDecided: boolean;
+	/** Whether the slack has had no permit for the request. */
+	isRefusedBySlack: boolean;
 	readonly isSettled: () => boolean;
 	readonly settle: (outcome: AllotmentOutcome) => void;
 };
@@ -75,6 +84,12 @@
 	isServing: boolean;
 	/** Whether an instance has been asked that is not silent, so that requests wait for its reply. */
 	isAwaiting: boolean;
+	/** Whether no coordinator has answered since one was asked that did not answer in time. */
+	isUnanswered: boolean;
+	/** The ask for permits from the slack that is under way; there is one at a time. */
+	slackAsk: Promise<void> | undefined;
+	/** Whether requests that arrive are passed on to the slack at intervals. */
+	isFollowingArrivals: boolean;
 	/** Time before which there is no permit. */
 	usedUpUntil: number;
 	/** Time before which no coordinator is looked for. */
@@ -82,8 +97,7 @@
 	returned: {readonly tenure: TenureId; readonly count: number} | undefined;
 };
 
-/** `onLate` is called beside each further attempt at an instance that is late. */
-type CandidateAsk = {readonly candidate: Member; readonly isFirst: boolean; readonly onLate: () => Promise<void>};
+type CandidateAsk = {readonly candidate: Member; readonly isFirst: boolean};
 
 export type PermitClientOptions = {
 	readonly self: () => Member;
@@ -109,7 +123,17 @@
 
 	function queueOf(workspace: WorkspaceName, known: KnownAllotment): Queue {
 		const queue: Queue = queues.get(workspace) ?? {
-			workspace, known, waiting: new Set(), isServing: false, isAwaiting: false, usedUpUntil: 0, noCoordinatorUntil: 0, returned: undefined,
+			workspace,
+			known,
+			waiting: new Set(),
+			isServing: false,
+			isAwaiting: false,
+			isUnanswered: false,
+			slackAsk: undefined,
+			isFollowingArrivals: false,
+			usedUpUntil: 0,
+			noCoordinatorUntil: 0,
+			returned: undefined,
 		};
 		queue.known = known;
 		queues.set(workspace, queue);
@@ -190,24 +214,58 @@
 		}
 	}
 
-	/** Asks for permits from the slack of the data centre. Returns the requests that got none. */
-	async function askSlack(queue: Queue, batch: readonly Waiting[]): Promise<readonly Waiting[]> {
-		const open = batch.filter(request => !request.isDecided);
+	/** The requests for which the slack may have permits, and the instance that grants them. */
+	function slackAskOf(queue: Queue): {readonly delegate: Member; readonly batch: readonly Waiting[]} | undefined {
+		const batch = [...queue.waiting].filter(({isRefusedBySlack}) => !isRefusedBySlack).slice(0, requestsPerAsk);
 		const delegate = order.delegateOf(self().dataCentre, queue.workspace);
-		const reply = delegate && open.length > 0
-			? await peers.request(delegate, {
-				kind: 'ask-slack', workspace: queue.workspace, known: queue.known, patience: patienceOf(open),
-			}, slackBounds)
-			: undefined;
+		return delegate && batch.length > 0 && !peers.isPassedOver(delegate) ? {delegate, batch} : undefined;
+	}
+
+	async function requestSlack(queue: Queue, {delegate, batch}: NonNullable<ReturnType<typeof slackAskOf>>): Promise<void> {
+		const {workspace, known} = queue;
+		const reply = await peers.request(delegate, {
+			kind: 'ask-slack', workspace, known, patience: patienceOf(batch),
+		}, slackBounds);
+		queue.slackAsk = undefined;
 		if (reply?.kind !== 'decided') {
-			return open;
+			return;
+		}
+
+		const left = applyGrants(queue, batch, reply);
+		for (const request of left) {
+			request.isRefusedBySlack = true;
 		}
 
-		const left = applyGrants(queue, open, reply);
 		options.onEvent({
-			kind: 'allotment-slack', workspace: queue.workspace, asked: open.length, granted: open.length - left.length,
+			kind: 'allotment-slack', workspace, asked: batch.length, granted: batch.length - left.length,
 		});
-		return left;
+	}
+
+	/** Asks for permits from the slack of the data centre for all requests that wait, once the ask under way has ended. */
+	async function askSlack(queue: Queue): Promise<void> {
+		await queue.slackAsk;
+		const wanted = slackAskOf(queue);
+		if (wanted) {
+			queue.slackAsk ??= requestSlack(queue, wanted);
+		}
+
+		await queue.slackAsk;
+	}
+
+	/** Asks for permits from the slack until a coordinator answers, also for requests that arrive meanwhile. */
+	async function followArrivals(queue: Queue): Promise<void> {
+		queue.isUnanswered = true;
+		if (queue.isFollowingArrivals) {
+			return;
+		}
+
+		queue.isFollowingArrivals = true;
+		while (queue.isUnanswered && slackAskOf(queue)) {
+			await askSlack(queue);
+			await clock.sleep(as<Milliseconds>(slackIntervalMs));
+		}
+
+		queue.isFollowingArrivals = false;
 	}
 
 	/** Records that an instance did not answer, and passes its data centre over if two of its instances reply to nothing. */
@@ -225,7 +283,7 @@
 	}
 
 	/** Asks an instance, and while it is late again with the same number, which counts once. */
-	async function askCandidate(queue: Queue, ask: PermitAsk, {candidate, isFirst, onLate}: CandidateAsk): Promise<AllotmentReply | undefined> {
+	async function askCandidate(queue: Queue, ask: PermitAsk, {candidate, isFirst}: CandidateAsk): Promise<AllotmentReply | undefined> {
 		const minimum = as<Milliseconds>(Math.min(maximumTimeoutMs, Math.max(minimumTimeoutMs, Math.min(...ask.patience) * timeoutFraction)));
 		const {allotment} = queue.known;
 		const maximumAge = allotment.kind === 'limited' ? Math.max(minimum * attempts, maximumPermitAge(allotment, options.bounds)) : Infinity;
@@ -237,13 +295,22 @@
 			minimum, maximum: as<Milliseconds>(Math.max(minimum, maximum - (clock.now() - askedAt))), attempts, lateAttempts: 1,
 		});
 		queue.isAwaiting = !peers.isSilent(candidate);
+		if (!queue.isAwaiting) {
+			void followArrivals(queue);
+		}
+
 		let reply = await send();
 		while (!reply && !peers.isSilent(candidate) && clock.now() - askedAt < maximum) {
 			queue.isAwaiting = true;
-			[reply] = await Promise.all([send(), onLate()]);
+			void followArrivals(queue);
+			reply = await send();
 		}
 
 		queue.isAwaiting = false;
+		if (reply?.kind === 'decided') {
+			queue.isUnanswered = false;
+		}
+
 		if (!reply) {
 			recordUnanswered(ask.workspace, candidate);
 		}
@@ -262,32 +329,24 @@
 		const isSearching = clock.now() >= queue.noCoordinatorUntil;
 		const responsive = isSearching ? candidates.filter(candidate => isAsked(candidate)) : [];
 		const permitAsk = createAsk(queue, batch);
-		let hasAskedSlack = false;
-		const askSlackOnce = async () => {
-			if (!hasAskedSlack) {
-				hasAskedSlack = true;
-				await askSlack(queue, batch);
-			}
-		};
-
 		for (const candidate of responsive.slice(0, maximumAsked)) {
 			const isFirst = candidate === candidates[0];
 			if (!isFirst) {
-				await askSlackOnce();
+				void followArrivals(queue);
+				await (queue.slackAsk ?? askSlack(queue));
 			}
 
 			if (batch.length > 0 && batch.every(request => request.isDecided)) {
 				return [];
 			}
 
-			const reply = await askCandidate(queue, permitAsk, {candidate, isFirst, onLate: askSlackOnce});
+			const reply = await askCandidate(queue, permitAsk, {candidate, isFirst});
 			if (reply?.kind === 'decided') {
 				apply(queue, batch, reply);
 				return [];
 			}
 
 			if (!reply && !peers.isSilent(candidate)) {
-				await askSlackOnce();
 				break;
 			}
 
@@ -295,7 +354,8 @@
 			queue.noCoordinatorUntil = Math.max(queue.noCoordinatorUntil, clock.now() + Math.min(wait, unavailableRetryMs));
 		}
 
-		return hasAskedSlack ? batch.filter(request => !request.isDecided) : askSlack(queue, batch);
+		void followArrivals(queue);
+		return batch.filter(request => !request.isDecided);
 	}
 
 	/** Serves all requests that wait, one ask after the other. */
@@ -308,7 +368,9 @@
 		while (queue.waiting.size > 0 || queue.returned) {
 			const left = await ask(queue, [...queue.waiting].slice(0, requestsPerAsk));
 			const now = clock.now();
-			for (const request of left.filter(({deadline}) => deadline <= Math.max(now, queue.noCoordinatorUntil))) {
+			const mayHaveSlack = slackAskOf(queue) !== undefined;
+			const refused = left.filter(({deadline, isRefusedBySlack}) => deadline <= Math.max(now, queue.noCoordinatorUntil) && (isRefusedBySlack || !mayHaveSlack));
+			for (const request of refused) {
 				request.settle({kind: 'unavailable', wait: as<Milliseconds>(unavailableRetryMs)});
 			}
 
@@ -320,17 +382,20 @@
 		queue.isServing = false;
 	}
 
-	/** Refuses a request that has got no permit in time, unless one is on its way from an instance that is late. */
+	/** Refuses a request that has got no permit in time, unless one is on its way from an instance that is late, or the slack has one. */
 	async function giveUpLater(queue: Queue, request: Waiting, {patience, timeLeft}: AllotmentRequest, signal: AbortSignal): Promise<void> {
-		await clock.sleep(patience, signal);
-		if (queue.isAwaiting && !request.isDecided) {
-			await clock.sleep(as<Milliseconds>(Math.min(longestWaitMs, timeLeft - patience)), signal);
-		}
-
-		if (request.isDecided) {
-			await clock.sleep(as<Milliseconds>(timeLeft - patience), signal);
+		const arrivedAt = clock.now();
+		const sleepUntilAge = async (age: number) => clock.sleep(as<Milliseconds>(Math.max(0, Math.min(age, timeLeft) - (clock.now() - arrivedAt))), signal);
+		await sleepUntilAge(patience);
+		const isAwaited = queue.isAwaiting && !request.isDecided;
+		const longest = patience + (isAwaited ? longestWaitMs : lastSlackAskMs);
+		await (isAwaited ? sleepUntilAge(longest - lastSlackAskMs) : undefined);
+		if (!signal.aborted && !request.isDecided && !request.isRefusedBySlack) {
+			await Promise.race([askSlack(queue), sleepUntilAge(longest)]);
 		}
 
+		await (isAwaited ? sleepUntilAge(longest) : undefined);
+		await (request.isDecided ? sleepUntilAge(timeLeft) : undefined);
 		request.settle({kind: 'unavailable', wait: as<Milliseconds>(unavailableRetryMs)});
 	}
 
@@ -352,6 +417,7 @@
 			const request: Waiting = {
 				deadline,
 				isDecided: false,
+				isRefusedBySlack: false,
 				isSettled: () => settled.signal.aborted,
 				settle(result) {
 					queue.waiting.delete(request);
@@ -366,6 +432,10 @@
 			signal.addEventListener('abort', onAbort, {once: true});
 			queue.waiting.add(request);
 			void serve(queue);
+			if (queue.isUnanswered) {
+				void followArrivals(queue);
+			}
+
 			void giveUpLater(queue, request, wanted, settled.signal);
 			const result = await outcome.promise;
 			signal.removeEventListener('abort', onAbort);
--- a/tests/late-permits.test.ts
+++ b/tests/late-permits.test.ts
@@ -142,6 +142,30 @@
 	assert.ok(sum('refused') <= sum('inVain'), `${sum('refused')} of ${sum('sent')} were refused, ${sum('inVain')} of them by the slack`);
 });
 
+// Guards against a message for each request, and against messages to the slack where none is needed.
+test('an instance asks the slack at most each 30 ms while the coordinator is late, and not at all while it is in time', async () => {
+	const cluster = createAllotmentCluster(ids, 3, allotmentOf(100, 400));
+	const {clock, nodes, events} = cluster;
+	await clock.advance(6000);
+	const asker = 'a1';
+	const loadFor = async (durationMs: number) => {
+		for (let elapsed = 0; elapsed < durationMs; elapsed += 5) {
+			void cluster.request(asker, patienceMs);
+			await clock.advance(5);
+		}
+	};
+
+	const slackAsks = () => events.filter(({event}) => event.kind === 'allotment-slack').length;
+	await loadFor(2000);
+	assert.equal(slackAsks(), 0);
+	const coordinator = nodes.find(({life}) => (life?.allotments.coordinated().length ?? 0) > 0)?.id ?? '';
+	assert.notEqual(coordinator.slice(0, 1), asker.slice(0, 1));
+	void cluster.pause(coordinator, 900);
+	await loadFor(900);
+	assert.ok(slackAsks() > 1);
+	assert.ok(slackAsks() <= 900 / 30, `${slackAsks()} asks`);
+});
+
 test('the age of a permit is at most the time since it was asked for, less what a faster exchange has shown', async () => {
 	const clock = createFakeClock();
 	const ages = createPermitAges(clock);
