--- a/src/programs/runtime.ts
+++ b/src/programs/runtime.ts
@@ -1,7 +1,7 @@
 /**
 System clock, random numbers and stop signals of a process.
 */
-import {randomBytes} from 'node:crypto';
+import {randomBytes, randomInt} from 'node:crypto';
 import process from 'node:process';
 import {type Clock, type Random} from '../contracts/clock.js';
 import {createDeferred} from '../contracts/deferred.js';
@@ -34,7 +34,8 @@
 
 /** Cryptographically strong random numbers and ids. */
 export const systemRandom: Random = {
-	fraction: () => randomBytes(4).readUInt32BE() / (2 ** 32),
+	// Unlike `randomBytes`, `randomInt` draws many numbers at once.
+	fraction: () => randomInt(2 ** 32) / (2 ** 32),
 	unique: () => randomBytes(uniqueBytes).toString('hex'),
 };
 
