Probe no archive that has left when a data centre may be cut off

The silence of an archive that has left, or is presumed gone, counted for a cut of the data centre if it was drawn. Seen in review; the probes draw one archive of each other data centre, so it takes two such draws in a row.

--- a/src/zones/conversations/data-centre-contact.ts
+++ b/src/zones/conversations/data-centre-contact.ts
@@ -53,10 +53,11 @@
 	let unanswered = 0;
 	let isCutOff = false;
 
-	/** One archive of each other data centre, drawn anew each time. */
+	/** One archive of each other data centre, drawn anew each time; the silence of one that is gone shows nothing. */
 	function archivesToProbe(): readonly ListedArchive[] {
 		const byDataCentre = new Map<DataCentreId, ListedArchive[]>();
-		for (const archive of options.archives().filter(({dataCentre}) => dataCentre !== options.dataCentre)) {
+		const others = options.archives().filter(({dataCentre, state}) => dataCentre !== options.dataCentre && state !== 'left' && state !== 'presumed-gone');
+		for (const archive of others) {
 			byDataCentre.set(archive.dataCentre, [...byDataCentre.get(archive.dataCentre) ?? [], archive]);
 		}
 
