Revert "Send the origins only of streams that can be resumed"

Its cost is real: a stream that began before its route allowed resumption is refused if two versions serve.

--- a/src/machines/relay.ts
+++ b/src/machines/relay.ts
@@ -197,7 +197,7 @@
 	}
 
 	function createJob(parts: Pick<RelayJobOptions, 'request' | 'route' | 'rank' | 'workspace' | 'waited' | 'generation' | 'caller' | 'signal'>, {pool, version}: Destination): RelayJob {
-		const {request, route} = parts;
+		const {request} = parts;
 		return createRelayJob({
 			...parts,
 			pool,
@@ -206,10 +206,7 @@
 			clock,
 			...attempts.observer(request),
 			onStreamStart(first, began) {
-				// Nobody asks where other streams began.
-				if (route.repetition === 'resumable') {
-					options.origins.record(first, {pool, version: began, program: request.program?.id});
-				}
+				options.origins.record(first, {pool, version: began, program: request.program?.id});
 			},
 		});
 	}
