--- a/src/zones/allotments/permit-client.ts
+++ b/src/zones/allotments/permit-client.ts
@@ -35,7 +35,7 @@
 
 /** Limits of an ask of the delegate of the own data centre, which replies in less than a millisecond if it is not late. */
 const slackBounds: ReplyBounds = {
-	minimum: as<Milliseconds>(50), maximum: as<Milliseconds>(200), attempts: 1, lateAttempts: 1,
+	minimum: as<Milliseconds>(25), maximum: as<Milliseconds>(200), attempts: 1, lateAttempts: 1,
 };
 
 /** Number of instances that are asked in one go: the coordinator and the next one. */
