--- a/src/machines/turn-store/turn-store.ts
+++ b/src/machines/turn-store/turn-store.ts
@@ -8,51 +8,21 @@
 import {type Disk} from '../../contracts/disk.js';
 import {as, type AttemptId, type Milliseconds} from '../../contracts/id.js';
 import {
-	type ChainReply, type Extent, type KeepResult, type TurnRecord, type UsedRecord, type UsedReply,
+	type ChainReply, type Extent, type KeepResult, type TurnRecord, type UsedReply,
 } from '../../contracts/turn.js';
-import {withTimeout} from '../../zones/with-timeout.js';
-import {
-	createRecord, framedBytes, type FrameRecord, isIntact, recordType,
-} from './frame.js';
 import {createCompleteness} from './completeness.js';
-import {createGroupCommit} from './group-commit.js';
 import {createInventory} from './inventory.js';
 import {createRecordCache} from './record-cache.js';
+import {createRecordReading} from './record-reading.js';
+import {createRecordWriting} from './record-writing.js';
 import {recoverSegments} from './recovery.js';
+import {createRetention} from './retention.js';
 import {defaultSegmentBytes, type Segment} from './segment.js';
 import {createSegmentLog} from './segment-log.js';
-import {contentBytes, decodeTurn, encodeTurn} from './turn-encoding.js';
-import {
-	createTurnIndex, extentOf, type IndexEntry, isWhole, usedPartOf,
-} from './turn-index.js';
+import {createTurnIndex, isWhole} from './turn-index.js';
 import {type TurnStoreEvent} from './turn-store-event.js';
 import {createUsedReply} from './used-reply.js';
 
-/** Part of the disk that the store uses; the rest is for logs and the file system. */
-const usableShare = 0.85;
-
-/**
-Time for which turns are kept beyond their retention, which begins at the end of the response: an entry may be paused
-between the acknowledgement of the copies and the end.
-*/
-const retentionMarginMs = 30_000;
-
-/** Retention for which an absent turn may be one that was lost, unless a longer one is known. */
-const assumedRetentionMs = 60_000;
-
-/** The same for records of used tokens, which are kept for twice the retention of a program, of 60 s. */
-const assumedUsedRetentionMs = 120_000;
-
-/** Limits of one reply: the rest of a longer chain is asked for by its own turn. */
-const maximumChainRecords = 64;
-const maximumChainBytes = 1024 * 1024;
-
-/** Time limit for reading a chain. */
-const readLimitMs = 1000;
-
-/** Size at which a reply with copies ends. */
-const maximumCopiesBytes = 1024 * 1024;
-
 const expiryIntervalMs = 2000;
 
 /** A turn with the size of its record. */
@@ -100,21 +70,6 @@
 	readonly signal: AbortSignal;
 };
 
-type TurnItem = {
-	readonly kind: 'turn'; readonly turn: AttemptId; readonly retention: Milliseconds; readonly extent: Extent; readonly used: UsedRecord | undefined; readonly record: FrameRecord;
-};
-
-type Item
-	= | TurnItem
-	/** Writes nothing but the start of the segment, if the batch begins one. */
-		| {readonly kind: 'segment-start'};
-
-function isTurnItem(item: Item): item is TurnItem {
-	return item.kind === 'turn';
-}
-
-type Reading = {readonly kind: 'read'; readonly bytes: Uint8Array} | {readonly kind: 'absent'} | {readonly kind: 'unreadable'};
-
 /** Opens the store. Resolves once the turns on the disk are known. */
 export async function openTurnStore(options: TurnStoreOptions): Promise<TurnStore> {
 	const {clock, disk, directory, limits, onEvent} = options;
@@ -122,24 +77,13 @@
 	const index = createTurnIndex();
 	const cache = createRecordCache(limits.cacheBytes);
 	const closed = new AbortController();
-	const counts = {kept: 0, refused: 0, reads: 0};
-	let longestRetention = as<Milliseconds>(assumedRetentionMs);
-	let isSpaceUsedUp = false;
-
-	function expiryOf(retention: Milliseconds): Milliseconds {
-		longestRetention = as<Milliseconds>(Math.max(longestRetention, retention));
-		return as<Milliseconds>(clock.now() + retention + retentionMarginMs);
-	}
-
+	const retention = createRetention(clock);
 	const recovery = await recoverSegments({
-		directory, disk, index, clock, onEvent, expiryOf, isFirstStart: options.isFirstStart, signal: options.signal,
-	});
-	const turns = createCompleteness({hasLoss: recovery.hasLoss, lifetime: () => as<Milliseconds>(longestRetention + retentionMarginMs), clock});
-	const usedTokens = createCompleteness({
-		hasLoss: recovery.hasLossOfUsed,
-		lifetime: () => as<Milliseconds>(Math.max(longestRetention, assumedUsedRetentionMs) + retentionMarginMs),
-		clock,
+		directory, disk, index, clock, onEvent, expiryOf: retention.expiryOf, isFirstStart: options.isFirstStart, signal: options.signal,
 	});
+	const turns = createCompleteness({hasLoss: recovery.hasLoss, lifetime: retention.longestTurn, clock});
+	const usedTokens = createCompleteness({hasLoss: recovery.hasLossOfUsed, lifetime: retention.longestUsed, clock});
+	const isComplete = () => turns.isComplete() && usedTokens.isComplete();
 
 	const log = createSegmentLog({
 		directory,
@@ -157,129 +101,15 @@
 		onEvent,
 	});
 
-	function enter(item: TurnItem, segment: Segment, position: number): void {
-		const {bytes, checksum} = item.record;
-		const expiresAt = expiryOf(item.retention);
-		segment.expiresAt = as<Milliseconds>(Math.max(segment.expiresAt, expiresAt));
-		const isNewest = index.put(item.turn, {
-			segment, position, length: bytes.length, checksum, extent: item.extent, expiresAt, isSynced: true, used: item.used,
-		});
-		if (isNewest) {
-			cache.put(item.turn, bytes);
-		}
-	}
-
-	async function write(items: readonly Item[]) {
-		const turnItems = items.filter(item => isTurnItem(item));
-		const placed = await log.append(turnItems.map(item => item.record));
-		if (placed.isOk()) {
-			const {segment, positions} = placed.value;
-			for (const [place, item] of turnItems.entries()) {
-				enter(item, segment, positions[place] ?? 0);
-			}
-		}
-
-		return placed;
-	}
-
-	const commit = createGroupCommit<Item>({
-		write, bytesOf: item => isTurnItem(item) ? framedBytes(item.record.bytes.length) : 0, clock, onEvent,
+	const writing = createRecordWriting({
+		index, cache, log, retention, diskBytes: limits.diskBytes, clock, onEvent,
+	});
+	const reading = createRecordReading({
+		index, cache, retention, clock, onEvent,
+	});
+	const inventory = createInventory({
+		entries: index.entries, get: index.get, isComplete, clock,
 	});
-
-	function hasSpaceFor(bytes: number): boolean {
-		const used = log.bytes() + commit.waitingBytes();
-		const hasSpace = used + bytes <= limits.diskBytes * usableShare;
-		if (!hasSpace && !isSpaceUsedUp) {
-			onEvent({kind: 'space-used-up', bytes: used});
-		}
-
-		isSpaceUsedUp = !hasSpace;
-		return hasSpace;
-	}
-
-	async function keepRecord(record: TurnRecord): Promise<KeepResult> {
-		const bytes = encodeTurn(record);
-		if (!bytes) {
-			return {kind: 'refused', reason: 'the turn is too large'};
-		}
-
-		if (index.isFull()) {
-			return {kind: 'refused', reason: `the index is full with ${index.size()} turns`};
-		}
-
-		if (!hasSpaceFor(framedBytes(bytes.length))) {
-			return {kind: 'refused', reason: 'the space for turns is used up'};
-		}
-
-		return commit.add({
-			kind: 'turn', turn: record.turn, retention: record.retention, extent: extentOf(record.content), used: usedPartOf(record), record: createRecord(recordType.turn, bytes),
-		});
-	}
-
-	async function readEntry(turn: AttemptId, entry: IndexEntry): Promise<Reading> {
-		const cached = cache.get(turn);
-		if (cached) {
-			return {kind: 'read', bytes: cached};
-		}
-
-		counts.reads++;
-		const {segment, position, length, checksum} = entry;
-		const result = await segment.file.read(position, length);
-		if (result.isOk() && result.value.length === length && isIntact(result.value, checksum)) {
-			if (index.get(turn) === entry) {
-				cache.put(turn, result.value);
-			}
-
-			return {kind: 'read', bytes: result.value};
-		}
-
-		const current = index.get(turn);
-		if (current !== entry) {
-			// The segment was dropped meanwhile, or the turn was stored again.
-			return current ? readEntry(turn, current) : {kind: 'absent'};
-		}
-
-		onEvent({
-			kind: 'record-unreadable', turn, segment: segment.name, reason: result.isErr() ? result.error.reason : 'the bytes are damaged',
-		});
-		return {kind: 'unreadable'};
-	}
-
-	async function read(turn: AttemptId): Promise<TurnRecord | 'absent' | 'unreadable'> {
-		const entry = index.get(turn);
-		const reading: Reading = entry ? await readEntry(turn, entry) : {kind: 'absent'};
-		return reading.kind === 'read' ? decodeTurn(reading.bytes) ?? 'unreadable' : reading.kind;
-	}
-
-	/** Reads one record with the retention that it has left; undefined if it is gone or cannot be read. */
-	async function copyOf(turn: AttemptId): Promise<TurnRecord | undefined> {
-		const entry = index.get(turn);
-		const record = await read(turn);
-		return entry && record !== 'absent' && record !== 'unreadable'
-			? {...record, retention: as<Milliseconds>(Math.max(0, entry.expiresAt - clock.now() - retentionMarginMs))}
-			: undefined;
-	}
-
-	/** Adds the records of a chain to a list. Resolves to whether all of them that are held could be read. */
-	async function collectChain(turn: AttemptId, records: TurnRecord[]): Promise<boolean> {
-		const seen = new Set<AttemptId>();
-		let bytes = 0;
-		let next: AttemptId | undefined = turn;
-		// Attempt ids are chosen by callers, who can make turns continue each other in a circle.
-		while (next !== undefined && !seen.has(next) && records.length < maximumChainRecords && bytes < maximumChainBytes) {
-			seen.add(next);
-			const record: TurnRecord | 'absent' | 'unreadable' = await read(next);
-			if (record === 'absent' || record === 'unreadable') {
-				return record === 'absent';
-			}
-
-			records.push(record);
-			bytes += contentBytes(record.content);
-			next = record.previous;
-		}
-
-		return true;
-	}
 
 	async function dropExpired(): Promise<void> {
 		// The first record of the current segment says what is missing.
@@ -305,24 +135,15 @@
 		}
 	}
 
-	const isComplete = () => turns.isComplete() && usedTokens.isComplete();
-	const inventory = createInventory({
-		entries: index.entries, get: index.get, isComplete, clock,
-	});
 	onEvent({
 		kind: 'recovered', segments: recovery.segments.length, turns: index.size(), isComplete: turns.isComplete(), took: as<Milliseconds>(clock.now() - startedAt),
 	});
 	void expire();
 	return {
-		async keep(record) {
-			const result = await keepRecord(record);
-			counts[result.kind === 'kept' ? 'kept' : 'refused']++;
-			return result;
-		},
+		keep: writing.keep,
 		async chain(turn) {
-			const records: TurnRecord[] = [];
-			const isWholeChain = await withTimeout(clock, readLimitMs, collectChain(turn, records));
-			return {records: [...records], isComplete: (isWholeChain ?? false) && turns.isComplete()};
+			const {records, isWhole: isWholeChain} = await reading.chain(turn);
+			return {records, isComplete: isWholeChain && turns.isComplete()};
 		},
 		used: () => createUsedReply(index.used(), clock.now(), usedTokens.isComplete()),
 		holds(turn) {
@@ -332,34 +153,15 @@
 		turns: () => [...index.entries()]
 			.filter(([, entry]) => entry.expiresAt > clock.now())
 			.map(([turn, entry]) => ({turn, isWhole: isWhole(entry), bytes: entry.length})),
-		async read(turn) {
-			const record = await read(turn);
-			return record === 'absent' || record === 'unreadable' ? undefined : record;
-		},
+		read: reading.read,
 		begin() {
 			if (log.segments().length === 0) {
-				void commit.add({kind: 'segment-start'});
+				void writing.beginSegment();
 			}
 		},
 		isComplete,
 		inventory: inventory.page,
-		async copies(wanted) {
-			const records: TurnRecord[] = [];
-			let count = 0;
-			let bytes = 0;
-			for (const turn of wanted) {
-				if (bytes >= maximumCopiesBytes) {
-					break;
-				}
-
-				const record = await copyOf(turn);
-				count++;
-				bytes += record ? contentBytes(record.content) : 0;
-				records.push(...record ? [record] : []);
-			}
-
-			return {read: count, records};
-		},
+		copies: reading.copies,
 		syncedExtent(turn) {
 			const entry = index.get(turn);
 			return entry?.isSynced ? entry.extent : undefined;
@@ -369,8 +171,7 @@
 			usedTokens.restore();
 			log.seal();
 			onEvent({kind: 'complete', by});
-			const result = await commit.add({kind: 'segment-start'});
-			return result.kind === 'kept';
+			return writing.beginSegment();
 		},
 		gauges: () => ({
 			turns: index.size(),
@@ -378,15 +179,16 @@
 			segments: log.segments().length,
 			diskBytes: log.bytes(),
 			cacheBytes: cache.bytes(),
-			waitingBytes: commit.waitingBytes(),
-			isHanging: Number(commit.isHanging()),
+			waitingBytes: writing.waitingBytes(),
+			isHanging: Number(writing.isHanging()),
 			isComplete: Number(turns.isComplete()),
 			isUsedComplete: Number(usedTokens.isComplete()),
-			...counts,
+			...writing.counts(),
+			reads: reading.reads(),
 		}),
 		async close() {
 			closed.abort();
-			await commit.close();
+			await writing.close();
 			await log.close();
 		},
 	};
