--- a/tests/disk-losses.test.ts
+++ b/tests/disk-losses.test.ts
@@ -12,10 +12,10 @@
 } from '../src/contracts/id.js';
 import {copiesFor} from '../src/contracts/tolerance.js';
 import {createArchivedRecords} from '../src/zones/archived-records.js';
-import {createArchiveCluster} from './fixtures/archive-cluster.js';
+import {createArchiveFleet} from './fixtures/archive-fleet.js';
 import {createConversationNode, turnWith} from './fixtures/fake-archives.js';
 import {timed} from './fixtures/conversation-scene.js';
-import {createFakeClock, createSeededRandom} from './fixtures/fake-clock.js';
+import {createSeededRandom} from './fixtures/fake-clock.js';
 import {knownRed} from './fixtures/known-red.js';
 import {retentionMs, usedRecord} from './fixtures/turn-machine.js';
 
@@ -40,9 +40,9 @@
 	for (let seed = 1; seed <= historyCount; seed++) {
 		const title = `history ${seed} of ${name} that are lost two at a time: every kept turn is found`;
 		test(title, knownRed(title), async () => {
-			const clock = createFakeClock();
 			const random = createSeededRandom(seed);
-			const archives = createArchiveCluster(clock, ids, tolerance);
+			const archives = await createArchiveFleet({ids, tolerance});
+			const {clock} = archives;
 			const nodes = ['a0', 'b0', 'c0', 'd0'].map(id => createConversationNode(clock, archives, id, {tolerance}));
 			const kept: string[] = [];
 			let machineCount = ids.length;
@@ -67,16 +67,16 @@
 			function lose(id: string, elapsed: number): void {
 				const {kind} = draw(random.fraction());
 				const successor = kind === 'machine' ? `${id.slice(0, 1)}${++machineCount}` : id;
-				archives.kill(id, true);
+				archives.loseDisks(id);
 				returns.push({
 					at: elapsed + downMs,
 					run() {
-						if (successor !== id) {
+						if (successor === id) {
+							void archives.restore(id);
+						} else {
 							archives.remove(id);
-							archives.add(successor);
+							void archives.add(successor);
 						}
-
-						archives.start(successor, false);
 					},
 				});
 			}
@@ -130,8 +130,8 @@
 // Guards against instances that are never warm after a loss of all memory, although no record is missing.
 const replacesMachines = 'records of used tokens are read after a machine with a disk was added and two were replaced, one after the other';
 test(replacesMachines, knownRed(replacesMachines), async () => {
-	const clock = createFakeClock();
-	const archives = createArchiveCluster(clock, ids, tolerance);
+	const archives = await createArchiveFleet({ids, tolerance});
+	const {clock} = archives;
 	const link = archives.linkOf(() => true);
 	await clock.advance(500);
 	const keeping = Promise.all(['a1', 'b2', 'd1'].map(async id => link.keep(as<Address>(id), usedRecord('program', 700), as<Milliseconds>(1000))));
@@ -140,12 +140,10 @@
 	assert.ok(kept.every(({kind}) => kind === 'kept'));
 	for (const [added, replaced] of [['a3', undefined], ['b3', 'b1'], ['c3', 'c1']] as const) {
 		if (replaced !== undefined) {
-			archives.kill(replaced, true);
 			archives.remove(replaced);
 		}
 
-		archives.add(added);
-		archives.start(added, false);
+		await archives.add(added);
 		await clock.advance(downMs + catchUpMs);
 	}
 
